--- a/packages/adapters/include/tamarack/adapters.hpp
+++ b/packages/adapters/include/tamarack/adapters.hpp
@@ -23,6 +23,9 @@
 #include <memory>
 #include <mutex>
 #include <random>
+#include <set>
+#include <variant>
+#include <initializer_list>
 #include <string>
 #include <string_view>
 #include <thread>
@@ -61,7 +64,12 @@
   void text(std::string Name, const char *Default, std::string Help);
   void number(std::string Name, const char *Default, std::int64_t Least,
               std::int64_t Largest, std::string Help);
+  void decimal(std::string Name, const char *Default, double Least,
+               double Largest, std::string Help);
   void flag(std::string Name, std::string Help);
+  // Declares a setting that names a file of lines NAME = VALUE, read after
+  // flags and variables, which win.
+  void file(std::string Name, std::string Help);
   // Allows words that are not flags, for commands and files.
   void words(std::string Help);
 
@@ -72,11 +80,12 @@
 
   const std::string &getText(std::string_view Name) const;
   std::int64_t getNumber(std::string_view Name) const;
+  double getDecimal(std::string_view Name) const;
   bool getFlag(std::string_view Name) const;
   const std::vector<std::string> &getWords() const { return Words; }
 
 private:
-  enum class kind { Text, Number, Flag };
+  enum class kind { Text, Number, Decimal, Flag };
 
   struct setting {
     kind Kind = kind::Text;
@@ -85,16 +94,22 @@
     std::string Help;
     std::int64_t Least = 0;
     std::int64_t Largest = 0;
+    double LeastDecimal = 0;
+    double LargestDecimal = 0;
     std::string Value;
   };
 
-  void readEnvironment(std::vector<std::string> &Errors);
+  void readEnvironment(std::set<std::string> &Given,
+                       std::vector<std::string> &Errors);
+  void readFile(const std::string &Path, const std::set<std::string> &Given,
+                std::vector<std::string> &Errors);
   void check(std::vector<std::string> &Errors);
   const setting &find(std::string_view Name, kind Kind) const;
 
   std::string Program;
   std::string Summary;
   std::string WordsHelp;
+  std::string FileSetting; // Name of the setting that names a file.
   bool AllowWords = false;
   std::map<std::string, setting, std::less<>> Settings;
   std::vector<std::string> Words;
@@ -122,6 +137,34 @@
   std::string Name;
 };
 
+// One decision as a line of JSON: {"time","instance","event",...}. Lines of one
+// event are limited per second; what was left out is counted and told.
+class event_log {
+public:
+  struct field {
+    std::string_view Name;
+    std::variant<std::string_view, std::int64_t, double> Value;
+  };
+
+  event_log(std::string Instance, const clock &Clock, int LinesPerSecond);
+  void write(std::string_view Event, std::initializer_list<field> Fields);
+
+private:
+  struct budget {
+    time_ms Second = 0;
+    int Written = 0;
+    int LeftOut = 0;
+  };
+
+  std::string Instance;
+  const clock &Clock;
+  int LinesPerSecond;
+  std::map<std::string, budget, std::less<>> Budgets; // By event.
+};
+
+// Lines as they are, on standard output. For event_log.
+void startEventLogs();
+
 //---------------------------------------------------------------------------
 // Time and random numbers
 //---------------------------------------------------------------------------
--- /dev/null
+++ b/packages/adapters/src/event_log.cpp
@@ -0,0 +1,70 @@
+// Decisions as lines of JSON on log4cplus.
+#include "tamarack/adapters.hpp"
+
+#include <log4cplus/consoleappender.h>
+#include <log4cplus/initializer.h>
+#include <log4cplus/layout.h>
+#include <log4cplus/logger.h>
+#include <nlohmann/json.hpp>
+
+namespace tamarack::adapters {
+
+namespace {
+
+constexpr char EventLogger[] = "events";
+constexpr time_ms MsPerSecond = 1'000;
+
+} // namespace
+
+void startEventLogs() {
+  static log4cplus::Initializer Initializer;
+  log4cplus::SharedAppenderPtr Appender(
+      new log4cplus::ConsoleAppender(false, true));
+  Appender->setLayout(std::make_unique<log4cplus::PatternLayout>("%m%n"));
+  log4cplus::Logger Logger = log4cplus::Logger::getInstance(EventLogger);
+  Logger.setAdditivity(false);
+  Logger.removeAllAppenders();
+  Logger.addAppender(Appender);
+  Logger.setLogLevel(log4cplus::INFO_LOG_LEVEL);
+}
+
+event_log::event_log(std::string Instance, const clock &Clock,
+                     int LinesPerSecond)
+    : Instance(std::move(Instance)), Clock(Clock),
+      LinesPerSecond(LinesPerSecond) {}
+
+void event_log::write(std::string_view Event,
+                      std::initializer_list<field> Fields) {
+  auto Found = Budgets.find(Event);
+  if (Found == Budgets.end())
+    Found = Budgets.emplace(std::string(Event), budget()).first;
+  budget &Budget = Found->second;
+  const time_ms Second = Clock.monotonic() / MsPerSecond;
+  const int LeftOutBefore = Second == Budget.Second ? 0 : Budget.LeftOut;
+  if (Second != Budget.Second)
+    Budget = {Second, 0, 0};
+  if (Budget.Written >= LinesPerSecond) {
+    ++Budget.LeftOut;
+    return;
+  }
+  ++Budget.Written;
+  nlohmann::ordered_json Line;
+  Line["time"] = Clock.now();
+  Line["instance"] = Instance;
+  Line["event"] = Event;
+  if (LeftOutBefore > 0)
+    Line["left_out_before"] = LeftOutBefore;
+  for (const field &Field : Fields)
+    std::visit(
+        [&Line, &Field](const auto &Value) {
+          Line[std::string(Field.Name)] = Value;
+        },
+        Field.Value);
+  static log4cplus::Logger Logger =
+      log4cplus::Logger::getInstance(EventLogger);
+  Logger.forcedLog(
+      log4cplus::INFO_LOG_LEVEL,
+      Line.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace));
+}
+
+} // namespace tamarack::adapters
--- a/packages/adapters/src/settings.cpp
+++ b/packages/adapters/src/settings.cpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <cassert>
 #include <charconv>
+#include <fstream>
 #include <iostream>
 #include <unistd.h>
 
@@ -27,6 +28,12 @@
   return Variable;
 }
 
+bool readDecimal(const std::string &Text, double &Result) {
+  const char *End = Text.data() + Text.size();
+  const std::from_chars_result Read = std::from_chars(Text.data(), End, Result);
+  return !Text.empty() && Read.ec == std::errc() && Read.ptr == End;
+}
+
 bool readWhole(const std::string &Text, std::int64_t &Result) {
   const char *End = Text.data() + Text.size();
   const std::from_chars_result Read = std::from_chars(Text.data(), End, Result);
@@ -67,6 +74,23 @@
   Settings.emplace(std::move(Name), std::move(Setting));
 }
 
+void setting_set::decimal(std::string Name, const char *Default, double Least,
+                          double Largest, std::string Help) {
+  setting Setting;
+  Setting.Kind = kind::Decimal;
+  Setting.Required = Default == nullptr;
+  Setting.Default = Default == nullptr ? "" : Default;
+  Setting.Help = std::move(Help);
+  Setting.LeastDecimal = Least;
+  Setting.LargestDecimal = Largest;
+  Settings.emplace(std::move(Name), std::move(Setting));
+}
+
+void setting_set::file(std::string Name, std::string Help) {
+  FileSetting = Name;
+  text(std::move(Name), "", std::move(Help));
+}
+
 void setting_set::flag(std::string Name, std::string Help) {
   setting Setting;
   Setting.Kind = kind::Flag;
@@ -99,7 +123,8 @@
   std::vector<std::string> Errors;
   for (auto &[Name, Setting] : Settings)
     Setting.Value = Setting.Default;
-  readEnvironment(Errors);
+  std::set<std::string> Given;
+  readEnvironment(Given, Errors);
   try {
     const po::parsed_options Parsed =
         po::command_line_parser(Count, Arguments)
@@ -133,7 +158,10 @@
       }
       Found->second.Value =
           Option.value.empty() ? "true" : Option.value.front();
+      Given.insert(Option.string_key);
     }
+    if (!FileSetting.empty() && !getText(FileSetting).empty())
+      readFile(getText(FileSetting), Given, Errors);
   } catch (const po::error &Error) {
     Errors.emplace_back(Error.what());
   }
@@ -145,7 +173,28 @@
   return true;
 }
 
-void setting_set::readEnvironment(std::vector<std::string> &Errors) {
+// Lines NAME = VALUE. Flags and variables that are Given win.
+void setting_set::readFile(const std::string &Path,
+                           const std::set<std::string> &Given,
+                           std::vector<std::string> &Errors) {
+  std::ifstream In(Path);
+  if (!In) {
+    Errors.push_back("can't read the settings file " + Path);
+    return;
+  }
+  const po::options_description None;
+  const po::parsed_options Parsed = po::parse_config_file(In, None, true);
+  for (const auto &Option : Parsed.options) {
+    auto Found = Settings.find(Option.string_key);
+    if (Found == Settings.end())
+      Errors.push_back("unknown setting in " + Path + ": " + Option.string_key);
+    else if (!Given.contains(Option.string_key) && !Option.value.empty())
+      Found->second.Value = Option.value.front();
+  }
+}
+
+void setting_set::readEnvironment(std::set<std::string> &Given,
+                                  std::vector<std::string> &Errors) {
   std::map<std::string, std::string> NameOf;
   for (const auto &[Name, Setting] : Settings)
     NameOf[variableOf(Name)] = Name;
@@ -156,11 +205,13 @@
     const std::size_t Equals = Text.find('=');
     const std::string Variable(Text.substr(0, Equals));
     auto Found = NameOf.find(Variable);
-    if (Found == NameOf.end())
+    if (Found == NameOf.end()) {
       Errors.push_back("unknown variable: " + Variable);
-    else
-      Settings.find(Found->second)->second.Value =
-          std::string(Text.substr(Equals + 1));
+      continue;
+    }
+    Settings.find(Found->second)->second.Value =
+        std::string(Text.substr(Equals + 1));
+    Given.insert(Found->second);
   }
 }
 
@@ -171,6 +222,14 @@
     if (Setting.Kind == kind::Flag && Setting.Value != "true" &&
         Setting.Value != "false")
       Errors.push_back("--" + Name + " must be true or false");
+    double Decimal = 0;
+    if (Setting.Kind == kind::Decimal && !Setting.Value.empty() &&
+        !(readDecimal(Setting.Value, Decimal) &&
+          Decimal >= Setting.LeastDecimal && Decimal <= Setting.LargestDecimal))
+      Errors.push_back("--" + Name + " must be a number from " +
+                       std::to_string(Setting.LeastDecimal) + " to " +
+                       std::to_string(Setting.LargestDecimal) + ", not \"" +
+                       Setting.Value + "\"");
     if (Setting.Kind != kind::Number || Setting.Value.empty())
       continue;
     std::int64_t Number = 0;
@@ -203,6 +262,12 @@
   return Number;
 }
 
+double setting_set::getDecimal(std::string_view Name) const {
+  double Value = 0;
+  readDecimal(find(Name, kind::Decimal).Value, Value);
+  return Value;
+}
+
 bool setting_set::getFlag(std::string_view Name) const {
   return find(Name, kind::Flag).Value == "true";
 }
--- a/packages/daemon/src/main.cpp
+++ b/packages/daemon/src/main.cpp
@@ -1,5 +1,6 @@
 // tamarackd: one router instance.
 #include "daemon.hpp"
+#include "router.hpp"
 
 #include <Poco/Exception.h>
 #include <Poco/Net/SSLManager.h>
@@ -23,8 +24,30 @@
   return Signals;
 }
 
+constexpr std::string_view RouterWord = "router";
+
+// Serves callers from the platform's keyed store, on one event loop.
+int runRouter(int Count, char **Arguments) {
+  using namespace tamarack;
+  std::signal(SIGPIPE, SIG_IGN);
+  daemon::router_settings Settings;
+  if (!daemon::readRouterSettings(Count, Arguments, Settings))
+    return 0;
+  adapters::startEventLogs();
+  daemon::router Router(Settings);
+  Router.Reload = [Count, Arguments] {
+    daemon::router_settings New;
+    daemon::readRouterSettings(Count, Arguments, New);
+    return New;
+  };
+  Router.run();
+  return 0;
+}
+
 int run(int Count, char **Arguments) {
   using namespace tamarack;
+  if (Count > 1 && Arguments[1] == RouterWord)
+    return runRouter(Count - 1, Arguments + 1);
   daemon::daemon_settings Settings;
   if (!daemon::readSettings(Count, Arguments, Settings))
     return 0;
--- a/packages/daemon/src/model_call.cpp
+++ b/packages/daemon/src/model_call.cpp
@@ -1,7 +1,7 @@
 // Completions of models in the OpenAI form, streamed or whole.
 #include "model_call.hpp"
 
-#include "event_splitter.hpp"
+#include "tamarack/relay.hpp"
 #include "model_request.hpp"
 #include "paid_call.hpp"
 #include "single_run.hpp"
@@ -221,12 +221,12 @@
 }
 
 attempt_end completion::relayEvents(answer_source &Source) {
-  event_splitter Splitter;
+  relay::event_splitter Splitter;
   std::vector<char> Buffer(ReadBytes);
   try {
     while (const std::size_t Count = Source.read(Buffer)) {
       Splitter.push({Buffer.data(), Count});
-      while (std::optional<stream_event> Event = Splitter.next()) {
+      while (std::optional<relay::stream_event> Event = Splitter.next()) {
         switch (Checker.onEvent(Event->Id, Event->Data)) {
         case event_verdict::Repeat:
           continue;
--- /dev/null
+++ b/packages/daemon/src/router.hpp
@@ -0,0 +1,90 @@
+// Composition of a router instance: one thread, one event loop.
+#pragma once
+
+#include "router_settings.hpp"
+#include "tamarack/adapters.hpp"
+#include "tamarack/dispatch.hpp"
+#include "tamarack/edge.hpp"
+#include "tamarack/follow.hpp"
+#include "tamarack/grants.hpp"
+#include "tamarack/platform.hpp"
+#include "tamarack/report.hpp"
+
+#include <memory>
+
+namespace tamarack::daemon {
+
+class router final : private edge::front_observer, private relay::allowance {
+public:
+  explicit router(const router_settings &Settings);
+  ~router() override;
+
+  // Serves until a signal asks to stop and all is handed over.
+  void run();
+  // Reads the settings again on SIGHUP; may throw settings_error.
+  std::function<router_settings()> Reload;
+
+private:
+  // Each topic has a listener of its own.
+  class configuration_listener;
+  class endpoint_listener;
+  class grant_listener;
+
+  // edge::front_observer
+  void onCall(const relay::call &Call) override;
+  void onRefused(const edge::decoded_request &Request) override;
+  void onDone(const relay::call &Call, const relay::exchange_report &Report,
+              time_ms Now) override;
+
+  // relay::allowance: the grants, and a write at once when money is short.
+  relay::reserve_result reserve(std::string_view Account,
+                                std::int64_t Bound) override;
+  void settle(std::string_view Account, std::int64_t Bound,
+              std::int64_t Used) override;
+
+  void adopt(std::shared_ptr<const relay::route_table> Table);
+  void refreshEndpoints();
+  void tick();
+  void scheduleTick();
+  void writeGrants();
+  void onGrantWritten(std::uint64_t At, store_status Status);
+  void waitForSignals();
+  void reload();
+  void beginStop();
+  void continueStop();
+  bool isReady() const { return Table && !Stopping; }
+  edge::response_message readyAnswer() const;
+  edge::response_message metricsAnswer();
+
+  router_settings Settings;
+  adapters::system_clock Clock;
+  adapters::system_random Random;
+  edge::net::io_context Context{1};
+  adapters::event_log Log;
+  report::metrics_registry Metrics;
+  platform::platform_store Store;
+  dispatch::dispatcher Dispatcher;
+  platform::platform_codec Codec;
+  grants::grant_holder Grants;
+  follow::endpoint_directory Directory;
+  std::unique_ptr<configuration_listener> ConfigurationListener;
+  std::unique_ptr<endpoint_listener> EndpointListener;
+  std::unique_ptr<grant_listener> GrantListener;
+  follow::topic_follower ConfigurationFollower;
+  follow::topic_follower EndpointFollower;
+  follow::topic_follower GrantFollower;
+  edge::endpoint_pool Pool;
+  edge::front_server Front;
+  edge::plain_server Ready;
+  edge::plain_server MetricsServer;
+  edge::net::signal_set Signals;
+  edge::net::steady_timer Timer;
+  std::shared_ptr<const relay::route_table> Table;
+  bool GrantWriteUnderWay = false;
+  time_ms NextGrantWrite = 0;
+  bool Stopping = false;
+  bool Accepting = true;
+  time_ms StopAt = 0;
+};
+
+} // namespace tamarack::daemon
--- /dev/null
+++ b/packages/daemon/src/router_settings.cpp
@@ -0,0 +1,76 @@
+// Settings of a router instance.
+#include "router_settings.hpp"
+
+#include "tamarack/edge.hpp"
+
+namespace tamarack::daemon {
+
+namespace {
+
+constexpr double MsPerSecond = 1'000;
+
+constexpr const char *Addresses[] = {"front-address", "ready-address",
+                                     "peer-address", "metrics-address",
+                                     "store-address"};
+
+void declare(adapters::setting_set &Set) {
+  Set.file("settings-file", "file of lines NAME = VALUE");
+  Set.text("instance", nullptr, "unique name of this instance");
+  Set.text("zone", nullptr, "availability zone of this instance");
+  Set.text("front-address", nullptr, "IP:PORT to serve callers on");
+  Set.text("ready-address", nullptr, "IP:PORT to tell readiness on");
+  Set.text("peer-address", nullptr, "IP:PORT for other instances");
+  Set.text("metrics-address", nullptr, "IP:PORT to serve metrics on");
+  Set.text("store-address", nullptr, "IP:PORT of the platform's store");
+  Set.decimal("repeat-ratio", "0.1", 0, 1, "repeats per request, whole fleet");
+  Set.decimal("repeat-slack", "10", 0, 1e6,
+              "repeats on top of that in one window, whole fleet");
+  Set.decimal("repeat-window-s", "10", 0.1, 3600, "that window, s");
+  Set.decimal("grace-s", "8", 1, 86400, "longest graceful shutdown, s");
+  Set.number("log-lines", "200", 1, 1000000,
+             "log lines of one event in one second");
+}
+
+class router_checks final : public adapters::setting_check {
+public:
+  void check(const adapters::setting_set &Set,
+             std::vector<std::string> &Errors) const override {
+    for (const char *Name : Addresses) {
+      if (Set.getText(Name).empty())
+        continue;
+      try {
+        edge::parseAddress(Set.getText(Name));
+      } catch (const std::invalid_argument &Error) {
+        Errors.push_back("--" + std::string(Name) + ": " + Error.what());
+      }
+    }
+  }
+};
+
+} // namespace
+
+bool readRouterSettings(int Count, const char *const *Arguments,
+                        router_settings &Settings) {
+  adapters::setting_set Set("tamarackd router",
+                            "router for prepaid token budgets");
+  declare(Set);
+  const router_checks Checks;
+  if (!Set.read(Count, Arguments, &Checks))
+    return false;
+  Settings.Instance = Set.getText("instance");
+  Settings.Zone = Set.getText("zone");
+  Settings.FrontAddress = Set.getText("front-address");
+  Settings.ReadyAddress = Set.getText("ready-address");
+  Settings.PeerAddress = Set.getText("peer-address");
+  Settings.MetricsAddress = Set.getText("metrics-address");
+  Settings.StoreAddress = Set.getText("store-address");
+  Settings.Repeats.Ratio = Set.getDecimal("repeat-ratio");
+  Settings.Repeats.Slack = Set.getDecimal("repeat-slack");
+  Settings.Repeats.WindowMs =
+      static_cast<int>(Set.getDecimal("repeat-window-s") * MsPerSecond);
+  Settings.GraceMs = static_cast<int>(Set.getDecimal("grace-s") * MsPerSecond);
+  Settings.LogLines = static_cast<int>(Set.getNumber("log-lines"));
+  return true;
+}
+
+} // namespace tamarack::daemon
--- /dev/null
+++ b/packages/daemon/src/router_settings.hpp
@@ -0,0 +1,28 @@
+// Settings of a router instance.
+#pragma once
+
+#include "tamarack/adapters.hpp"
+#include "tamarack/dispatch.hpp"
+
+#include <string>
+
+namespace tamarack::daemon {
+
+struct router_settings {
+  std::string Instance;     // Unique name.
+  std::string Zone;         // Availability zone.
+  std::string FrontAddress; // Callers, host:port.
+  std::string ReadyAddress; // Readiness, host:port.
+  std::string PeerAddress;  // Other instances, host:port.
+  std::string MetricsAddress;
+  std::string StoreAddress;
+  dispatch::repeat_limits Repeats;
+  int GraceMs = 8'000;   // From the request to stop to the forced end.
+  int LogLines = 200;    // Per event and second.
+};
+
+// False if --help was asked for and printed. Throws adapters::settings_error.
+bool readRouterSettings(int Count, const char *const *Arguments,
+                        router_settings &Settings);
+
+} // namespace tamarack::daemon
--- /dev/null
+++ b/packages/dispatch/src/repeat_budget.cpp
@@ -0,0 +1,31 @@
+// This instance's share of the fleet's repeats.
+#include "tamarack/dispatch.hpp"
+
+#include <algorithm>
+
+namespace tamarack::dispatch {
+
+void repeat_budget::onRequest(const repeat_limits &Limits) {
+  Earned = std::min(MostEarned, Earned + Limits.Ratio);
+}
+
+bool repeat_budget::trySpend(const repeat_limits &Limits, int Instances,
+                             time_ms Now) {
+  const double Share = SlackPart * Limits.Slack / Instances;
+  if (Filled < 0)
+    Filled = Now;
+  Slack = std::min(Share, Slack + Share * static_cast<double>(Now - Filled) /
+                                      Limits.WindowMs);
+  Filled = Now;
+  if (Earned >= 1) {
+    Earned -= 1;
+    return true;
+  }
+  if (Earned + Slack < 1)
+    return false;
+  Slack -= 1 - Earned;
+  Earned = 0;
+  return true;
+}
+
+} // namespace tamarack::dispatch
--- /dev/null
+++ b/packages/edge/include/tamarack/edge.hpp
@@ -0,0 +1,260 @@
+// HTTP towards callers, endpoints, the store and peers, on Boost.Beast.
+//
+// Contents:
+//   forms               request_message, response_message, decoded_request
+//   translation         exchange_codec
+//   towards callers     front_settings, front_observer, front_server
+//   towards endpoints   endpoint_pool
+//   single requests     http_channel, plain_server
+//
+// One thread runs everything here: the io_context of the daemon. What is
+// decided stands in packages/relay; this package only carries it out.
+#pragma once
+
+#include "tamarack/relay.hpp"
+
+#include <boost/asio.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+
+#include <deque>
+#include <functional>
+#include <list>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace tamarack::edge {
+
+namespace net = boost::asio;
+namespace http = boost::beast::http;
+using tcp = net::ip::tcp;
+using boost::system::error_code;
+
+//---------------------------------------------------------------------------
+// Forms
+//---------------------------------------------------------------------------
+
+using request_message = http::request<http::string_body>;
+using response_message = http::response<http::string_body>;
+using response_fields = http::response_header<>;
+
+// A caller's request, understood or refused.
+struct decoded_request {
+  std::optional<relay::call> Call;
+  relay::error_kind Refusal = relay::error_kind::InvalidRequest;
+  std::string Detail;      // Why it was refused, for logs.
+  std::string Id;          // The caller's name of the request, may be empty.
+  request_message Forward; // To endpoints, less what each attempt sets.
+};
+
+// Throws std::invalid_argument unless Text is "host:port" with a numeric host.
+tcp::endpoint parseAddress(std::string_view Text);
+
+//---------------------------------------------------------------------------
+// Translation
+//---------------------------------------------------------------------------
+
+// Between HTTP messages and what the exchange speaks of. Implementations hold
+// all names on the wire.
+class exchange_codec {
+public:
+  virtual ~exchange_codec() = default;
+  virtual decoded_request decode(request_message Request, time_ms Now) = 0;
+  // Sets the fields of one attempt in Forward.
+  virtual void prepare(const relay::call &Call,
+                       const relay::endpoint_choice &To,
+                       const relay::send_options &Options, time_ms Now,
+                       request_message &Forward) = 0;
+  // False if the answer belongs to another request.
+  virtual bool belongsTo(const relay::call &Call,
+                         const response_fields &Fields) = 0;
+  virtual relay::answer_head readHead(const response_fields &Fields) = 0;
+  // Takes in what an endpoint tells of itself in any answer.
+  virtual void observe(const relay::endpoint_choice &From,
+                       const response_fields &Fields, time_ms Now) = 0;
+  // Fields of an answer of our own.
+  virtual response_message refusal(relay::error_kind Kind, int RetryAfterMs,
+                                   std::string_view Id) = 0;
+};
+
+//---------------------------------------------------------------------------
+// Towards endpoints
+//---------------------------------------------------------------------------
+
+class endpoint_connection;
+class endpoint_call;
+
+struct pool_settings {
+  int ConnectMs = 300;        // Longest wait for a connection.
+  int RecentMs = 1'000;       // A connection used within is trusted to live.
+  int IdleMs = 4'000;         // Kept connections are closed after.
+  std::size_t MostIdle = 32;  // Kept connections per endpoint.
+  int SilentMs = 2'500;       // Unacknowledged bytes break a connection.
+};
+
+// Kept connections to endpoints.
+class endpoint_pool {
+public:
+  endpoint_pool(net::io_context &Context, const clock &Clock,
+                pool_settings Settings);
+  ~endpoint_pool();
+
+  // A kept connection to Address that is fit for the call; nullptr if none.
+  std::shared_ptr<endpoint_connection> take(const std::string &Address,
+                                            bool OnlyRecent);
+  std::shared_ptr<endpoint_connection> open(const std::string &Address);
+  void giveBack(std::shared_ptr<endpoint_connection> Connection,
+                time_ms KeepUntil);
+  void closeIdle(); // Those kept for too long.
+  std::size_t idleCount() const;
+  std::uint64_t openedCount() const { return Opened; }
+  const pool_settings &settings() const { return Settings; }
+
+private:
+  friend class endpoint_connection;
+  void forget(const endpoint_connection *Connection);
+
+  net::io_context &Context;
+  const clock &Clock;
+  pool_settings Settings;
+  std::uint64_t Opened = 0;
+  std::map<std::string, std::vector<std::shared_ptr<endpoint_connection>>>
+      Idle;
+};
+
+//---------------------------------------------------------------------------
+// Towards callers
+//---------------------------------------------------------------------------
+
+struct front_settings {
+  std::size_t MostSessions = 3'000;
+  std::size_t MostUnsent = 256 * 1024; // Bytes before an endpoint is slowed.
+  int LingerMs = 1'000;                // Reading on after a refusal.
+  int IdleDuringDrainMs = 250;         // Idle connections while ending.
+};
+
+// Told of what happens, for logs, metrics and the dispatcher.
+class front_observer {
+public:
+  virtual ~front_observer() = default;
+  virtual void onCall(const relay::call &Call) = 0;
+  virtual void onRefused(const decoded_request &Request) = 0;
+  virtual void onDone(const relay::call &Call,
+                      const relay::exchange_report &Report, time_ms Now) = 0;
+};
+
+class front_session;
+
+class front_server {
+public:
+  front_server(net::io_context &Context, const clock &Clock,
+               exchange_codec &Codec, relay::placement &Placement,
+               relay::allowance &Allowance, front_observer &Observer,
+               endpoint_pool &Pool, front_settings Settings);
+  ~front_server();
+
+  // Throws boost::system::system_error.
+  void listen(const tcp::endpoint &Address);
+  void setLimits(const relay::caller_limits &To) { Limits = To; }
+  // Answers from now on ask the caller to close the connection.
+  void beginDrain();
+  // No new connections; idle ones are closed.
+  void stopAccepting();
+  void breakOffAll();
+  void onMoney(); // Grants have changed.
+
+  std::size_t sessionCount() const { return Sessions.size(); }
+  std::size_t busyCount() const;
+
+private:
+  friend class front_session;
+  void accept();
+
+  net::io_context &Context;
+  const clock &Clock;
+  exchange_codec &Codec;
+  relay::placement &Placement;
+  relay::allowance &Allowance;
+  front_observer &Observer;
+  endpoint_pool &Pool;
+  front_settings Settings;
+  relay::caller_limits Limits;
+  tcp::acceptor Acceptor;
+  net::steady_timer AcceptTimer;
+  bool Draining = false;
+  bool Closing = false;
+  std::set<std::shared_ptr<front_session>> Sessions;
+};
+
+//---------------------------------------------------------------------------
+// Single requests
+//---------------------------------------------------------------------------
+
+using response_handler = std::function<void(std::optional<response_message>)>;
+
+// Requests to one server, one after the other on one kept connection. No
+// answer within the time limit closes the connection.
+class http_channel : public std::enable_shared_from_this<http_channel> {
+public:
+  http_channel(net::io_context &Context, std::string Address);
+  // Handler is called once, with nothing if no answer came.
+  void request(request_message Request, int TimeoutMs,
+               response_handler Handler);
+  std::size_t waiting() const { return Queue.size(); }
+  void close();
+
+private:
+  struct item {
+    request_message Request;
+    int TimeoutMs = 1'000;
+    response_handler Handler;
+  };
+
+  void next();
+  void connect();
+  void send();
+  void finish(std::optional<response_message> Response);
+  void onDeadline();
+
+  net::io_context &Context;
+  std::string Address;
+  tcp::socket Socket;
+  net::steady_timer Timer;
+  boost::beast::flat_buffer Buffer;
+  std::optional<http::response_parser<http::string_body>> Parser;
+  std::deque<item> Queue;
+  bool Busy = false;
+  bool Connected = false;
+  bool Reused = false;
+  std::uint64_t Round = 0;
+};
+
+using respond = std::function<void(response_message)>;
+using plain_handler = std::function<void(request_message, respond)>;
+
+class plain_session;
+
+// A small server for readiness, metrics and peers.
+class plain_server {
+public:
+  plain_server(net::io_context &Context, plain_handler Handler);
+  ~plain_server();
+  // Throws boost::system::system_error.
+  void listen(const tcp::endpoint &Address);
+
+private:
+  friend class plain_session;
+  void accept();
+
+  net::io_context &Context;
+  plain_handler Handler;
+  tcp::acceptor Acceptor;
+  std::set<std::shared_ptr<plain_session>> Sessions;
+};
+
+} // namespace tamarack::edge
--- /dev/null
+++ b/packages/edge/src/plain_server.cpp
@@ -0,0 +1,95 @@
+// A small server for readiness, metrics and peers.
+#include "sockets.hpp"
+
+namespace tamarack::edge {
+
+namespace {
+
+constexpr std::uint64_t LargestBody = 8u << 20;
+constexpr int IdleMs = 30'000;
+
+} // namespace
+
+class plain_session : public std::enable_shared_from_this<plain_session> {
+public:
+  plain_session(plain_server &Server, tcp::socket Socket)
+      : Server(Server), Socket(std::move(Socket)), Timer(Server.Context) {}
+
+  void read() {
+    Parser.emplace();
+    Parser->body_limit(LargestBody);
+    const std::shared_ptr<plain_session> Self = shared_from_this();
+    Timer.expires_after(std::chrono::milliseconds(IdleMs));
+    Timer.async_wait([Self](const error_code &Error) {
+      if (!Error)
+        Self->close();
+    });
+    http::async_read(Socket, Buffer, *Parser,
+                     [Self](const error_code &Error, std::size_t) {
+                       if (Error)
+                         return Self->close();
+                       Self->serve();
+                     });
+  }
+
+  void close() {
+    Timer.cancel();
+    error_code Ignored;
+    Socket.close(Ignored);
+    Server.Sessions.erase(shared_from_this());
+  }
+
+private:
+  void serve() {
+    Timer.cancel();
+    request_message Request = Parser->release();
+    const bool KeepAlive = Request.keep_alive();
+    const std::shared_ptr<plain_session> Self = shared_from_this();
+    Server.Handler(std::move(Request), [Self, KeepAlive](response_message Out) {
+      Self->Response = std::move(Out);
+      Self->Response.keep_alive(KeepAlive);
+      Self->Response.prepare_payload();
+      http::async_write(Self->Socket, Self->Response,
+                        [Self, KeepAlive](const error_code &Error,
+                                          std::size_t) {
+                          if (Error || !KeepAlive)
+                            return Self->close();
+                          Self->read();
+                        });
+    });
+  }
+
+  plain_server &Server;
+  tcp::socket Socket;
+  net::steady_timer Timer;
+  boost::beast::flat_buffer Buffer;
+  std::optional<http::request_parser<http::string_body>> Parser;
+  response_message Response;
+};
+
+plain_server::plain_server(net::io_context &Context, plain_handler Handler)
+    : Context(Context), Handler(std::move(Handler)), Acceptor(Context) {}
+
+plain_server::~plain_server() = default;
+
+void plain_server::listen(const tcp::endpoint &Address) {
+  openAcceptor(Acceptor, Address);
+  accept();
+}
+
+void plain_server::accept() {
+  Acceptor.async_accept([this](const error_code &Error, tcp::socket Socket) {
+    if (Error == net::error::operation_aborted || !Acceptor.is_open())
+      return;
+    if (!Error) {
+      tune(Socket, {});
+      const std::shared_ptr<plain_session> Session =
+          std::make_shared<plain_session>(*this, std::move(Socket));
+      Sessions.insert(Session);
+      Session->read();
+    }
+    accept();
+  });
+}
+
+} // namespace tamarack::edge
--- /dev/null
+++ b/packages/follow/include/tamarack/follow.hpp
@@ -0,0 +1,115 @@
+// What an instance knows of the platform's keyed topics, kept up to date.
+//
+// Contents:
+//   one topic      topic_listener, topic_follower
+//   the endpoints  endpoint_directory
+//
+// Not thread-safe; times are monotonic ms.
+#pragma once
+
+#include "tamarack/dispatch.hpp"
+#include "tamarack/ports.hpp"
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace tamarack::follow {
+
+//---------------------------------------------------------------------------
+// One topic
+//---------------------------------------------------------------------------
+
+class topic_listener {
+public:
+  virtual ~topic_listener() = default;
+  virtual void onRecord(const keyed_record &Record) = 0;
+  // Around the newest records of all keys: a key that is not among them does
+  // not exist.
+  virtual void onWholeBegins() {}
+  virtual void onWholeEnds() {}
+  // All records before End are known.
+  virtual void onCaughtUp(std::uint64_t End) = 0;
+  virtual void onAnswer() {} // Before the records of each read.
+  virtual void onAway() {}   // The store does not answer.
+};
+
+struct follower_settings {
+  int PollMs = 1'000;    // Pause between reads that don't wait.
+  int WaitMs = 0;        // Time that the store may hold a read, 0: none.
+  int RetryMs = 250;     // Pause after a failed read.
+};
+
+// Reads a topic whole once, then what is new. Reads are planned by tick; one
+// is under way at most.
+class topic_follower {
+public:
+  topic_follower(store_topic Topic, keyed_store &Store, const clock &Clock,
+                 topic_listener &Listener, follower_settings Settings);
+
+  // Starts the next read if it is due. Returns when to call again.
+  time_ms tick(time_ms Now);
+  // The next read is due now.
+  void hurry() { NextRead = 0; }
+  bool isAway() const { return Away; }
+  time_ms lastAnswer() const { return LastAnswer; } // -1 if never.
+
+private:
+  void onPage(bool Whole, const keyed_page &Page);
+
+  store_topic Topic;
+  keyed_store &Store;
+  const clock &Clock;
+  topic_listener &Listener;
+  follower_settings Settings;
+  bool HasWhole = false;
+  bool UnderWay = false;
+  bool Away = false;
+  std::uint64_t Next = 0;
+  time_ms NextRead = 0;
+  time_ms LastAnswer = -1;
+};
+
+//---------------------------------------------------------------------------
+// The endpoints
+//---------------------------------------------------------------------------
+
+// The endpoints that the platform lists. Entries that vanished while the store
+// was away, or just after, are kept until living endpoints had the time to
+// register again.
+class endpoint_directory {
+public:
+  static constexpr int RegisterAgainMs = 2'500; // After the store's return.
+
+  void onEntry(const dispatch::endpoint_entry &Entry);
+  void onGone(std::string_view Id, time_ms Now);
+  void onAway(time_ms Now);
+  void onAnswer(time_ms Now);
+  // Before and after the newest of all keys were told.
+  void beginWhole();
+  void endWhole(time_ms Now);
+
+  // Changes the list by the passing of time. True if it changed since the
+  // last call.
+  bool update(time_ms Now);
+  std::vector<dispatch::endpoint_entry> entries() const;
+
+private:
+  struct item {
+    dispatch::endpoint_entry Entry;
+    bool Seen = false;       // While a whole list is told.
+    time_ms GoneAfter = -1;  // -1 if listed.
+  };
+
+  bool isUnsettled(time_ms Now) const;
+
+  std::map<std::string, item, std::less<>> Items;
+  bool Changed = false;
+  bool IsAway = false;
+  time_ms BackAt = -1; // Last return of the store, -1 if it was never away.
+};
+
+} // namespace tamarack::follow
--- /dev/null
+++ b/packages/follow/src/endpoint_directory.cpp
@@ -0,0 +1,94 @@
+// The endpoints that the platform lists.
+#include "tamarack/follow.hpp"
+
+namespace tamarack::follow {
+
+namespace {
+
+bool isSame(const dispatch::endpoint_entry &A,
+            const dispatch::endpoint_entry &B) {
+  return A.Service == B.Service && A.Address == B.Address && A.Zone == B.Zone &&
+         A.Slots == B.Slots && A.Leaving == B.Leaving && A.Start == B.Start;
+}
+
+// True if Entry was told before Known was.
+bool isOlder(const dispatch::endpoint_entry &Entry,
+             const dispatch::endpoint_entry &Known) {
+  if (Entry.Start != Known.Start)
+    return Entry.Start != 0 && Entry.Start < Known.Start;
+  return Entry.Sequence < Known.Sequence;
+}
+
+} // namespace
+
+bool endpoint_directory::isUnsettled(time_ms Now) const {
+  return IsAway || (BackAt >= 0 && Now - BackAt < RegisterAgainMs);
+}
+
+void endpoint_directory::onEntry(const dispatch::endpoint_entry &Entry) {
+  item &Item = Items[Entry.Id];
+  if (!Item.Entry.Id.empty() && isOlder(Entry, Item.Entry)) {
+    Item.Seen = true;
+    return;
+  }
+  if (Item.GoneAfter >= 0 || !isSame(Item.Entry, Entry))
+    Changed = true;
+  Item.Entry = Entry;
+  Item.Seen = true;
+  Item.GoneAfter = -1;
+}
+
+void endpoint_directory::onGone(std::string_view Id, time_ms Now) {
+  const auto Found = Items.find(Id);
+  if (Found == Items.end() || Found->second.GoneAfter >= 0)
+    return;
+  // An endpoint that was leaving is gone for good.
+  if (!isUnsettled(Now) || Found->second.Entry.Leaving) {
+    Items.erase(Found);
+    Changed = true;
+    return;
+  }
+  Found->second.GoneAfter = (IsAway ? Now : BackAt) + RegisterAgainMs;
+}
+
+void endpoint_directory::onAway(time_ms) { IsAway = true; }
+
+void endpoint_directory::onAnswer(time_ms Now) {
+  if (!IsAway)
+    return;
+  IsAway = false;
+  BackAt = Now;
+}
+
+void endpoint_directory::beginWhole() {
+  for (auto &[Id, Item] : Items)
+    Item.Seen = false;
+}
+
+void endpoint_directory::endWhole(time_ms Now) {
+  std::vector<std::string> Missing;
+  for (const auto &[Id, Item] : Items)
+    if (!Item.Seen)
+      Missing.push_back(Id);
+  for (const std::string &Id : Missing)
+    onGone(Id, Now);
+}
+
+bool endpoint_directory::update(time_ms Now) {
+  const std::size_t Erased = std::erase_if(Items, [Now](const auto &Item) {
+    return Item.second.GoneAfter >= 0 && Item.second.GoneAfter <= Now;
+  });
+  const bool Result = Changed || Erased > 0;
+  Changed = false;
+  return Result;
+}
+
+std::vector<dispatch::endpoint_entry> endpoint_directory::entries() const {
+  std::vector<dispatch::endpoint_entry> Result;
+  Result.reserve(Items.size());
+  for (const auto &[Id, Item] : Items)
+    Result.push_back(Item.Entry);
+  return Result;
+}
+
+} // namespace tamarack::follow
--- /dev/null
+++ b/packages/follow/src/topic_follower.cpp
@@ -0,0 +1,63 @@
+// Reads of one topic.
+#include "tamarack/follow.hpp"
+
+#include <algorithm>
+
+namespace tamarack::follow {
+
+topic_follower::topic_follower(store_topic Topic, keyed_store &Store,
+                               const clock &Clock, topic_listener &Listener,
+                               follower_settings Settings)
+    : Topic(Topic), Store(Store), Clock(Clock), Listener(Listener),
+      Settings(Settings) {}
+
+time_ms topic_follower::tick(time_ms Now) {
+  if (UnderWay)
+    return Now + Settings.RetryMs;
+  if (Now < NextRead)
+    return NextRead;
+  UnderWay = true;
+  const bool Whole = !HasWhole;
+  page_handler Handler = [this, Whole](keyed_page Page) {
+    onPage(Whole, Page);
+  };
+  if (Whole)
+    Store.newest(Topic, std::move(Handler));
+  else
+    Store.read(Topic, Next, Away ? 0 : Settings.WaitMs, std::move(Handler));
+  return Now + Settings.RetryMs;
+}
+
+void topic_follower::onPage(bool Whole, const keyed_page &Page) {
+  const time_ms Now = Clock.monotonic();
+  UnderWay = false;
+  if (Page.Status == store_status::Trimmed) {
+    HasWhole = false;
+    NextRead = Now;
+    return;
+  }
+  if (Page.Status != store_status::Ok) {
+    Away = true;
+    NextRead = Now + Settings.RetryMs;
+    Listener.onAway();
+    return;
+  }
+  Away = false;
+  LastAnswer = Now;
+  Listener.onAnswer();
+  if (Whole)
+    Listener.onWholeBegins();
+  for (const keyed_record &Record : Page.Records)
+    Listener.onRecord(Record);
+  HasWhole = true;
+  Next = Whole || Page.Records.empty() ? std::max(Next, Page.End)
+                                       : Page.Records.back().Offset + 1;
+  if (Whole)
+    Listener.onWholeEnds();
+  const bool More = Next < Page.End;
+  if (!More)
+    Listener.onCaughtUp(Page.End);
+  NextRead = More || Settings.WaitMs > 0 ? Now : Now + Settings.PollMs;
+}
+
+} // namespace tamarack::follow
--- /dev/null
+++ b/packages/grants/src/records.cpp
@@ -0,0 +1,56 @@
+// Records of the grants topic, as MessagePack.
+#include "tamarack/grants.hpp"
+
+#include <msgpack.hpp>
+
+namespace tamarack::grants {
+
+namespace {
+
+constexpr int FormatVersion = 1;
+constexpr std::size_t LargestText = 256; // Bytes of a name or address.
+
+using line_form = std::tuple<std::string, std::int64_t, std::int64_t, bool>;
+using record_form = std::tuple<int, std::uint64_t, std::string, bool,
+                               std::vector<line_form>>;
+
+} // namespace
+
+std::string encode(const holder_record &Record) {
+  std::vector<line_form> Lines;
+  for (const account_line &Line : Record.Lines)
+    Lines.emplace_back(Line.Account, Line.Ceiling, Line.Used, Line.Wanted);
+  msgpack::sbuffer Buffer;
+  msgpack::pack(Buffer,
+                record_form(FormatVersion, Record.Incarnation,
+                            Record.PeerAddress, Record.Left, std::move(Lines)));
+  return std::string(Buffer.data(), Buffer.size());
+}
+
+std::optional<holder_record> decode(std::string_view Bytes) {
+  try {
+    const msgpack::object_handle Handle =
+        msgpack::unpack(Bytes.data(), Bytes.size());
+    record_form Form;
+    Handle.get().convert(Form);
+    if (std::get<0>(Form) != FormatVersion ||
+        std::get<2>(Form).size() > LargestText)
+      return std::nullopt;
+    holder_record Record;
+    Record.Incarnation = std::get<1>(Form);
+    Record.PeerAddress = std::get<2>(Form);
+    Record.Left = std::get<3>(Form);
+    for (const line_form &Line : std::get<4>(Form)) {
+      if (std::get<1>(Line) < 0 || std::get<0>(Line).size() > LargestText)
+        return std::nullopt;
+      Record.Lines.push_back({std::get<0>(Line), std::get<1>(Line),
+                              std::get<2>(Line), std::get<3>(Line)});
+    }
+    return Record;
+  } catch (const std::exception &) {
+    // Not one of our records; the caller counts it.
+    return std::nullopt;
+  }
+}
+
+} // namespace tamarack::grants
--- a/packages/ports/include/tamarack/ports.hpp
+++ b/packages/ports/include/tamarack/ports.hpp
@@ -2,7 +2,7 @@
 //
 // Contents:
 //   time and randomness    clock, random_source
-//   the platform           append_log, instance_list
+//   the platform           append_log, keyed_store, instance_list
 //   endpoints              endpoint_link, answer_source
 //
 // Decision code takes the time as an argument and never calls these itself;
@@ -11,6 +11,7 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <span>
 #include <stdexcept>
@@ -84,6 +85,59 @@
                         int WaitMs) = 0;
 };
 
+//---------------------------------------------------------------------------
+// The platform's keyed topics
+//---------------------------------------------------------------------------
+
+// A topic keeps the newest record of each key for good, and the records
+// between for a limited time.
+enum class store_topic {
+  Configuration, // Written by operators.
+  Endpoints,     // Written by the endpoints themselves.
+  Grants,        // Written by the instances of this system.
+};
+
+enum class store_status {
+  Ok,
+  Conflict,    // The condition did not hold; nothing was stored.
+  Trimmed,     // The records asked for are gone; read the newest instead.
+  Refused,     // The store did nothing; ask again later.
+  Unavailable, // No answer; an append may be stored now or later.
+};
+
+struct keyed_record {
+  std::uint64_t Offset = 0;
+  std::string Key;
+  std::string Value;
+  bool Removed = false; // The key was dropped.
+};
+
+struct keyed_page {
+  store_status Status = store_status::Unavailable;
+  std::uint64_t End = 0; // Offset that the next append will get.
+  std::vector<keyed_record> Records;
+};
+
+using page_handler = std::function<void(keyed_page)>;
+using append_handler = std::function<void(store_status)>;
+
+// The platform's store. Answers come later through the handlers, always and
+// once, from the thread that asked.
+class keyed_store {
+public:
+  virtual ~keyed_store() = default;
+  // The newest record of each key. Records that are appended meanwhile may be
+  // missing; a read from End on brings them.
+  virtual void newest(store_topic Topic, page_handler Handler) = 0;
+  // Records from offset From on. Waits up to WaitMs for a first one.
+  virtual void read(store_topic Topic, std::uint64_t From, int WaitMs,
+                    page_handler Handler) = 0;
+  // Appends one record if the topic ends at offset At.
+  virtual void append(store_topic Topic, std::string_view Key,
+                      std::string_view Value, std::uint64_t At,
+                      append_handler Handler) = 0;
+};
+
 //---------------------------------------------------------------------------
 // The platform's instance list
 //---------------------------------------------------------------------------
--- a/packages/daemon/src/event_splitter.cpp
+++ b/packages/relay/src/event_splitter.cpp
@@ -1,10 +1,10 @@
 // Cuts a text/event-stream into its events.
-#include "event_splitter.hpp"
+#include "tamarack/relay.hpp"
 
 #include <algorithm>
 #include <charconv>
 
-namespace tamarack::daemon {
+namespace tamarack::relay {
 
 namespace {
 
@@ -57,4 +57,4 @@
   return Event;
 }
 
-} // namespace tamarack::daemon
+} // namespace tamarack::relay
--- /dev/null
+++ b/packages/relay/src/route_table.cpp
@@ -0,0 +1,98 @@
+// Look-ups in one accepted configuration.
+#include "tamarack/relay.hpp"
+
+#include <algorithm>
+#include <cassert>
+
+namespace tamarack::relay {
+
+std::string_view toString(call_kind Kind) {
+  switch (Kind) {
+  case call_kind::Idempotent:
+    return "idempotent";
+  case call_kind::NotRepeatable:
+    return "not_repeatable";
+  case call_kind::Stream:
+    return "stream";
+  case call_kind::ResumableStream:
+    return "resumable_stream";
+  }
+  return "";
+}
+
+bool isStream(call_kind Kind) {
+  return Kind == call_kind::Stream || Kind == call_kind::ResumableStream;
+}
+
+bool isRepeatable(call_kind Kind) {
+  return Kind == call_kind::Idempotent || Kind == call_kind::ResumableStream;
+}
+
+std::string_view toString(attempt_end End) {
+  switch (End) {
+  case attempt_end::Good:
+    return "good";
+  case attempt_end::Failed:
+    return "failed";
+  case attempt_end::Broken:
+    return "broken";
+  case attempt_end::Unreached:
+    return "unreached";
+  case attempt_end::Refused:
+    return "refused";
+  case attempt_end::Misplaced:
+    return "misplaced";
+  case attempt_end::Cancelled:
+    return "cancelled";
+  }
+  return "";
+}
+
+void route_table::add(route Route) {
+  std::vector<route> &OfHost = Routes[Route.Host];
+  OfHost.push_back(std::move(Route));
+  std::sort(OfHost.begin(), OfHost.end(), [](const route &A, const route &B) {
+    return A.PathPrefix.size() > B.PathPrefix.size();
+  });
+}
+
+void route_table::add(service Service) {
+  std::string Name = Service.Name;
+  Services.insert_or_assign(std::move(Name), std::move(Service));
+}
+
+void route_table::add(account Account, std::span<const std::string> Keys) {
+  for (const std::string &Key : Keys)
+    AccountOfKey[Key] = Account.Name;
+  std::string Name = Account.Name;
+  Accounts.insert_or_assign(std::move(Name), std::move(Account));
+  NeedsKeys = true;
+}
+
+const route *route_table::find(std::string_view Host,
+                               std::string_view Path) const {
+  const auto Found = Routes.find(Host);
+  if (Found == Routes.end())
+    return nullptr;
+  for (const route &Route : Found->second)
+    if (Path.starts_with(Route.PathPrefix))
+      return &Route;
+  return nullptr;
+}
+
+const service *route_table::findService(std::string_view Name) const {
+  const auto Found = Services.find(Name);
+  return Found == Services.end() ? nullptr : &Found->second;
+}
+
+const account *route_table::findAccount(std::string_view Name) const {
+  const auto Found = Accounts.find(Name);
+  return Found == Accounts.end() ? nullptr : &Found->second;
+}
+
+const account *route_table::accountOfKey(std::string_view Key) const {
+  const auto Found = AccountOfKey.find(Key);
+  return Found == AccountOfKey.end() ? nullptr : findAccount(Found->second);
+}
+
+} // namespace tamarack::relay
--- a/tests/fuzz/fuzz_calls.cpp
+++ b/tests/fuzz/fuzz_calls.cpp
@@ -1,7 +1,7 @@
 // What callers and endpoints send: keys, events, answers.
 #include "tamarack/calls.hpp"
 
-#include "event_splitter.hpp"
+#include "tamarack/relay.hpp"
 
 #include <cstdlib>
 
@@ -13,7 +13,7 @@
   const calls::call_key Key = calls::parseKey(Text);
   if (Key.Form != calls::key_form::Opaque && Key.Minted <= 0)
     std::abort();
-  daemon::event_splitter Splitter;
+  relay::event_splitter Splitter;
   calls::answer_checker Checker("request");
   Checker.onHead("endpoint", "request", "stream");
   std::int64_t Last = 0;
--- a/tools/install.sh
+++ b/tools/install.sh
@@ -4,7 +4,7 @@
 PACKAGES="g++ cmake ninja-build make git curl python3 clang-format clang-tidy
   libpoco-dev libnng-dev libboost-dev libboost-program-options-dev
   liblog4cplus-dev catch2 librapidcheck-dev spin libmsgpack-cxx-dev
-  libxxhash-dev libbenchmark-dev libssl-dev openssl"
+  libxxhash-dev nlohmann-json3-dev libbenchmark-dev libssl-dev openssl"
 MISSING=
 for package in $PACKAGES; do
   dpkg-query -W -f '${Status}' "$package" 2>/dev/null |
