--- a/packages/edge/src/endpoint_call.cpp
+++ b/packages/edge/src/endpoint_call.cpp
@@ -2,6 +2,7 @@
 #include "endpoint_call.hpp"
 
 #include <charconv>
+#include <limits>
 
 namespace tamarack::edge {
 
@@ -97,7 +98,7 @@
 void endpoint_call::readHead() {
   Parser.emplace();
   Parser->header_limit(LargestHead);
-  Parser->body_limit(boost::none);
+  Parser->body_limit(std::numeric_limits<std::uint64_t>::max());
   if (Request.method() == http::verb::head)
     Parser->skip(true);
   const std::shared_ptr<endpoint_call> Self = shared_from_this();
