--- a/packages/adapters/include/tamarack/adapters.hpp
+++ b/packages/adapters/include/tamarack/adapters.hpp
@@ -173,8 +173,12 @@
 public:
   time_ms now() const override;
   time_ms monotonic() const override;
+  time_ms sinceBoot() const override;
 };
 
+// Names this boot of the machine's kernel. Empty if it can't be told.
+std::string readBootId();
+
 class system_random final : public random_source {
 public:
   system_random();
--- a/packages/adapters/src/system.cpp
+++ b/packages/adapters/src/system.cpp
@@ -2,6 +2,8 @@
 #include "tamarack/adapters.hpp"
 
 #include <chrono>
+#include <ctime>
+#include <fstream>
 
 namespace tamarack::adapters {
 
@@ -34,6 +36,19 @@
   return millisecondsOf<std::chrono::steady_clock>();
 }
 
+time_ms system_clock::sinceBoot() const {
+  timespec Time{};
+  clock_gettime(CLOCK_BOOTTIME, &Time);
+  return static_cast<time_ms>(Time.tv_sec) * 1'000 + Time.tv_nsec / 1'000'000;
+}
+
+std::string readBootId() {
+  std::ifstream In("/proc/sys/kernel/random/boot_id");
+  std::string Id;
+  std::getline(In, Id);
+  return Id;
+}
+
 system_random::system_random() {
   std::random_device Device;
   std::seed_seq Seeds{Device(), Device(), Device(), Device()};
--- a/packages/daemon/src/main.cpp
+++ b/packages/daemon/src/main.cpp
@@ -41,7 +41,10 @@
     return New;
   };
   Router.run();
-  return 0;
+  // Everything is handed over; what is left would only wait for threads of
+  // libraries.
+  std::cout.flush();
+  std::_Exit(0);
 }
 
 int run(int Count, char **Arguments) {
--- a/packages/daemon/src/router.cpp
+++ b/packages/daemon/src/router.cpp
@@ -8,8 +8,10 @@
 namespace {
 
 constexpr int TickMs = 100;
+constexpr int GrantPauseMs = 150;     // Between two writes of grants.
 constexpr int GrantRetryMs = 250;     // After a write that failed.
 constexpr int OutOfRotationMs = 2'500; // Until no new connections come.
+constexpr std::uint64_t EpochStep = 1'000; // Above a former incarnation's.
 constexpr int EndMarginMs = 500;      // Before the forced end.
 constexpr int ConfigurationWaitMs = 10'000; // Held by the store.
 
@@ -101,6 +103,7 @@
     Router.Grants.onRecord(Record.Offset, Record.Key, Record.Value,
                            Record.Removed);
   }
+  void onAway() override { Router.Grants.onAway(); }
   void onCaughtUp(std::uint64_t End) override {
     Router.Grants.onCaughtUp(End);
     Router.Dispatcher.setInstances(
@@ -122,7 +125,8 @@
       Store(Context, {Settings.StoreAddress}),
       Dispatcher(Settings.Zone, Settings.Repeats, Random),
       Codec(Dispatcher, Random),
-      Grants(Settings.Instance, Random.next(), Settings.PeerAddress, {}),
+      Grants(Settings.Instance, Random.next(), Settings.PeerAddress,
+             adapters::readBootId(), {}, Clock),
       ConfigurationListener(std::make_unique<configuration_listener>(*this)),
       EndpointListener(std::make_unique<endpoint_listener>(*this)),
       GrantListener(std::make_unique<grant_listener>(*this)),
@@ -143,7 +147,9 @@
           [this](const edge::request_message &, const edge::respond &Respond) {
             Respond(metricsAnswer());
           }),
-      Signals(Context, SIGTERM, SIGINT, SIGHUP), Timer(Context) {}
+      Signals(Context, SIGTERM, SIGINT, SIGHUP), Timer(Context) {
+  MarkWriter.Name = Settings.Instance;
+}
 
 router::~router() = default;
 
@@ -154,7 +160,8 @@
   waitForSignals();
   Log.write("start", {{"zone", std::string_view(Settings.Zone)},
                       {"front", std::string_view(Settings.FrontAddress)},
-                      {"store", std::string_view(Settings.StoreAddress)}});
+                      {"store", std::string_view(Settings.StoreAddress)},
+                      {"since_boot_ms", Clock.sinceBoot()}});
   tick();
   Context.run();
   Log.write("stop", {{"open_connections",
@@ -167,7 +174,10 @@
   EndpointFollower.tick(Now);
   GrantFollower.tick(Now);
   refreshEndpoints();
+  if (!MarkKnown)
+    readFormerMark(false);
   writeGrants();
+  writeMark();
   Pool.closeIdle();
   if (Stopping)
     continueStop();
@@ -222,6 +232,7 @@
   const relay::reserve_result Result = Grants.reserve(Account, Bound);
   if (Result == relay::reserve_result::Pending)
     edge::net::post(Context, [this] {
+      writeMark();
       GrantFollower.hurry();
       GrantFollower.tick(Clock.monotonic());
     });
@@ -233,6 +244,84 @@
   Grants.settle(Account, Bound, Used);
 }
 
+// Before anything is spent: nothing of the former incarnation can come any
+// more, and then its last mark is read.
+void router::readFormerMark(bool Fenced) {
+  if (MarkReadUnderWay)
+    return;
+  MarkReadUnderWay = true;
+  Store.newest(store_topic::Marks, [this, Fenced](const keyed_page &Page) {
+    MarkReadUnderWay = false;
+    if (Page.Status != store_status::Ok)
+      return;
+    std::optional<grants::mark_record> Former;
+    for (const keyed_record &Record : Page.Records)
+      if (Record.Key == Settings.Instance)
+        Former = grants::decodeMark(Record.Value);
+    if (!Fenced) {
+      MarkWriter.Epoch =
+          std::max(MarkWriter.Epoch, Former ? Former->Epoch : 0) + EpochStep;
+      return fenceMarks();
+    }
+    MarkKnown = true;
+    Log.write("former_mark",
+              {{"found", std::int64_t(Former.has_value())},
+               {"age_ms", Former ? Clock.sinceBoot() - Former->Stamp
+                                 : std::int64_t(-1)}});
+    Grants.onFormerMark(std::move(Former));
+    GrantFollower.hurry();
+  });
+}
+
+void router::fenceMarks() {
+  MarkReadUnderWay = true;
+  Store.fence(store_topic::Marks, MarkWriter, [this](store_status Status) {
+    MarkReadUnderWay = false;
+    // The next tick tries again; a conflict with a higher epoch.
+    if (Status == store_status::Ok)
+      readFormerMark(true);
+  });
+}
+
+void router::writeMark() {
+  const time_ms Now = Clock.monotonic();
+  if (!MarkKnown || (MarkUncertainAt >= 0 &&
+                     GrantFollower.lastAnswer() <= MarkUncertainAt))
+    return;
+  MarkUncertainAt = -1;
+  std::optional<grants::mark_record> Mark = Grants.planMark(Now);
+  if (!Mark)
+    return;
+  Mark->Epoch = MarkWriter.Epoch;
+  Store.appendAs(store_topic::Marks, MarkWriter, Settings.Instance,
+                 grants::encode(*Mark),
+                 [this](store_status Status) { onMarkWritten(Status); });
+}
+
+void router::onMarkWritten(store_status Status) {
+  switch (Status) {
+  case store_status::Ok:
+    ++MarkWriter.Sequence;
+    Grants.onMarkWritten();
+    return Front.onMoney();
+  case store_status::Refused:
+    Grants.onMarkRefused();
+    MarkUncertainAt = Clock.monotonic();
+    return;
+  case store_status::Conflict:
+  case store_status::Trimmed:
+  case store_status::Unavailable:
+    break;
+  }
+  // A higher epoch keeps the uncertain one from coming later.
+  ++MarkWriter.Epoch;
+  MarkWriter.Sequence = 0;
+  MarkUncertainAt = Clock.monotonic();
+  Grants.onMarkUncertain();
+  Log.write("mark_uncertain",
+            {{"epoch", static_cast<std::int64_t>(MarkWriter.Epoch)}});
+}
+
 void router::writeGrants() {
   const time_ms Now = Clock.monotonic();
   if (GrantWriteUnderWay || Now < NextGrantWrite || !Table)
@@ -253,6 +342,7 @@
   switch (Status) {
   case store_status::Ok:
     Grants.onWritten(At);
+    NextGrantWrite = Now + GrantPauseMs;
     Metrics.counterOf("tamarack_grant_writes_total").add();
     return Front.onMoney();
   case store_status::Conflict:
@@ -297,6 +387,24 @@
              {"version", Table ? Table->Version : std::int64_t(-1)}});
 }
 
+void router::logMoneyRefusal(const relay::call &Call) {
+  const grants::account_status Status = Grants.statusOf(Call.Account);
+  const time_ms Known = GrantFollower.lastAnswer();
+  Log.write("money_refused",
+            {{"id", std::string_view(Call.Id)},
+             {"account", std::string_view(Call.Account)},
+             {"bound", Call.bound()},
+             {"prepaid", Status.Prepaid},
+             {"ceiling", Status.Ceiling},
+             {"used", Status.Used},
+             {"reserved", Status.Reserved},
+             {"others_ceiling", Status.OthersCeiling},
+             {"others_used", Status.OthersUsed},
+             {"free", Status.Free},
+             {"known_ms_ago",
+              Known < 0 ? std::int64_t(-1) : Clock.monotonic() - Known}});
+}
+
 void router::onDone(const relay::call &Call,
                     const relay::exchange_report &Report, time_ms Now) {
   const std::string_view Error =
@@ -309,6 +417,9 @@
                                                : Error) +
                  "\"}")
       .add();
+  if (Report.Error == relay::error_kind::BudgetExhausted ||
+      Report.Error == relay::error_kind::BudgetUnavailable)
+    logMoneyRefusal(Call);
   if (Report.FirstByte > 0)
     Metrics.timingOf("tamarack_first_byte_ms")
         .add(static_cast<double>(Report.FirstByte - Call.Arrived));
--- a/packages/daemon/src/router.hpp
+++ b/packages/daemon/src/router.hpp
@@ -42,11 +42,16 @@
   void settle(std::string_view Account, std::int64_t Bound,
               std::int64_t Used) override;
 
+  void logMoneyRefusal(const relay::call &Call);
   void adopt(std::shared_ptr<const relay::route_table> Table);
   void refreshEndpoints();
   void tick();
   void scheduleTick();
   void writeGrants();
+  void fenceMarks();
+  void readFormerMark(bool Fenced);
+  void writeMark();
+  void onMarkWritten(store_status Status);
   void onGrantWritten(std::uint64_t At, store_status Status);
   void waitForSignals();
   void reload();
@@ -80,6 +85,10 @@
   edge::net::signal_set Signals;
   edge::net::steady_timer Timer;
   std::shared_ptr<const relay::route_table> Table;
+  store_writer MarkWriter;
+  bool MarkReadUnderWay = false;
+  bool MarkKnown = false;
+  time_ms MarkUncertainAt = -1; // -1: the last outcome is known.
   bool GrantWriteUnderWay = false;
   time_ms NextGrantWrite = 0;
   bool Stopping = false;
--- a/packages/grants/include/tamarack/grants.hpp
+++ b/packages/grants/include/tamarack/grants.hpp
@@ -1,7 +1,8 @@
 // Prepaid budgets, granted to instances through one shared keyed topic.
 //
 // Contents:
-//   records      account_line, holder_record, encode, decode
+//   records      account_line, holder_record, mark_record, encode, decode
+//   marks        spend_marks
 //   the scheme   grant_holder, an implementation of relay::allowance
 //
 // Each instance keeps one record under its own name: for each client account
@@ -12,8 +13,13 @@
 // without asking anyone, so a cut changes nothing for what it holds.
 //
 // An instance runs one process at a time, so a new incarnation proves that the
-// former one is dead. What that one had left can't be known and counts as
-// spent. No clock ever frees money.
+// former one is dead. What that one spent at most is told by its last mark: it
+// records ahead, twice a second, how far its spending may come, and keeps to
+// the mark until the mark is older than MarkValidMs; only then, cut off from
+// the store, it goes on up to its ceiling. A new incarnation that finds the
+// mark younger than that, by the machine's own time since boot, frees what is
+// above it; otherwise the whole ceiling counts as spent. Time of day plays no
+// part, and an instance that is only frozen or cut off keeps its grants.
 //
 // A late append can't do harm: it lands only where its condition still holds,
 // and until it is certain that it can't, the lower of the two ceilings binds.
@@ -54,16 +60,65 @@
 // Empty if Bytes hold no record.
 std::optional<holder_record> decode(std::string_view Bytes);
 
+struct mark_line {
+  std::string Account;
+  std::int64_t Mark = 0; // Spending of the instance does not pass it.
+};
+
+struct mark_record {
+  std::uint64_t Incarnation = 0;
+  std::uint64_t Epoch = 0; // Of the store's writer.
+  std::string BootId;      // Of the machine.
+  time_ms Stamp = 0;       // Since that boot, when the mark was sent.
+  std::vector<mark_line> Lines;
+};
+
+std::string encode(const mark_record &Record);
+// Empty if Bytes hold no record.
+std::optional<mark_record> decodeMark(std::string_view Bytes);
+
+//---------------------------------------------------------------------------
+// Marks
+//---------------------------------------------------------------------------
+
+inline constexpr int MarkValidMs = 3'000;
+
+// The marks of one incarnation that the store has, or may have.
+class spend_marks {
+public:
+  void onSent(mark_record Record);
+  void onWritten();   // The latest one, for certain.
+  void onUncertain(); // The latest one may be stored, now or later.
+  void onRefused();   // The latest one is not stored and never will be.
+  // Spending of Account up to which a new incarnation would charge, whichever
+  // of the marks it finds. Ceiling if a mark no longer binds.
+  std::int64_t limitOf(std::string_view Account, std::int64_t Ceiling,
+                       time_ms SinceBoot) const;
+  bool hasPending() const { return !Uncertain.empty(); }
+
+private:
+  std::optional<mark_record> Certain;
+  std::vector<mark_record> Uncertain; // Sent after it.
+};
+
+// What the former incarnation spent of Account at most.
+std::int64_t spentAtMost(const holder_record &Former,
+                         const std::optional<mark_record> &Mark,
+                         std::string_view Account, std::int64_t Ceiling,
+                         std::string_view BootId, time_ms SinceBoot);
+
 //---------------------------------------------------------------------------
 // The scheme
 //---------------------------------------------------------------------------
 
 struct grant_settings {
   int LeadMs = 10'000;       // Spending that an instance holds ahead.
-  int RateMs = 3'000;        // Smoothing of the spending rate.
+  int MarkLeadMs = 3'500;    // Spending that a mark leaves room for.
+  int MarkPauseMs = 500;     // Between two marks.
+  int RateMs = 8'000;        // Smoothing of the spending rate.
   double LargestShare = 0.3; // Of what is free, in one grant.
-  double FirstShare = 0.03;  // Of the budget, before a rate is known.
-  double FirstShares = 0.25; // Of the budget, all instances' first grants.
+  double EqualShares = 0.2;  // Of what is left, held by all in equal parts.
+  double LeadShares = 0.3;   // Of what is left, held by all as they spend.
 };
 
 // A record to be appended if the topic still ends at At.
@@ -74,25 +129,41 @@
 
 // What an operator wants to know of one account.
 struct account_status {
-  std::int64_t Ceiling = 0;
-  std::int64_t Used = 0;
-  std::int64_t Reserved = 0;
-  std::int64_t Free = 0; // Granted to nobody.
+  std::int64_t Prepaid = 0;
+  std::int64_t Ceiling = 0;       // Of this instance.
+  std::int64_t Used = 0;          // Of this instance, former incarnations too.
+  std::int64_t Reserved = 0;      // By calls under way here.
+  std::int64_t OthersCeiling = 0; // Of all other instances.
+  std::int64_t OthersUsed = 0;    // As they told last.
+  std::int64_t Free = 0;          // Granted to nobody.
 };
 
 class grant_holder final : public relay::allowance {
 public:
   grant_holder(std::string Instance, std::uint64_t Incarnation,
-               std::string PeerAddress, grant_settings Settings);
+               std::string PeerAddress, std::string BootId,
+               grant_settings Settings, const clock &Clock);
 
   void setBudgets(std::shared_ptr<const relay::route_table> Table);
 
   // The topic, in order. An unreadable record stays out and is counted.
   void onRecord(std::uint64_t Offset, std::string_view Key,
                 std::string_view Value, bool Removed);
+  // The store does not answer; onCaughtUp ends that.
+  void onAway() { Away = true; }
   // All records before End are known.
   void onCaughtUp(std::uint64_t End);
 
+  // The last mark of the former incarnation, read after its writer was fenced;
+  // none if there is none. Nothing can be spent before.
+  void onFormerMark(std::optional<mark_record> Mark);
+
+  // The mark to send now, if one is due.
+  std::optional<mark_record> planMark(time_ms Now);
+  void onMarkWritten();
+  void onMarkUncertain();
+  void onMarkRefused(); // The store did nothing with it.
+
   relay::reserve_result reserve(std::string_view Account,
                                 std::int64_t Bound) override;
   void settle(std::string_view Account, std::int64_t Bound,
@@ -120,12 +191,19 @@
     std::int64_t Used = 0;     // Spent by this one.
     std::int64_t Reserved = 0; // By calls under way.
     std::int64_t Limit = 0;    // Base + this incarnation's spending at most.
-    std::int64_t LargestBound = 0;
-    double Rate = 0;           // Tokens a ms, smoothed.
+    std::int64_t Waiting = 0;  // Largest bound that waits for money.
+    double UsualBound = 0;     // Smoothed.
+    double RawRate = 0;        // Tokens a ms, smoothed from 0.
+    double Rate = 0;           // The same without the bias of that start.
+    double Weight = 0;         // Of what the smoothing has seen, up to 1.
     std::int64_t Recent = 0;   // Used since the rate was last brought up.
     bool Short = false;        // A call waits for money.
   };
 
+  std::int64_t limitOf(std::string_view Name, const local_account &Local) const;
+  std::int64_t leftOf(std::string_view Account) const;
+  std::size_t holderCount() const;
+
   struct pending_write {
     std::uint64_t At = 0;
     holder_record Record;
@@ -149,14 +227,23 @@
   std::string Instance;
   std::uint64_t Incarnation;
   std::string PeerAddress;
+  std::string BootId;
   grant_settings Settings;
+  const clock &Clock;
   std::shared_ptr<const relay::route_table> Table;
   std::map<std::string, holder_record, std::less<>> Holders;
   std::map<std::string, local_account, std::less<>> Accounts;
   std::vector<pending_write> Pending; // Outcome not certain.
   std::uint64_t End = 0;
   bool CaughtUp = false;
+  bool Away = false;
+  bool FormerMarkKnown = false;
+  std::optional<mark_record> FormerMark;
   bool Adopted = false; // Spending of former incarnations is known.
+  spend_marks Marks;
+  bool MarkUnderWay = false;
+  bool MarkShort = false; // A call waits for a mark.
+  time_ms NextMark = 0;
   bool Leaving = false;
   bool HandedBack = false;
   int Unreadable = 0;
--- a/packages/grants/src/grant_holder.cpp
+++ b/packages/grants/src/grant_holder.cpp
@@ -11,6 +11,11 @@
 namespace {
 
 constexpr std::int64_t Unlimited = std::numeric_limits<std::int64_t>::max() / 4;
+constexpr double LeastWeight = 0.2; // Of a rate that has just begun.
+constexpr double BoundSmoothing = 0.05;
+constexpr double RaiseBelow = 0.8;    // Of the target.
+constexpr double HandBackAbove = 1.5; // Of the target.
+constexpr std::int64_t LeastChangeShare = 500; // Of the budget, 1 in so many.
 constexpr int WantedLeadMs = 1'500; // Held ahead while others are short.
 
 const account_line *lineOf(const holder_record &Record,
@@ -24,9 +29,11 @@
 } // namespace
 
 grant_holder::grant_holder(std::string Instance, std::uint64_t Incarnation,
-                           std::string PeerAddress, grant_settings Settings)
+                           std::string PeerAddress, std::string BootId,
+                           grant_settings Settings, const clock &Clock)
     : Instance(std::move(Instance)), Incarnation(Incarnation),
-      PeerAddress(std::move(PeerAddress)), Settings(Settings) {}
+      PeerAddress(std::move(PeerAddress)), BootId(std::move(BootId)),
+      Settings(Settings), Clock(Clock) {}
 
 void grant_holder::setBudgets(std::shared_ptr<const relay::route_table> To) {
   Table = std::move(To);
@@ -107,20 +114,32 @@
 void grant_holder::onCaughtUp(std::uint64_t NewEnd) {
   End = std::max(End, NewEnd);
   CaughtUp = true;
+  Away = false;
   // A write whose condition no longer holds can't land any more.
   std::erase_if(Pending,
                 [this](const pending_write &Write) { return Write.At < End; });
   adoptOwn();
 }
 
+void grant_holder::onFormerMark(std::optional<mark_record> Mark) {
+  FormerMark = std::move(Mark);
+  FormerMarkKnown = true;
+  if (CaughtUp)
+    adoptOwn();
+}
+
 // Brings the local limits in line with the own record.
 void grant_holder::adoptOwn() {
+  if (!FormerMarkKnown)
+    return;
   const holder_record *Record = own();
   if (Record != nullptr && Record->Incarnation != Incarnation) {
-    // Left by a former incarnation: all of it counts as spent.
+    if (Adopted)
+      return;
     for (const account_line &Line : Record->Lines) {
       local_account &Local = accountOf(Line.Account);
-      Local.Base = std::max(Local.Base, Line.Ceiling);
+      Local.Base = spentAtMost(*Record, FormerMark, Line.Account, Line.Ceiling,
+                               BootId, Clock.sinceBoot());
       Local.Limit = Local.Base;
     }
     Adopted = true;
@@ -141,19 +160,74 @@
   }
 }
 
+std::int64_t grant_holder::limitOf(std::string_view Name,
+                                   const local_account &Local) const {
+  return Marks.limitOf(Name, Local.Limit, Clock.sinceBoot());
+}
+
+std::optional<mark_record> grant_holder::planMark(time_ms Now) {
+  const holder_record *Record = own();
+  if (MarkUnderWay || Leaving || !Adopted || Record == nullptr ||
+      Record->Incarnation != Incarnation)
+    return std::nullopt;
+  if (Now < NextMark && !MarkShort)
+    return std::nullopt;
+  mark_record Mark;
+  Mark.Incarnation = Incarnation;
+  Mark.BootId = BootId;
+  Mark.Stamp = Clock.sinceBoot();
+  for (const auto &[Name, Local] : Accounts) {
+    const std::int64_t Spent = Local.Base + Local.Used + Local.Reserved;
+    const std::int64_t Room =
+        static_cast<std::int64_t>(Local.Rate * Settings.MarkLeadMs +
+                                  2 * Local.UsualBound) +
+        Local.Waiting;
+    Mark.Lines.push_back(
+        {Name, std::max(Spent, std::min(Local.Limit, Spent + Room))});
+  }
+  MarkUnderWay = true;
+  MarkShort = false;
+  NextMark = Now + Settings.MarkPauseMs;
+  Marks.onSent(Mark);
+  return Mark;
+}
+
+void grant_holder::onMarkWritten() {
+  MarkUnderWay = false;
+  Marks.onWritten();
+}
+
+void grant_holder::onMarkUncertain() {
+  MarkUnderWay = false;
+  Marks.onUncertain();
+}
+
+void grant_holder::onMarkRefused() {
+  MarkUnderWay = false;
+  Marks.onRefused();
+}
+
 relay::reserve_result grant_holder::reserve(std::string_view Account,
                                             std::int64_t Bound) {
   if (prepaidOf(Account) >= Unlimited)
     return relay::reserve_result::Reserved;
   local_account &Local = accountOf(Account);
-  Local.LargestBound = std::max(Local.LargestBound, Bound);
+  Local.UsualBound += (static_cast<double>(Bound) - Local.UsualBound) *
+                      (Local.UsualBound == 0 ? 1 : BoundSmoothing);
   const std::int64_t Spent = Local.Base + Local.Used + Local.Reserved;
   if (Spent + Bound + othersUsed(Account) > prepaidOf(Account))
     return relay::reserve_result::Exhausted;
-  if (Adopted && Spent + Bound <= Local.Limit) {
+  if (Adopted && Spent + Bound <= limitOf(Account, Local)) {
     Local.Reserved += Bound;
     return relay::reserve_result::Reserved;
   }
+  if (Away)
+    return relay::reserve_result::Away;
+  if (Adopted && Spent + Bound <= Local.Limit) {
+    MarkShort = true;
+    Local.Waiting = std::max(Local.Waiting, Bound);
+    return relay::reserve_result::Pending;
+  }
   if (CaughtUp) {
     const std::int64_t Free =
         prepaidOf(Account) - othersCeiling(Account) - Spent;
@@ -161,6 +235,7 @@
       return relay::reserve_result::Exhausted;
   }
   Local.Short = true;
+  Local.Waiting = std::max(Local.Waiting, Bound);
   return relay::reserve_result::Pending;
 }
 
@@ -184,7 +259,11 @@
   const double Keep = std::exp(-Passed / Settings.RateMs);
   for (auto &[Name, Local] : Accounts) {
     const double Latest = static_cast<double>(Local.Recent) / Passed;
-    Local.Rate = Local.Rate * Keep + Latest * (1 - Keep);
+    if (Local.Weight == 0 && Local.Recent == 0)
+      continue;
+    Local.RawRate = Local.RawRate * Keep + Latest * (1 - Keep);
+    Local.Weight = Local.Weight * Keep + (1 - Keep);
+    Local.Rate = Local.RawRate / std::max(Local.Weight, LeastWeight);
     Local.Recent = 0;
   }
   RatesAt = Now;
@@ -194,18 +273,34 @@
 std::int64_t grant_holder::target(std::string_view Name,
                                   const local_account &Local) const {
   const int LeadMs = othersWant(Name) ? WantedLeadMs : Settings.LeadMs;
-  const std::int64_t Lead =
-      static_cast<std::int64_t>(Local.Rate * LeadMs);
+  const double Left = static_cast<double>(leftOf(Name));
+  const double Mine = static_cast<double>(Local.Base + Local.Used + 1);
+  const double All = Mine + static_cast<double>(othersUsed(Name));
+  const std::int64_t Lead = static_cast<std::int64_t>(std::min(
+      Local.Rate * LeadMs, Settings.LeadShares * Left * Mine / All));
   if (othersWant(Name))
-    return Lead + (Local.Short ? Local.LargestBound : 0);
-  const double Share =
-      std::min(Settings.FirstShare,
-               Settings.FirstShares / static_cast<double>(Holders.size() + 1));
-  const std::int64_t First =
-      Local.Used > 0 ? 0
-                     : static_cast<std::int64_t>(
-                           Share * static_cast<double>(prepaidOf(Name)));
-  return std::max(Lead + 2 * Local.LargestBound, First);
+    return Lead;
+  const std::int64_t Equal = static_cast<std::int64_t>(
+      Settings.EqualShares * Left /
+      static_cast<double>(holderCount()));
+  return std::max(Lead + static_cast<std::int64_t>(Local.UsualBound), Equal);
+}
+
+// Instances that share the budgets, this one included.
+std::size_t grant_holder::holderCount() const {
+  std::size_t Count = 1;
+  for (const auto &[Name, Record] : Holders)
+    Count += Name != Instance && !Record.Left ? 1 : 0;
+  return Count;
+}
+
+// What nobody has spent yet, as far as is known.
+std::int64_t grant_holder::leftOf(std::string_view Account) const {
+  const auto Found = Accounts.find(Account);
+  const std::int64_t Spent =
+      Found == Accounts.end() ? 0 : Found->second.Base + Found->second.Used;
+  return std::max<std::int64_t>(
+      0, prepaidOf(Account) - othersUsed(Account) - Spent);
 }
 
 // More is granted than there is: the budget was lowered.
@@ -223,13 +318,13 @@
     return true;
   if (isOverGranted(Name, Local))
     return Left > 0;
-  if (Left < Target / 2) {
+  const std::int64_t Worth = prepaidOf(Name) / LeastChangeShare + 1;
+  if (Left < Target * RaiseBelow) {
     const std::int64_t Free =
         prepaidOf(Name) - othersCeiling(Name) - Local.Limit;
-    return Free > Local.LargestBound;
+    return std::min(Free, Target - Left) > Worth;
   }
-  const std::int64_t Worth = prepaidOf(Name) / 200;
-  return Left > 2 * Target && Left - Target > std::max<std::int64_t>(Worth, 1);
+  return Left > Target * HandBackAbove && Left - Target > Worth;
 }
 
 bool grant_holder::wantsWrite(time_ms Now) {
@@ -254,22 +349,23 @@
   const std::int64_t Prepaid = prepaidOf(Name);
   const std::int64_t Free =
       std::max<std::int64_t>(0, Prepaid - othersCeiling(Name) - Spent);
-  const std::int64_t Target = target(Name, Local);
+  const std::int64_t Target =
+      target(Name, Local) + (Local.Short ? Local.Waiting : 0);
   const std::int64_t Left = std::max<std::int64_t>(0, Local.Limit - Spent);
   std::int64_t Grant = std::min(Target, Free);
   // The less is free, the smaller the grants, so that some is left for others.
   const std::int64_t Cap = std::max(
       {static_cast<std::int64_t>(Settings.LargestShare *
                                  static_cast<double>(Free)),
-       std::min(Local.LargestBound, Free), std::min(Left, Target)});
+       std::min(Local.Waiting, Free), std::min(Left, Target)});
   Grant = std::min(Grant, Cap);
-  Wanted = Local.Short && Grant < Local.LargestBound;
+  Wanted = Local.Short && Grant < Local.Waiting;
   return Spent + Grant;
 }
 
 std::optional<grant_write> grant_holder::plan(time_ms Now) {
   updateRates(Now);
-  if (!CaughtUp || !wantsWrite(Now))
+  if (!CaughtUp || !Adopted || !wantsWrite(Now))
     return std::nullopt;
   holder_record Record;
   Record.Incarnation = Incarnation;
@@ -281,6 +377,7 @@
     Line.Ceiling = wantedCeiling(Name, Local, Line.Wanted);
     Line.Used = Local.Base + Local.Used + Local.Reserved;
     Local.Short = false;
+    Local.Waiting = 0;
     // Until the outcome is certain the lower of both ceilings binds.
     Local.Limit = std::min(Local.Limit, Line.Ceiling);
     Record.Lines.push_back(std::move(Line));
@@ -324,8 +421,10 @@
     Status.Used = Found->second.Base + Found->second.Used;
     Status.Reserved = Found->second.Reserved;
   }
-  Status.Free =
-      prepaidOf(Account) - othersCeiling(Account) - Status.Ceiling;
+  Status.Prepaid = prepaidOf(Account);
+  Status.OthersCeiling = othersCeiling(Account);
+  Status.OthersUsed = othersUsed(Account);
+  Status.Free = Status.Prepaid - Status.OthersCeiling - Status.Ceiling;
   return Status;
 }
 
--- a/packages/grants/src/records.cpp
+++ b/packages/grants/src/records.cpp
@@ -14,8 +14,45 @@
 using record_form = std::tuple<int, std::uint64_t, std::string, bool,
                                std::vector<line_form>>;
 
+using mark_form =
+    std::tuple<int, std::uint64_t, std::uint64_t, std::string, time_ms,
+               std::vector<std::tuple<std::string, std::int64_t>>>;
+
 } // namespace
 
+std::string encode(const mark_record &Record) {
+  std::vector<std::tuple<std::string, std::int64_t>> Lines;
+  for (const mark_line &Line : Record.Lines)
+    Lines.emplace_back(Line.Account, Line.Mark);
+  msgpack::sbuffer Buffer;
+  msgpack::pack(Buffer, mark_form(FormatVersion, Record.Incarnation,
+                                  Record.Epoch, Record.BootId, Record.Stamp,
+                                  std::move(Lines)));
+  return std::string(Buffer.data(), Buffer.size());
+}
+
+std::optional<mark_record> decodeMark(std::string_view Bytes) {
+  try {
+    const msgpack::object_handle Handle =
+        msgpack::unpack(Bytes.data(), Bytes.size());
+    mark_form Form;
+    Handle.get().convert(Form);
+    if (std::get<0>(Form) != FormatVersion)
+      return std::nullopt;
+    mark_record Record;
+    Record.Incarnation = std::get<1>(Form);
+    Record.Epoch = std::get<2>(Form);
+    Record.BootId = std::get<3>(Form);
+    Record.Stamp = std::get<4>(Form);
+    for (const auto &[Account, Mark] : std::get<5>(Form))
+      Record.Lines.push_back({Account, Mark});
+    return Record;
+  } catch (const std::exception &) {
+    // Not one of our records; nothing is freed by it.
+    return std::nullopt;
+  }
+}
+
 std::string encode(const holder_record &Record) {
   std::vector<line_form> Lines;
   for (const account_line &Line : Record.Lines)
--- a/packages/ports/include/tamarack/ports.hpp
+++ b/packages/ports/include/tamarack/ports.hpp
@@ -37,6 +37,9 @@
   virtual time_ms now() const = 0; // Wall clock, ms since the epoch.
   virtual time_ms
   monotonic() const = 0; // Never goes back, arbitrary origin, ms.
+  // Since the machine booted, time in suspension included; goes on over
+  // restarts of the process.
+  virtual time_ms sinceBoot() const = 0;
 };
 
 // Source of random numbers. Thread-safe.
@@ -95,6 +98,15 @@
   Configuration, // Written by operators.
   Endpoints,     // Written by the endpoints themselves.
   Grants,        // Written by the instances of this system.
+  Marks,         // Likewise: how far their spending may have come.
+};
+
+// One writer of a topic. The store refuses what comes from a lower epoch than
+// it has seen of the same writer, however late it arrives.
+struct store_writer {
+  std::string Name;
+  std::uint64_t Epoch = 0;
+  std::uint64_t Sequence = 0; // Of its appends in this epoch, from 0.
 };
 
 enum class store_status {
@@ -136,6 +148,14 @@
   virtual void append(store_topic Topic, std::string_view Key,
                       std::string_view Value, std::uint64_t At,
                       append_handler Handler) = 0;
+  // Appends one record in the order of its writer's sequence. Conflict if the
+  // writer has a higher epoch or the sequence does not follow.
+  virtual void appendAs(store_topic Topic, const store_writer &Writer,
+                        std::string_view Key, std::string_view Value,
+                        append_handler Handler) = 0;
+  // Appends nothing; after Ok nothing of a lower epoch can be stored.
+  virtual void fence(store_topic Topic, const store_writer &Writer,
+                     append_handler Handler) = 0;
 };
 
 //---------------------------------------------------------------------------
--- a/packages/relay/include/tamarack/relay.hpp
+++ b/packages/relay/include/tamarack/relay.hpp
@@ -195,6 +195,7 @@
 enum class reserve_result {
   Reserved,
   Pending,   // More money may be granted within moments.
+  Away,      // There may be money, but it can't be reached now.
   Exhausted, // The whole budget can't cover the call.
 };
 
--- a/packages/relay/src/exchange.cpp
+++ b/packages/relay/src/exchange.cpp
@@ -48,6 +48,8 @@
   case reserve_result::Pending:
     State = state::WaitingForMoney;
     return;
+  case reserve_result::Away:
+    return giveUp(error_kind::BudgetUnavailable, 0);
   case reserve_result::Exhausted:
     return giveUp(error_kind::BudgetExhausted, 0);
   }
