--- a/packages/dispatch/include/tamarack/dispatch.hpp
+++ b/packages/dispatch/include/tamarack/dispatch.hpp
@@ -65,6 +65,9 @@
   std::int64_t keptTokens(std::span<const relay::prompt_part> Prompt) const;
   void note(std::span<const relay::prompt_part> Prompt);
   std::int64_t size() const { return Size; }
+  void setCapacity(std::int64_t Tokens) { Capacity = Tokens; }
+  // Names a chain of parts.
+  static std::uint64_t chainOf(std::span<const relay::prompt_part> Prompt);
 
 private:
   struct part {
@@ -117,7 +120,7 @@
   double Waiting = 25;            // Each request that waits in an engine.
   double ServiceTime = 60;        // One request of a plain service.
   double OtherZone = 6;           // Way to another availability zone and back.
-  double ReadAgain = 0.3;         // Of the prefill, on top: other requests wait.
+  double ReadAgain = 0.075;       // A token that another endpoint has kept.
 };
 
 class dispatcher final : public relay::placement {
@@ -170,7 +173,10 @@
     time_ms ColdUntil = 0;
   };
 
-  double cost(const relay::call &Call, const state &State, time_ms Now) const;
+  double cost(const relay::call &Call, const state &State, bool Preferred,
+              time_ms Now) const;
+  const state *preferred(const relay::call &Call,
+                         std::span<const state *const> Candidates) const;
   double running(const state &State) const;
   double penalty(const state &State, time_ms Now) const;
   void punish(state &State, double By, time_ms Now);
--- a/packages/dispatch/src/dispatcher.cpp
+++ b/packages/dispatch/src/dispatcher.cpp
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <cmath>
 #include <cstdio>
+#include <xxhash.h>
 
 namespace tamarack::dispatch {
 
@@ -13,12 +14,21 @@
 constexpr int AvoidLongestMs = 4'000; // After it was not reached many times.
 constexpr double PenaltyHalfLifeMs = 1'500;
 constexpr double PenaltyCostMs = 800; // Cost of an endpoint that only fails.
+constexpr double AvoidCostMs = 8'000; // Cost of one that was not reached.
 constexpr double ColdCostMs = 200;    // Cost of an endpoint just started.
 constexpr double NoiseMs = 2;         // Spreads choices of equal cost.
 constexpr int QueuePerSlot = 3;       // Plain services: waiting allowed.
 constexpr int RetryAfterMsPlain = 300;
 constexpr int RetryAfterMsEngine = 600;
 
+// Parts that other requests may have too: all but the last.
+std::int64_t sharedTokens(const relay::call &Call) {
+  std::int64_t Tokens = 0;
+  for (std::size_t I = 0; I + 1 < Call.Prompt.size(); ++I)
+    Tokens += Call.Prompt[I].Tokens;
+  return Tokens;
+}
+
 } // namespace
 
 dispatcher::dispatcher(std::string Zone, repeat_limits Limits,
@@ -27,6 +37,9 @@
 
 void dispatcher::setTable(std::shared_ptr<const relay::route_table> NewTable) {
   Table = std::move(NewTable);
+  for (auto &[Id, State] : Endpoints)
+    if (const relay::service *Service = Table->findService(State.Entry.Service))
+      State.Cache.setCapacity(Service->KvTokens);
 }
 
 bool dispatcher::isEngine(std::string_view Service) const {
@@ -113,8 +126,30 @@
   return running(State) < (1.0 + QueuePerSlot) * State.Entry.Slots;
 }
 
+// The endpoint that all instances agree on for the shared parts of a prompt,
+// without asking each other: the highest hash of both (rendezvous hashing).
+const dispatcher::state *
+dispatcher::preferred(const relay::call &Call,
+                      std::span<const state *const> Candidates) const {
+  if (Call.Prompt.size() < 2)
+    return nullptr;
+  const std::uint64_t Chain = prompt_cache::chainOf(
+      std::span(Call.Prompt).first(Call.Prompt.size() - 1));
+  const state *Best = nullptr;
+  std::uint64_t BestHash = 0;
+  for (const state *State : Candidates) {
+    const std::string &Id = State->Entry.Id;
+    const std::uint64_t Hash = XXH64(Id.data(), Id.size(), Chain);
+    if (Best == nullptr || Hash > BestHash) {
+      Best = State;
+      BestHash = Hash;
+    }
+  }
+  return Best;
+}
+
 double dispatcher::cost(const relay::call &Call, const state &State,
-                        time_ms Now) const {
+                        bool Preferred, time_ms Now) const {
   double Cost = PenaltyCostMs * penalty(State, Now);
   if (State.Entry.Zone != Zone)
     Cost += Weights.OtherZone;
@@ -127,11 +162,14 @@
     return Cost + Weights.ServiceTime * (Queued / Slots) +
            Weights.ServiceTime * 0.2 * (Running / Slots);
   }
-  const std::int64_t Kept = State.Cache.keptTokens(Call.Prompt);
-  const double Prefill =
-      static_cast<double>(std::max<std::int64_t>(0, Call.PromptTokens - Kept)) /
-      Weights.PrefillTokensPerMs;
-  Cost += Prefill * (1 + Weights.ReadAgain);
+  const std::int64_t Shared = sharedTokens(Call);
+  const std::int64_t Kept =
+      std::max(State.Cache.keptTokens(Call.Prompt), Preferred ? Shared : 0);
+  const std::int64_t Again = std::max<std::int64_t>(0, Shared - Kept);
+  Cost += static_cast<double>(
+              std::max<std::int64_t>(0, Call.PromptTokens - Kept)) /
+          Weights.PrefillTokensPerMs;
+  Cost += Weights.ReadAgain * static_cast<double>(Again);
   Cost += State.PrefillTokens / Weights.PrefillTokensPerMs;
   Cost += Weights.StepPerRunning * Running;
   const double Slots = std::max(1, State.Entry.Slots);
@@ -145,19 +183,23 @@
   const auto Members = ByService.find(Call.Service);
   if (Members == ByService.end())
     return std::nullopt;
-  const state *Best = nullptr;
-  double BestCost = 0;
+  std::vector<const state *> Candidates;
   for (const std::string &Id : Members->second) {
     const state &State = Endpoints.find(Id)->second;
-    if (Tried.contains(Id) || !mayTake(State, Call))
-      continue;
+    if (!Tried.contains(Id) && mayTake(State, Call))
+      Candidates.push_back(&State);
+  }
+  const state *Preferred = preferred(Call, Candidates);
+  const state *Best = nullptr;
+  double BestCost = 0;
+  for (const state *State : Candidates) {
     const double Noise =
         NoiseMs * static_cast<double>(Random.next() % 1024) / 1024;
-    double Cost = cost(Call, State, Now) + Noise;
-    if (State.AvoidUntil > Now)
-      Cost += 10 * PenaltyCostMs;
+    double Cost = cost(Call, *State, State == Preferred, Now) + Noise;
+    if (State->AvoidUntil > Now)
+      Cost += AvoidCostMs;
     if (Best == nullptr || Cost < BestCost) {
-      Best = &State;
+      Best = State;
       BestCost = Cost;
     }
   }
--- a/packages/dispatch/src/prompt_cache.cpp
+++ b/packages/dispatch/src/prompt_cache.cpp
@@ -8,19 +8,27 @@
 namespace {
 
 // Name of a part in its place: the same part after other parts is another.
-std::uint64_t chainOf(std::uint64_t Before, const relay::prompt_part &Part) {
+std::uint64_t linkOf(std::uint64_t Before, const relay::prompt_part &Part) {
   const std::uint64_t Words[] = {Before, Part.Id};
   return XXH64(Words, sizeof Words, 0);
 }
 
 } // namespace
 
+std::uint64_t
+prompt_cache::chainOf(std::span<const relay::prompt_part> Prompt) {
+  std::uint64_t Chain = 0;
+  for (const relay::prompt_part &Part : Prompt)
+    Chain = linkOf(Chain, Part);
+  return Chain;
+}
+
 std::int64_t prompt_cache::keptTokens(
     std::span<const relay::prompt_part> Prompt) const {
   std::uint64_t Chain = 0;
   std::int64_t Kept = 0;
   for (const relay::prompt_part &Part : Prompt) {
-    Chain = chainOf(Chain, Part);
+    Chain = linkOf(Chain, Part);
     if (!Index.contains(Chain))
       break;
     Kept += Part.Tokens;
@@ -31,7 +39,7 @@
 void prompt_cache::note(std::span<const relay::prompt_part> Prompt) {
   std::uint64_t Chain = 0;
   for (const relay::prompt_part &Part : Prompt) {
-    Chain = chainOf(Chain, Part);
+    Chain = linkOf(Chain, Part);
     const auto Found = Index.find(Chain);
     if (Found != Index.end()) {
       Used.splice(Used.begin(), Used, Found->second);
--- a/packages/grants/include/tamarack/grants.hpp
+++ b/packages/grants/include/tamarack/grants.hpp
@@ -117,7 +117,8 @@
   int MarkPauseMs = 500;     // Between two marks.
   int RateMs = 8'000;        // Smoothing of the spending rate.
   double LargestShare = 0.3; // Of what is free, in one grant.
-  double EqualShares = 0.2;  // Of what is left, held by all in equal parts.
+  double EqualShares = 0.35; // Of what is left of a whole budget, held by all
+                             // in equal parts; less the more is spent.
   double LeadShares = 0.3;   // Of what is left, held by all as they spend.
 };
 
--- a/packages/grants/src/grant_holder.cpp
+++ b/packages/grants/src/grant_holder.cpp
@@ -281,7 +281,8 @@
   if (othersWant(Name))
     return Lead;
   const std::int64_t Equal = static_cast<std::int64_t>(
-      Settings.EqualShares * Left /
+      Settings.EqualShares * Left *
+      (Left / static_cast<double>(std::max<std::int64_t>(1, prepaidOf(Name)))) /
       static_cast<double>(holderCount()));
   return std::max(Lead + static_cast<std::int64_t>(Local.UsualBound), Equal);
 }
