--- a/packages/daemon/src/daemon_settings.cpp
+++ b/packages/daemon/src/daemon_settings.cpp
@@ -1,7 +1,7 @@
 // Settings of tamarackd.
 #include "daemon_settings.hpp"
 
-#include <sstream>
+#include "split_list.hpp"
 
 namespace tamarack::daemon {
 
@@ -46,16 +46,6 @@
   adapters::declareTls(Set, "client-", "endpoints and the platform");
 }
 
-std::vector<std::string> splitList(const std::string &Text) {
-  std::vector<std::string> Result;
-  std::istringstream In(Text);
-  std::string Item;
-  while (std::getline(In, Item, ','))
-    if (!Item.empty())
-      Result.push_back(Item);
-  return Result;
-}
-
 class daemon_checks final : public adapters::setting_check {
 public:
   void check(const adapters::setting_set &Set,
--- a/packages/daemon/src/router.cpp
+++ b/packages/daemon/src/router.cpp
@@ -8,12 +8,13 @@
 namespace {
 
 constexpr int TickMs = 100;
+constexpr int FreshEnoughMs = 50;     // What is known of grants.
 constexpr int GrantPauseMs = 150;     // Between two writes of grants.
 constexpr int GrantRetryMs = 250;     // After a write that failed.
 constexpr int OutOfRotationMs = 2'500; // Until no new connections come.
 constexpr std::uint64_t EpochStep = 1'000; // Above a former incarnation's.
 constexpr int EndMarginMs = 500;      // Before the forced end.
-constexpr int ConfigurationWaitMs = 10'000; // Held by the store.
+constexpr int ConfigurationWaitMs = 1'000; // Held by the store.
 
 constexpr follow::follower_settings ConfigurationReads{0, ConfigurationWaitMs,
                                                        250};
@@ -122,7 +123,11 @@
 
 router::router(const router_settings &Settings)
     : Settings(Settings), Log(Settings.Instance, Clock, Settings.LogLines),
-      Store(Context, {Settings.StoreAddress}),
+      DirectStore(Context, {Settings.StoreAddress}),
+      Store(
+          Context, DirectStore, [this] { return peerAddresses(); }, Clock,
+          Random, *this, {}),
+      PeerService(DirectStore),
       Dispatcher(Settings.Zone, Settings.Repeats, Random),
       Codec(Dispatcher, Random),
       Grants(Settings.Instance, Random.next(), Settings.PeerAddress,
@@ -142,6 +147,11 @@
             [this](const edge::request_message &, const edge::respond &Respond) {
               Respond(readyAnswer());
             }),
+      PeerServer(Context,
+                 [this](const edge::request_message &Request,
+                        const edge::respond &Respond) {
+                   PeerService.serve(Request, Respond);
+                 }),
       MetricsServer(
           Context,
           [this](const edge::request_message &, const edge::respond &Respond) {
@@ -156,6 +166,7 @@
 void router::run() {
   Front.listen(edge::parseAddress(Settings.FrontAddress));
   Ready.listen(edge::parseAddress(Settings.ReadyAddress));
+  PeerServer.listen(edge::parseAddress(Settings.PeerAddress));
   MetricsServer.listen(edge::parseAddress(Settings.MetricsAddress));
   waitForSignals();
   Log.write("start", {{"zone", std::string_view(Settings.Zone)},
@@ -197,6 +208,19 @@
 // What is known
 //---------------------------------------------------------------------------
 
+void router::onPath(bool Direct) {
+  Log.write("store_path", {{"path", Direct ? "direct" : "through_peer"}});
+}
+
+// Instances that announced themselves, and those that the settings name.
+std::vector<std::string> router::peerAddresses() const {
+  std::set<std::string> Addresses(Settings.Peers.begin(), Settings.Peers.end());
+  for (const auto &[Name, Address] : Grants.peers())
+    Addresses.insert(Address);
+  Addresses.erase(Settings.PeerAddress);
+  return {Addresses.begin(), Addresses.end()};
+}
+
 void router::adopt(std::shared_ptr<const relay::route_table> NewTable) {
   if (Table && NewTable->Version <= Table->Version)
     return;
@@ -233,8 +257,11 @@
   if (Result == relay::reserve_result::Pending)
     edge::net::post(Context, [this] {
       writeMark();
+      const time_ms Now = Clock.monotonic();
+      if (Now - GrantFollower.lastAnswer() < FreshEnoughMs)
+        return writeGrants();
       GrantFollower.hurry();
-      GrantFollower.tick(Clock.monotonic());
+      GrantFollower.tick(Now);
     });
   return Result;
 }
@@ -463,7 +490,9 @@
   Metrics.gaugeOf("tamarack_idle_endpoint_connections").set(Pool.idleCount());
   Metrics.counterOf("tamarack_endpoint_connections_total")
       .set(Pool.openedCount());
-  Metrics.counterOf("tamarack_store_calls_total").set(Store.callCount());
+  Metrics.counterOf("tamarack_store_calls_total").set(DirectStore.callCount());
+  Metrics.counterOf("tamarack_store_calls_through_peers_total")
+      .set(Store.relayedCount());
   edge::response_message Answer(edge::http::status::ok, 11);
   Answer.set(edge::http::field::content_type, "text/plain; version=0.0.4");
   Answer.body() = Metrics.prometheusText();
--- a/packages/daemon/src/router.hpp
+++ b/packages/daemon/src/router.hpp
@@ -7,6 +7,7 @@
 #include "tamarack/edge.hpp"
 #include "tamarack/follow.hpp"
 #include "tamarack/grants.hpp"
+#include "tamarack/peers.hpp"
 #include "tamarack/platform.hpp"
 #include "tamarack/report.hpp"
 
@@ -14,7 +15,9 @@
 
 namespace tamarack::daemon {
 
-class router final : private edge::front_observer, private relay::allowance {
+class router final : private edge::front_observer,
+                     private relay::allowance,
+                     private peers::path_listener {
 public:
   explicit router(const router_settings &Settings);
   ~router() override;
@@ -43,6 +46,10 @@
               std::int64_t Used) override;
 
   void logMoneyRefusal(const relay::call &Call);
+  // peers::path_listener
+  void onPath(bool Direct) override;
+
+  std::vector<std::string> peerAddresses() const;
   void adopt(std::shared_ptr<const relay::route_table> Table);
   void refreshEndpoints();
   void tick();
@@ -67,7 +74,9 @@
   edge::net::io_context Context{1};
   adapters::event_log Log;
   report::metrics_registry Metrics;
-  platform::platform_store Store;
+  platform::platform_store DirectStore;
+  peers::relayed_store Store;
+  peers::peer_service PeerService;
   dispatch::dispatcher Dispatcher;
   platform::platform_codec Codec;
   grants::grant_holder Grants;
@@ -81,6 +90,7 @@
   edge::endpoint_pool Pool;
   edge::front_server Front;
   edge::plain_server Ready;
+  edge::plain_server PeerServer;
   edge::plain_server MetricsServer;
   edge::net::signal_set Signals;
   edge::net::steady_timer Timer;
--- a/packages/daemon/src/router_settings.cpp
+++ b/packages/daemon/src/router_settings.cpp
@@ -3,6 +3,8 @@
 
 #include "tamarack/edge.hpp"
 
+#include "split_list.hpp"
+
 namespace tamarack::daemon {
 
 namespace {
@@ -20,6 +22,7 @@
   Set.text("front-address", nullptr, "IP:PORT to serve callers on");
   Set.text("ready-address", nullptr, "IP:PORT to tell readiness on");
   Set.text("peer-address", nullptr, "IP:PORT for other instances");
+  Set.text("peers", "", "IP:PORT of other instances, separated by commas");
   Set.text("metrics-address", nullptr, "IP:PORT to serve metrics on");
   Set.text("store-address", nullptr, "IP:PORT of the platform's store");
   Set.decimal("repeat-ratio", "0.1", 0, 1, "repeats per request, whole fleet");
@@ -35,14 +38,20 @@
 public:
   void check(const adapters::setting_set &Set,
              std::vector<std::string> &Errors) const override {
-    for (const char *Name : Addresses) {
-      if (Set.getText(Name).empty())
-        continue;
-      try {
-        edge::parseAddress(Set.getText(Name));
-      } catch (const std::invalid_argument &Error) {
-        Errors.push_back("--" + std::string(Name) + ": " + Error.what());
-      }
+    for (const char *Name : Addresses)
+      if (!Set.getText(Name).empty())
+        checkAddress(Name, Set.getText(Name), Errors);
+    for (const std::string &Peer : splitList(Set.getText("peers")))
+      checkAddress("peers", Peer, Errors);
+  }
+
+private:
+  static void checkAddress(const std::string &Name, const std::string &Value,
+                           std::vector<std::string> &Errors) {
+    try {
+      edge::parseAddress(Value);
+    } catch (const std::invalid_argument &Error) {
+      Errors.push_back("--" + Name + ": " + Error.what());
     }
   }
 };
@@ -62,6 +71,7 @@
   Settings.FrontAddress = Set.getText("front-address");
   Settings.ReadyAddress = Set.getText("ready-address");
   Settings.PeerAddress = Set.getText("peer-address");
+  Settings.Peers = splitList(Set.getText("peers"));
   Settings.MetricsAddress = Set.getText("metrics-address");
   Settings.StoreAddress = Set.getText("store-address");
   Settings.Repeats.Ratio = Set.getDecimal("repeat-ratio");
--- a/packages/daemon/src/router_settings.hpp
+++ b/packages/daemon/src/router_settings.hpp
@@ -5,6 +5,7 @@
 #include "tamarack/dispatch.hpp"
 
 #include <string>
+#include <vector>
 
 namespace tamarack::daemon {
 
@@ -14,6 +15,7 @@
   std::string FrontAddress; // Callers, host:port.
   std::string ReadyAddress; // Readiness, host:port.
   std::string PeerAddress;  // Other instances, host:port.
+  std::vector<std::string> Peers; // Of other instances, some may be gone.
   std::string MetricsAddress;
   std::string StoreAddress;
   dispatch::repeat_limits Repeats;
--- a/packages/grants/src/grant_holder.cpp
+++ b/packages/grants/src/grant_holder.cpp
@@ -372,6 +372,9 @@
   Record.Incarnation = Incarnation;
   Record.PeerAddress = PeerAddress;
   Record.Left = Leaving;
+  const holder_record *Before = own();
+  bool Changes = Leaving || Before == nullptr ||
+                 Before->Incarnation != Incarnation;
   for (auto &[Name, Local] : Accounts) {
     account_line Line;
     Line.Account = Name;
@@ -379,10 +382,18 @@
     Line.Used = Local.Base + Local.Used + Local.Reserved;
     Local.Short = false;
     Local.Waiting = 0;
-    // Until the outcome is certain the lower of both ceilings binds.
-    Local.Limit = std::min(Local.Limit, Line.Ceiling);
+    const account_line *Known = Before ? lineOf(*Before, Name) : nullptr;
+    Changes = Changes || Known == nullptr || Known->Ceiling != Line.Ceiling ||
+              Known->Wanted != Line.Wanted;
     Record.Lines.push_back(std::move(Line));
   }
+  if (!Changes)
+    return std::nullopt;
+  // Until the outcome is certain the lower of both ceilings binds.
+  for (const account_line &Line : Record.Lines) {
+    local_account &Local = accountOf(Line.Account);
+    Local.Limit = std::min(Local.Limit, Line.Ceiling);
+  }
   grant_write Write{End, encode(Record)};
   Pending.push_back({End, std::move(Record)});
   return Write;
--- /dev/null
+++ b/packages/peers/include/tamarack/peers.hpp
@@ -0,0 +1,128 @@
+// The store reached through other instances.
+//
+// Contents:
+//   messages      store_request, store_answer, encode, decode
+//   both sides    relayed_store, peer_service
+//
+// An instance that can't reach the store asks another one to make the call for
+// it. The other one holds nothing of the answer and decides nothing, so this
+// adds no state: an append is still accepted by the store alone.
+#pragma once
+
+#include "tamarack/edge.hpp"
+#include "tamarack/ports.hpp"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace tamarack::peers {
+
+//---------------------------------------------------------------------------
+// Messages
+//---------------------------------------------------------------------------
+
+enum class store_call { Newest, Read, Append, AppendAs, Fence };
+
+struct store_request {
+  store_call Call = store_call::Newest;
+  store_topic Topic = store_topic::Configuration;
+  std::uint64_t From = 0; // Read: first offset. Append: offset of the end.
+  store_writer Writer;    // AppendAs and Fence.
+  std::string Key;        // Appends.
+  std::string Value;      // Appends.
+};
+
+struct store_answer {
+  store_status Status = store_status::Unavailable;
+  keyed_page Page; // Of Newest and Read.
+};
+
+std::string encode(const store_request &Request);
+std::string encode(const store_answer &Answer);
+// Empty if Bytes hold no message.
+std::optional<store_request> decodeRequest(std::string_view Bytes);
+std::optional<store_answer> decodeAnswer(std::string_view Bytes);
+
+//---------------------------------------------------------------------------
+// Both sides
+//---------------------------------------------------------------------------
+
+struct relay_settings {
+  int DirectPauseMs = 1'000; // Peers go first for so long after a failure.
+  int PeerMs = 700;          // Longest wait for a peer's answer.
+};
+
+// Told when the store is reached another way than before.
+class path_listener {
+public:
+  virtual ~path_listener() = default;
+  virtual void onPath(bool Direct) = 0;
+};
+
+// The store, directly or through a peer.
+class relayed_store final : public keyed_store {
+public:
+  using address_source = std::function<std::vector<std::string>()>;
+
+  // Peers returns the addresses of other instances, without this one.
+  relayed_store(edge::net::io_context &Context, keyed_store &Direct,
+                address_source Peers, const clock &Clock,
+                random_source &Random, path_listener &Listener,
+                relay_settings Settings);
+
+  void newest(store_topic Topic, page_handler Handler) override;
+  void read(store_topic Topic, std::uint64_t From, int WaitMs,
+            page_handler Handler) override;
+  void append(store_topic Topic, std::string_view Key, std::string_view Value,
+              std::uint64_t At, append_handler Handler) override;
+  void appendAs(store_topic Topic, const store_writer &Writer,
+                std::string_view Key, std::string_view Value,
+                append_handler Handler) override;
+  void fence(store_topic Topic, const store_writer &Writer,
+             append_handler Handler) override;
+  std::uint64_t relayedCount() const { return Relayed; }
+
+private:
+  using answer_handler = std::function<void(store_answer)>;
+
+  void call(store_request Request, int WaitMs, answer_handler Handler);
+  void callDirect(const store_request &Request, int WaitMs,
+                  answer_handler Handler);
+  // Uncertain: an attempt before may have been stored.
+  void callPeer(const store_request &Request, bool Uncertain,
+                answer_handler Handler);
+  void note(bool Direct);
+
+  edge::net::io_context &Context;
+  keyed_store &Direct;
+  address_source Peers;
+  const clock &Clock;
+  random_source &Random;
+  path_listener &Listener;
+  relay_settings Settings;
+  bool IsDirect = true;
+  time_ms PeersFirstUntil = 0;
+  std::uint64_t Relayed = 0;
+  std::map<std::string, std::shared_ptr<edge::http_channel>> Channels;
+};
+
+// Makes calls to the store for other instances.
+class peer_service {
+public:
+  explicit peer_service(keyed_store &Direct) : Direct(Direct) {}
+  void serve(const edge::request_message &Request, edge::respond Respond);
+
+private:
+  keyed_store &Direct;
+};
+
+// Makes the call that Request tells of; WaitMs is for Read.
+void perform(keyed_store &Store, const store_request &Request, int WaitMs,
+             std::function<void(store_answer)> Handler);
+
+} // namespace tamarack::peers
