--- /dev/null
+++ b/tests/unit/platform_test.cpp
@@ -0,0 +1,265 @@
+// The platform's documents and header fields.
+#include "fakes.hpp"
+
+#include "tamarack/platform.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace tamarack;
+using namespace tamarack::platform;
+
+namespace {
+
+constexpr char Configuration[] = R"({
+  "version": 7,
+  "routes": [
+    {"name": "r1", "host": "h.example", "pathPrefix": "/a/",
+     "kind": "streaming", "timeoutMs": 12000, "targetLatencyMs": 300,
+     "priority": 0, "service": "engine", "maxAttempts": 2, "public": false,
+     "resumable": true, "gapAimMs": 200},
+    {"name": "r2", "host": "h.example", "pathPrefix": "/a/b/",
+     "kind": "non_idempotent", "timeoutMs": 800, "priority": 2,
+     "weightedServices": [{"service": "desk", "weight": 90},
+                          {"service": "engine", "weight": 10}],
+     "maxAttempts": 1, "public": false},
+    {"name": "r3", "host": "h.example", "pathPrefix": "/open/",
+     "kind": "idempotent", "service": "desk", "public": true}],
+  "services": [
+    {"name": "engine", "healthPath": "/healthz", "maxConnections": 360,
+     "engine": {"slots": 64, "kvCapacityTokens": 475241, "stride": 5}},
+    {"name": "desk", "healthPath": "/healthz", "maxConnections": 100}],
+  "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 1000,
+             "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
+  "tenants": [{"name": "t1", "apiKeys": ["k1", "k2"], "priority": 1,
+               "prepaid": 3114066}]})";
+
+constexpr char Entry[] = R"({"service": "engine", "address": "10.0.0.9:8080",
+  "zone": "z", "version": "v1", "slots": 64, "state": "ready",
+  "coldLeftMs": 0, "sequence": 4, "born": 1700000000000})";
+
+std::string replaced(std::string Text, const std::string &From,
+                     const std::string &To) {
+  const std::size_t At = Text.find(From);
+  REQUIRE(At != std::string::npos);
+  return Text.replace(At, From.size(), To);
+}
+
+struct codec_fixture {
+  codec_fixture()
+      : Random(1), Dispatcher("z", {}, Random), Codec(Dispatcher, Random) {
+    Codec.setTable(decodeConfiguration(Configuration));
+    Request.method(edge::http::verb::post);
+    Request.target("/a/x?q=1");
+    Request.version(11);
+    Request.set("Host", "H.example:80");
+    Request.set("Attempt-Id", "id1");
+    Request.set("Deadline-Ms", "5000");
+    Request.set("Key", "k2");
+    Request.set("Token-Count", "1460,80");
+    Request.set("Prompt-Prefix", "5c1e07a2:800,91bd3f06:410,e4402b7d:250");
+  }
+
+  edge::decoded_request decode() { return Codec.decode(Request, 1'000); }
+
+  tests::seeded_random Random;
+  dispatch::dispatcher Dispatcher;
+  platform_codec Codec;
+  edge::request_message Request;
+};
+
+} // namespace
+
+TEST_CASE("a configuration is read whole", "[platform]") {
+  const std::shared_ptr<const relay::route_table> Table =
+      decodeConfiguration(Configuration);
+  CHECK(Table->Version == 7);
+  const relay::route *Route = Table->find("h.example", "/a/x");
+  REQUIRE(Route != nullptr);
+  CHECK(Route->Kind == relay::call_kind::ResumableStream);
+  CHECK(Route->TimeoutMs == 12'000);
+  CHECK(Table->find("h.example", "/a/b/c")->Name == "r2");
+  CHECK(Table->find("h.example", "/a/b/c")->Services.size() == 2);
+  CHECK(Table->find("h.example", "/none/") == nullptr);
+  CHECK(Table->find("other", "/a/x") == nullptr);
+  CHECK(Table->findService("engine")->KvTokens == 475'241);
+  CHECK(Table->findService("engine")->EventTokens == 5);
+  CHECK(Table->accountOfKey("k1")->Prepaid == 3'114'066);
+  CHECK(Table->accountOfKey("none") == nullptr);
+  CHECK(Table->Limits.BodyBytes == 1'000);
+}
+
+TEST_CASE("a configuration that can't be read is an error", "[platform]") {
+  CHECK_THROWS_AS(decodeConfiguration("{"), document_error);
+  CHECK_THROWS_AS(decodeConfiguration("[]"), document_error);
+  CHECK_THROWS_AS(
+      decodeConfiguration(replaced(Configuration, "\"version\": 7,", "")),
+      document_error);
+}
+
+TEST_CASE("an endpoint's entry is read", "[platform]") {
+  const dispatch::endpoint_entry Read = decodeEndpoint("e", Entry);
+  CHECK(Read.Id == "e");
+  CHECK(Read.Slots == 64);
+  CHECK_FALSE(Read.Leaving);
+  CHECK(Read.Start == 1'700'000'000'000);
+  CHECK(decodeEndpoint("e", replaced(Entry, "ready", "draining")).Leaving);
+}
+
+TEST_CASE("an entry of another writer names no endpoint", "[platform]") {
+  CHECK_THROWS_AS(decodeEndpoint("e", "\xff\xfe"), document_error);
+  CHECK_THROWS_AS(decodeEndpoint("e", "7"), document_error);
+  CHECK_THROWS_AS(decodeEndpoint("e", replaced(Entry, "ready", "new")),
+                  document_error);
+  CHECK_THROWS_AS(decodeEndpoint("e", replaced(Entry, "10.0.0.9:8080", "x")),
+                  document_error);
+  CHECK_THROWS_AS(
+      decodeEndpoint("e", replaced(Entry, "\"slots\": 64", "\"slots\": \"a\"")),
+      document_error);
+  CHECK_THROWS_AS(
+      decodeEndpoint("e", replaced(Entry, "1700000000000", "17.5")),
+      document_error);
+  CHECK_THROWS_AS(
+      decodeEndpoint("e", replaced(Entry, "\"service\": \"engine\",", "")),
+      document_error);
+}
+
+TEST_CASE("a request becomes a call", "[platform]") {
+  codec_fixture Fixture;
+  const edge::decoded_request Decoded = Fixture.decode();
+  REQUIRE(Decoded.Call);
+  CHECK(Decoded.Call->Id == "id1");
+  CHECK(Decoded.Call->Account == "t1");
+  CHECK(Decoded.Call->Priority == 1);
+  CHECK(Decoded.Call->Deadline == 6'000);
+  CHECK(Decoded.Call->bound() == 1'540);
+  CHECK(Decoded.Call->Prompt.size() == 3);
+  CHECK(Decoded.Call->Prompt[0].Id == 0x5c1e07a2);
+  CHECK(Decoded.Forward.count("Key") == 0);
+}
+
+TEST_CASE("what only this side may set does not pass", "[platform]") {
+  codec_fixture Fixture;
+  for (const char *Field : {"Tenant", "Kv-Hold", "Pin-Ms", "Kv-Backup",
+                            "Kv-From", "Expect-Instance", "Request-Priority"})
+    Fixture.Request.set(Field, "forged");
+  Fixture.Request.set("Connection", "keep-alive, X-Hop, Attempt-Id");
+  Fixture.Request.set("X-Hop", "1");
+  Fixture.Request.set("X-Kept", "1");
+  edge::decoded_request Decoded = Fixture.decode();
+  REQUIRE(Decoded.Call);
+  relay::send_options Options;
+  Options.Deadline = 6'000;
+  Options.ResumeAfter = "12";
+  Fixture.Codec.prepare(*Decoded.Call, {"e1", "10.0.0.1:1"}, Options, 2'500,
+                        Decoded.Forward);
+  const edge::request_message &Sent = Decoded.Forward;
+  CHECK(Sent["Tenant"] == "t1");
+  CHECK(Sent["Expect-Instance"] == "e1");
+  CHECK(Sent["Deadline-Ms"] == "3500");
+  CHECK(Sent["Last-Event-Id"] == "12");
+  CHECK(Sent["Request-Priority"] == "1");
+  CHECK(Sent.count("Kv-Hold") == 0);
+  CHECK(Sent.count("X-Hop") == 0);
+  CHECK(Sent["X-Kept"] == "1");
+  CHECK(Sent["Attempt-Id"] == "id1");
+  CHECK(Sent.target() == "/a/x?q=1");
+}
+
+TEST_CASE("a request that can't be served is refused at once", "[platform]") {
+  using relay::error_kind;
+  codec_fixture Fixture;
+  SECTION("no configuration yet") {
+    Fixture.Codec.setTable(nullptr);
+    CHECK(Fixture.decode().Refusal == error_kind::NotReady);
+  }
+  SECTION("no route") {
+    Fixture.Request.target("/none/");
+    CHECK(Fixture.decode().Refusal == error_kind::NotFound);
+  }
+  SECTION("unknown key") {
+    Fixture.Request.set("Key", "none");
+    CHECK(Fixture.decode().Refusal == error_kind::Unauthorized);
+  }
+  SECTION("two keys") {
+    Fixture.Request.insert("Key", "k1");
+    CHECK(Fixture.decode().Refusal == error_kind::InvalidRequest);
+  }
+  SECTION("no id") {
+    Fixture.Request.erase("Attempt-Id");
+    CHECK(Fixture.decode().Refusal == error_kind::InvalidRequest);
+  }
+  SECTION("no time left") {
+    Fixture.Request.set("Deadline-Ms", "0");
+    CHECK(Fixture.decode().Refusal == error_kind::DeadlineTooShort);
+  }
+  SECTION("time that can't be read") {
+    Fixture.Request.set("Deadline-Ms", "soon");
+    CHECK(Fixture.decode().Refusal == error_kind::InvalidRequest);
+  }
+  SECTION("tokens that can't be read") {
+    Fixture.Request.set("Token-Count", "1,2,3");
+    CHECK(Fixture.decode().Refusal == error_kind::InvalidRequest);
+  }
+  SECTION("parts that can't be read") {
+    Fixture.Request.set("Prompt-Prefix", "zz:1");
+    CHECK(Fixture.decode().Refusal == error_kind::InvalidRequest);
+  }
+  SECTION("an absolute target") {
+    Fixture.Request.target("http://h.example/a/x");
+    CHECK(Fixture.decode().Refusal == error_kind::InvalidRequest);
+  }
+  CHECK_FALSE(Fixture.decode().Call);
+}
+
+TEST_CASE("a public route needs no key", "[platform]") {
+  codec_fixture Fixture;
+  Fixture.Request.target("/open/x");
+  Fixture.Request.erase("Key");
+  const edge::decoded_request Decoded = Fixture.decode();
+  REQUIRE(Decoded.Call);
+  CHECK(Decoded.Call->Account.empty());
+}
+
+TEST_CASE("an endpoint's answer is understood", "[platform]") {
+  codec_fixture Fixture;
+  relay::call Call;
+  Call.Id = "id1";
+  edge::response_fields Fields;
+  Fields.result(200);
+  Fields.set("Attempt-Id", "id1");
+  Fields.set("Server-Stamp", "s");
+  Fields.set("Server-Load", "3,0,8");
+  Fields.set("Connection", "close");
+  CHECK(Fixture.Codec.belongsTo(Call, Fields));
+  const relay::answer_head Head = Fixture.Codec.readHead(Fields);
+  CHECK_FALSE(Head.Unusable);
+  CHECK(Head.Fields.size() == 2);
+  Call.Id = "other";
+  CHECK_FALSE(Fixture.Codec.belongsTo(Call, Fields));
+  SECTION("without a signature it may not be passed on") {
+    Fields.erase("Server-Stamp");
+    CHECK(Fixture.Codec.readHead(Fields).Unusable);
+  }
+  SECTION("encoded it is not the endpoint's body") {
+    Fields.set("Content-Encoding", "gzip");
+    CHECK(Fixture.Codec.readHead(Fields).Unusable);
+  }
+  SECTION("it did not run") {
+    Fields.result(503);
+    Fields.set("Not-Executed", "1");
+    CHECK(Fixture.Codec.readHead(Fields).NotRun);
+  }
+  SECTION("another endpoint has the address") {
+    Fields.result(421);
+    CHECK(Fixture.Codec.readHead(Fields).Misplaced);
+  }
+}
+
+TEST_CASE("a refusal tells when to come back", "[platform]") {
+  codec_fixture Fixture;
+  const edge::response_message Message =
+      Fixture.Codec.refusal(relay::error_kind::Overloaded, 350, "id1");
+  CHECK(Message.result_int() == 503);
+  CHECK(Message["Retry-After"] == "0.350");
+  CHECK(Message["Attempt-Id"] == "id1");
+}
