--- a/packages/grants/include/tamarack/grants.hpp
+++ b/packages/grants/include/tamarack/grants.hpp
@@ -210,6 +210,7 @@
     holder_record Record;
   };
 
+  std::vector<pending_write>::iterator latestPending(std::uint64_t At);
   local_account &accountOf(std::string_view Name);
   const holder_record *own() const;
   std::int64_t prepaidOf(std::string_view Account) const;
--- a/packages/grants/src/grant_holder.cpp
+++ b/packages/grants/src/grant_holder.cpp
@@ -399,10 +399,20 @@
   return Write;
 }
 
+// Several writes of the same condition may be uncertain; what is told is told
+// of the latest one.
+std::vector<grant_holder::pending_write>::iterator
+grant_holder::latestPending(std::uint64_t At) {
+  for (auto Item = Pending.end(); Item != Pending.begin();) {
+    --Item;
+    if (Item->At == At)
+      return Item;
+  }
+  return Pending.end();
+}
+
 void grant_holder::onWritten(std::uint64_t At) {
-  const auto Found =
-      std::find_if(Pending.begin(), Pending.end(),
-                   [At](const pending_write &Write) { return Write.At == At; });
+  const auto Found = latestPending(At);
   if (Found == Pending.end())
     return;
   Holders[Instance] = Found->Record;
@@ -412,8 +422,9 @@
 }
 
 void grant_holder::onRejected(std::uint64_t At) {
-  std::erase_if(Pending,
-                [At](const pending_write &Write) { return Write.At == At; });
+  const auto Found = latestPending(At);
+  if (Found != Pending.end())
+    Pending.erase(Found);
   adoptOwn();
 }
 
