--- a/tests/unit/grants_test.cpp
+++ b/tests/unit/grants_test.cpp
@@ -22,6 +22,19 @@
   time_ms Time = 1'000'000;
 };
 
+// The clocks of one machine.
+class machine_clock final : public clock {
+public:
+  explicit machine_clock(const manual_clock &World) : World(World) {}
+  time_ms now() const override { return World.Time; }
+  time_ms monotonic() const override { return World.Time; }
+  time_ms sinceBoot() const override { return World.Time - BootedAt; }
+  time_ms BootedAt = 0;
+
+private:
+  const manual_clock &World;
+};
+
 std::shared_ptr<relay::route_table> tableOf(std::int64_t Prepaid) {
   const std::shared_ptr<relay::route_table> Table =
       std::make_shared<relay::route_table>();
@@ -89,7 +102,7 @@
 
   std::string Name;
   topic &Topic;
-  const manual_clock &Clock;
+  machine_clock Clock;
   std::unique_ptr<grant_holder> Holder;
   std::size_t Read = 0;
   std::uint64_t Epoch = 0;
@@ -246,6 +259,34 @@
   CHECK(Machine.Holder->statusOf("a").Ceiling <= 50);
 }
 
+TEST_CASE("a hand-back whose outcome is not known binds", "[grants]") {
+  manual_clock Clock;
+  topic Topic;
+  machine Machine("m", Topic, Clock);
+  Machine.start(1, "boot", tableOf(Budget));
+  writeAll(Machine);
+  Machine.Holder->setBudgets(tableOf(50));
+  Machine.readTopic();
+  const std::optional<grant_write> Late =
+      Machine.Holder->plan(Clock.monotonic());
+  REQUIRE(Late);
+  // No answer. Meanwhile the budget is raised again.
+  Machine.Holder->setBudgets(tableOf(Budget));
+  Machine.readTopic();
+  CHECK(Machine.Holder->reserve("a", 51) == relay::reserve_result::Pending);
+  SECTION("it lands late") {
+    REQUIRE(Topic.append("m", Late->Value, Late->At));
+    Machine.readTopic();
+    CHECK(Machine.Holder->reserve("a", 51) == relay::reserve_result::Pending);
+  }
+  SECTION("another write makes sure that it never lands") {
+    REQUIRE(Topic.append("n", encode(holder_record()), Late->At));
+    CHECK_FALSE(Topic.append("m", Late->Value, Late->At));
+    Machine.readTopic();
+    CHECK(Machine.Holder->reserve("a", 51) == relay::reserve_result::Reserved);
+  }
+}
+
 //---------------------------------------------------------------------------
 // Random schedules
 //---------------------------------------------------------------------------
@@ -367,7 +408,9 @@
       crash(I, 5'000);
       break;
     case move::Reboot:
+      // The machine's own time begins anew, anywhere.
       Boots[I] += "x";
+      Machine.Clock.BootedAt += Amount;
       crash(I, 500);
       break;
     case move::Pass:
