--- a/packages/adapters/include/tamarack/adapters.hpp
+++ b/packages/adapters/include/tamarack/adapters.hpp
@@ -19,16 +19,16 @@
 #include <atomic>
 #include <condition_variable>
 #include <functional>
+#include <initializer_list>
 #include <map>
 #include <memory>
 #include <mutex>
 #include <random>
 #include <set>
-#include <variant>
-#include <initializer_list>
 #include <string>
 #include <string_view>
 #include <thread>
+#include <variant>
 #include <vector>
 
 namespace tamarack::adapters {
--- a/packages/adapters/src/event_log.cpp
+++ b/packages/adapters/src/event_log.cpp
@@ -60,8 +60,7 @@
           Line[std::string(Field.Name)] = Value;
         },
         Field.Value);
-  static log4cplus::Logger Logger =
-      log4cplus::Logger::getInstance(EventLogger);
+  static log4cplus::Logger Logger = log4cplus::Logger::getInstance(EventLogger);
   Logger.forcedLog(
       log4cplus::INFO_LOG_LEVEL,
       Line.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace));
--- /dev/null
+++ b/packages/daemon/src/logged_placement.hpp
@@ -0,0 +1,33 @@
+// Logs what becomes of attempts, beside the placement itself.
+#pragma once
+
+#include "tamarack/adapters.hpp"
+#include "tamarack/dispatch.hpp"
+#include "tamarack/report.hpp"
+
+namespace tamarack::daemon {
+
+class logged_placement final : public relay::placement {
+public:
+  logged_placement(dispatch::dispatcher &Dispatcher, adapters::event_log &Log,
+                   report::metrics_registry &Metrics);
+
+  std::optional<relay::endpoint_choice>
+  choose(const relay::call &Call, const std::set<std::string> &Tried,
+         time_ms Now) override;
+  void onSent(const relay::call &Call, std::string_view Endpoint,
+              time_ms Now) override;
+  void onFirstByte(const relay::call &Call, std::string_view Endpoint,
+                   time_ms Now) override;
+  void onEnded(const relay::call &Call, std::string_view Endpoint,
+               relay::attempt_end End, time_ms Now) override;
+  bool tryRepeat(std::string_view Service, time_ms Now) override;
+  int retryAfterMs(const relay::call &Call) const override;
+
+private:
+  dispatch::dispatcher &Dispatcher;
+  adapters::event_log &Log;
+  report::metrics_registry &Metrics;
+};
+
+} // namespace tamarack::daemon
--- a/packages/daemon/src/model_call.cpp
+++ b/packages/daemon/src/model_call.cpp
@@ -1,10 +1,10 @@
 // Completions of models in the OpenAI form, streamed or whole.
 #include "model_call.hpp"
 
-#include "tamarack/relay.hpp"
 #include "model_request.hpp"
 #include "paid_call.hpp"
 #include "single_run.hpp"
+#include "tamarack/relay.hpp"
 
 #include <Poco/JSON/Object.h>
 #include <Poco/JSON/Parser.h>
--- a/packages/daemon/src/router.cpp
+++ b/packages/daemon/src/router.cpp
@@ -8,12 +8,12 @@
 namespace {
 
 constexpr int TickMs = 100;
-constexpr int FreshEnoughMs = 50;     // What is known of grants.
-constexpr int GrantPauseMs = 150;     // Between two writes of grants.
-constexpr int GrantRetryMs = 250;     // After a write that failed.
-constexpr int OutOfRotationMs = 2'500; // Until no new connections come.
+constexpr int FreshEnoughMs = 50;          // What is known of grants.
+constexpr int GrantPauseMs = 150;          // Between two writes of grants.
+constexpr int GrantRetryMs = 250;          // After a write that failed.
+constexpr int OutOfRotationMs = 2'500;     // Until no new connections come.
 constexpr std::uint64_t EpochStep = 1'000; // Above a former incarnation's.
-constexpr int EndMarginMs = 500;      // Before the forced end.
+constexpr int EndMarginMs = 500;           // Before the forced end.
 constexpr int ConfigurationWaitMs = 1'000; // Held by the store.
 
 constexpr follow::follower_settings ConfigurationReads{0, ConfigurationWaitMs,
@@ -38,10 +38,9 @@
       Router.adopt(platform::decodeConfiguration(Record.Value));
     } catch (const platform::document_error &Error) {
       Router.Metrics.counterOf("tamarack_unreadable_records_total").add();
-      Router.Log.write(
-          "configuration_unreadable",
-          {{"offset", static_cast<std::int64_t>(Record.Offset)},
-           {"error", std::string_view(Error.what())}});
+      Router.Log.write("configuration_unreadable",
+                       {{"offset", static_cast<std::int64_t>(Record.Offset)},
+                        {"error", std::string_view(Error.what())}});
     }
   }
   void onCaughtUp(std::uint64_t) override {}
@@ -73,8 +72,12 @@
       return Router.Directory.onGone(Record.Key, Now);
     }
     try {
-      Router.Directory.onEntry(
-          platform::decodeEndpoint(Record.Key, Record.Value));
+      const dispatch::endpoint_entry Entry =
+          platform::decodeEndpoint(Record.Key, Record.Value);
+      if (Router.Directory.onEntry(Entry) && Entry.Leaving)
+        Router.Log.write("endpoint_leaving",
+                         {{"endpoint", std::string_view(Entry.Id)},
+                          {"sequence", Entry.Sequence}});
     } catch (const platform::document_error &Error) {
       Router.Metrics.counterOf("tamarack_unreadable_records_total").add();
       Router.Log.write("endpoint_unreadable",
@@ -124,12 +127,11 @@
 router::router(const router_settings &Settings)
     : Settings(Settings), Log(Settings.Instance, Clock, Settings.LogLines),
       DirectStore(Context, {Settings.StoreAddress}),
-      Store(
-          Context, DirectStore, [this] { return peerAddresses(); }, Clock,
-          Random, *this, {}),
+      Store(Context, DirectStore, [this] { return peerAddresses(); }, Clock,
+            Random, *this, {}),
       PeerService(DirectStore),
       Dispatcher(Settings.Zone, Settings.Repeats, Random),
-      Codec(Dispatcher, Random),
+      Placement(Dispatcher, Log, Metrics), Codec(Dispatcher, Random),
       Grants(Settings.Instance, Random.next(), Settings.PeerAddress,
              adapters::readBootId(), {}, Clock),
       ConfigurationListener(std::make_unique<configuration_listener>(*this)),
@@ -142,11 +144,10 @@
       GrantFollower(store_topic::Grants, Store, Clock, *GrantListener,
                     GrantReads),
       Pool(Context, Clock, {}),
-      Front(Context, Clock, Codec, Dispatcher, *this, *this, Pool, {}),
+      Front(Context, Clock, Codec, Placement, *this, *this, Pool, {}),
       Ready(Context,
-            [this](const edge::request_message &, const edge::respond &Respond) {
-              Respond(readyAnswer());
-            }),
+            [this](const edge::request_message &,
+                   const edge::respond &Respond) { Respond(readyAnswer()); }),
       PeerServer(Context,
                  [this](const edge::request_message &Request,
                         const edge::respond &Respond) {
@@ -312,8 +313,8 @@
 
 void router::writeMark() {
   const time_ms Now = Clock.monotonic();
-  if (!MarkKnown || (MarkUncertainAt >= 0 &&
-                     GrantFollower.lastAnswer() <= MarkUncertainAt))
+  if (!MarkKnown ||
+      (MarkUncertainAt >= 0 && GrantFollower.lastAnswer() <= MarkUncertainAt))
     return;
   MarkUncertainAt = -1;
   std::optional<grants::mark_record> Mark = Grants.planMark(Now);
@@ -452,26 +453,25 @@
         .add(static_cast<double>(Report.FirstByte - Call.Arrived));
   Metrics.timingOf("tamarack_call_ms")
       .add(static_cast<double>(Now - Call.Arrived));
-  Log.write("call",
-            {{"id", std::string_view(Call.Id)},
-             {"route", std::string_view(Call.RouteName)},
-             {"account", std::string_view(Call.Account)},
-             {"kind", relay::toString(Call.Kind)},
-             {"status", std::int64_t(Report.Status)},
-             {"error", Error},
-             {"attempts", std::int64_t(Report.Attempts)},
-             {"unreached", std::int64_t(Report.Unreached)},
-             {"endpoint", std::string_view(Report.LastEndpoint)},
-             {"last_end", relay::toString(Report.LastEnd)},
-             {"caller_gone", std::int64_t(Report.ClientGone)},
-             {"broken_off", std::int64_t(Report.BrokenOff)},
-             {"first_byte_ms", Report.FirstByte > 0
-                                   ? Report.FirstByte - Call.Arrived
-                                   : std::int64_t(-1)},
-             {"ms", Now - Call.Arrived},
-             {"left_ms", Call.Deadline - Now},
-             {"used", Report.Used},
-             {"bound", Call.bound()}});
+  Log.write("call", {{"id", std::string_view(Call.Id)},
+                     {"route", std::string_view(Call.RouteName)},
+                     {"account", std::string_view(Call.Account)},
+                     {"kind", relay::toString(Call.Kind)},
+                     {"status", std::int64_t(Report.Status)},
+                     {"error", Error},
+                     {"attempts", std::int64_t(Report.Attempts)},
+                     {"unreached", std::int64_t(Report.Unreached)},
+                     {"endpoint", std::string_view(Report.LastEndpoint)},
+                     {"last_end", relay::toString(Report.LastEnd)},
+                     {"caller_gone", std::int64_t(Report.ClientGone)},
+                     {"broken_off", std::int64_t(Report.BrokenOff)},
+                     {"first_byte_ms", Report.FirstByte > 0
+                                           ? Report.FirstByte - Call.Arrived
+                                           : std::int64_t(-1)},
+                     {"ms", Now - Call.Arrived},
+                     {"left_ms", Call.Deadline - Now},
+                     {"used", Report.Used},
+                     {"bound", Call.bound()}});
 }
 
 //---------------------------------------------------------------------------
--- a/packages/daemon/src/router.hpp
+++ b/packages/daemon/src/router.hpp
@@ -1,6 +1,7 @@
 // Composition of a router instance: one thread, one event loop.
 #pragma once
 
+#include "logged_placement.hpp"
 #include "router_settings.hpp"
 #include "tamarack/adapters.hpp"
 #include "tamarack/dispatch.hpp"
@@ -78,6 +79,7 @@
   peers::relayed_store Store;
   peers::peer_service PeerService;
   dispatch::dispatcher Dispatcher;
+  logged_placement Placement;
   platform::platform_codec Codec;
   grants::grant_holder Grants;
   follow::endpoint_directory Directory;
--- a/packages/dispatch/include/tamarack/dispatch.hpp
+++ b/packages/dispatch/include/tamarack/dispatch.hpp
@@ -36,11 +36,11 @@
   std::string Service;
   std::string Address; // host:port
   std::string Zone;
-  int Slots = 1;          // Requests worked on at once.
-  bool Leaving = false;   // Takes no new work.
-  int ColdMs = 0;         // Slow for so long after its start.
-  std::int64_t Start = 0; // Its start, Unix ms, 0 if unknown. Another start
-                          // under the same id has kept nothing.
+  int Slots = 1;             // Requests worked on at once.
+  bool Leaving = false;      // Takes no new work.
+  int ColdMs = 0;            // Slow for so long after its start.
+  std::int64_t Start = 0;    // Its start, Unix ms, 0 if unknown. Another start
+                             // under the same id has kept nothing.
   std::int64_t Sequence = 0; // Grows with each report of one start.
 };
 
@@ -87,8 +87,8 @@
 //---------------------------------------------------------------------------
 
 struct repeat_limits {
-  double Ratio = 0.1;     // Repeats per request.
-  double Slack = 10;      // Repeats on top, whole fleet, in one window.
+  double Ratio = 0.1; // Repeats per request.
+  double Slack = 10;  // Repeats on top, whole fleet, in one window.
   int WindowMs = 10'000;
 };
 
@@ -138,9 +138,9 @@
   void onLeaving(std::string_view Endpoint);
   void onRequest(std::string_view Service); // Once for each caller's request.
 
-  std::optional<relay::endpoint_choice> choose(const relay::call &Call,
-                                               const std::set<std::string> &Tried,
-                                               time_ms Now) override;
+  std::optional<relay::endpoint_choice>
+  choose(const relay::call &Call, const std::set<std::string> &Tried,
+         time_ms Now) override;
   void onSent(const relay::call &Call, std::string_view Endpoint,
               time_ms Now) override;
   void onFirstByte(const relay::call &Call, std::string_view Endpoint,
@@ -162,14 +162,14 @@
     prompt_cache Cache{0};
     load_report Load;
     time_ms LoadAt = -1;
-    int SentSince = 0;         // Since the report.
-    int EndedSince = 0;        // Since the report.
-    int InFlight = 0;          // Of this instance.
-    double PrefillTokens = 0;  // Sent and not yet begun to answer.
-    double Penalty = 0;        // 0 healthy, up to 1 failing in a row.
+    int SentSince = 0;        // Since the report.
+    int EndedSince = 0;       // Since the report.
+    int InFlight = 0;         // Of this instance.
+    double PrefillTokens = 0; // Sent and not yet begun to answer.
+    double Penalty = 0;       // 0 healthy, up to 1 failing in a row.
     time_ms PenaltyAt = 0;
     int UnreachedInRow = 0;
-    time_ms AvoidUntil = 0;    // Not reachable lately.
+    time_ms AvoidUntil = 0; // Not reachable lately.
     time_ms ColdUntil = 0;
   };
 
--- a/packages/dispatch/src/dispatcher.cpp
+++ b/packages/dispatch/src/dispatcher.cpp
@@ -12,6 +12,8 @@
 
 constexpr int AvoidFirstMs = 500;     // After an endpoint was not reached.
 constexpr int AvoidLongestMs = 4'000; // After it was not reached many times.
+constexpr double FailedPenalty = 0.2; // Added by a failure answer, of 1.
+constexpr double BrokenPenalty = 0.3; // Added by a refusal or a break, of 1.
 constexpr double PenaltyHalfLifeMs = 1'500;
 constexpr double PenaltyCostMs = 800; // Cost of an endpoint that only fails.
 constexpr double AvoidCostMs = 8'000; // Cost of one that was not reached.
@@ -166,9 +168,9 @@
   const std::int64_t Kept =
       std::max(State.Cache.keptTokens(Call.Prompt), Preferred ? Shared : 0);
   const std::int64_t Again = std::max<std::int64_t>(0, Shared - Kept);
-  Cost += static_cast<double>(
-              std::max<std::int64_t>(0, Call.PromptTokens - Kept)) /
-          Weights.PrefillTokensPerMs;
+  Cost +=
+      static_cast<double>(std::max<std::int64_t>(0, Call.PromptTokens - Kept)) /
+      Weights.PrefillTokensPerMs;
   Cost += Weights.ReadAgain * static_cast<double>(Again);
   Cost += State.PrefillTokens / Weights.PrefillTokensPerMs;
   Cost += Weights.StepPerRunning * Running;
@@ -222,8 +224,8 @@
   State->Cache.note(Call.Prompt);
 }
 
-void dispatcher::onFirstByte(const relay::call &Call,
-                             std::string_view Endpoint, time_ms Now) {
+void dispatcher::onFirstByte(const relay::call &Call, std::string_view Endpoint,
+                             time_ms Now) {
   state *State = find(Endpoint);
   if (State == nullptr)
     return;
@@ -248,13 +250,11 @@
   case relay::attempt_end::Cancelled:
     break;
   case relay::attempt_end::Failed:
-    punish(*State, 0.2, Now);
+    punish(*State, FailedPenalty, Now);
     break;
   case relay::attempt_end::Refused:
-    punish(*State, 0.3, Now);
-    break;
   case relay::attempt_end::Broken:
-    punish(*State, 0.3, Now);
+    punish(*State, BrokenPenalty, Now);
     break;
   case relay::attempt_end::Misplaced:
     State->SaysLeaving = true;
@@ -276,8 +276,7 @@
   return isEngine(Call.Service) ? RetryAfterMsEngine : RetryAfterMsPlain;
 }
 
-std::string dispatcher::describe(std::string_view Endpoint,
-                                 time_ms Now) const {
+std::string dispatcher::describe(std::string_view Endpoint, time_ms Now) const {
   const auto Found = Endpoints.find(Endpoint);
   if (Found == Endpoints.end())
     return "unknown";
--- a/packages/dispatch/src/prompt_cache.cpp
+++ b/packages/dispatch/src/prompt_cache.cpp
@@ -23,8 +23,8 @@
   return Chain;
 }
 
-std::int64_t prompt_cache::keptTokens(
-    std::span<const relay::prompt_part> Prompt) const {
+std::int64_t
+prompt_cache::keptTokens(std::span<const relay::prompt_part> Prompt) const {
   std::uint64_t Chain = 0;
   std::int64_t Kept = 0;
   for (const relay::prompt_part &Part : Prompt) {
--- a/packages/dispatch/src/repeat_budget.cpp
+++ b/packages/dispatch/src/repeat_budget.cpp
@@ -12,8 +12,10 @@
 bool repeat_budget::trySpend(const repeat_limits &Limits, int Instances,
                              time_ms Now) {
   const double Share = SlackPart * Limits.Slack / Instances;
-  if (Filled < 0)
+  if (Filled < 0) {
     Filled = Now;
+    Slack = Share / 2;
+  }
   Slack = std::min(Share, Slack + Share * static_cast<double>(Now - Filled) /
                                       Limits.WindowMs);
   Filled = Now;
--- a/packages/edge/include/tamarack/edge.hpp
+++ b/packages/edge/include/tamarack/edge.hpp
@@ -90,11 +90,11 @@
 class endpoint_call;
 
 struct pool_settings {
-  int ConnectMs = 300;        // Longest wait for a connection.
-  int RecentMs = 1'000;       // A connection used within is trusted to live.
-  int IdleMs = 4'000;         // Kept connections are closed after.
-  std::size_t MostIdle = 32;  // Kept connections per endpoint.
-  int SilentMs = 2'500;       // Unacknowledged bytes break a connection.
+  int ConnectMs = 300;       // Longest wait for a connection.
+  int RecentMs = 1'000;      // A connection used within is trusted to live.
+  int IdleMs = 4'000;        // Kept connections are closed after.
+  std::size_t MostIdle = 32; // Kept connections per endpoint.
+  int SilentMs = 2'500;      // Unacknowledged bytes break a connection.
 };
 
 // Kept connections to endpoints.
@@ -123,8 +123,7 @@
   const clock &Clock;
   pool_settings Settings;
   std::uint64_t Opened = 0;
-  std::map<std::string, std::vector<std::shared_ptr<endpoint_connection>>>
-      Idle;
+  std::map<std::string, std::vector<std::shared_ptr<endpoint_connection>>> Idle;
 };
 
 //---------------------------------------------------------------------------
@@ -221,7 +220,6 @@
   void finish(std::optional<response_message> Response);
   void onDeadline();
 
-  net::io_context &Context;
   std::string Address;
   tcp::socket Socket;
   net::steady_timer Timer;
@@ -230,7 +228,6 @@
   std::deque<item> Queue;
   bool Busy = false;
   bool Connected = false;
-  bool Reused = false;
   std::uint64_t Round = 0;
 };
 
--- a/packages/edge/src/endpoint_call.cpp
+++ b/packages/edge/src/endpoint_call.cpp
@@ -10,7 +10,8 @@
 
 constexpr int MostDiscarded = 3; // Answers to others before the own one.
 constexpr std::uint32_t LargestHead = 64 * 1024;
-constexpr int KeepMarginMs = 1'000; // Closed this long before the endpoint does.
+constexpr int KeepMarginMs =
+    1'000; // Closed this long before the endpoint does.
 
 // "timeout=N" of a Keep-Alive field, 0 if there is none.
 int timeoutOf(std::string_view KeepAlive) {
--- a/packages/edge/src/endpoint_pool.cpp
+++ b/packages/edge/src/endpoint_pool.cpp
@@ -10,15 +10,14 @@
 
 void endpoint_connection::watch() {
   const std::weak_ptr<endpoint_connection> Weak = weak_from_this();
-  Socket.async_wait(tcp::socket::wait_read,
-                    [Weak, Use = Uses](const error_code &) {
-                      const std::shared_ptr<endpoint_connection> Self =
-                          Weak.lock();
-                      if (!Self || !Self->Idle || Self->Uses != Use)
-                        return;
-                      Self->close();
-                      Self->Pool.forget(Self.get());
-                    });
+  Socket.async_wait(
+      tcp::socket::wait_read, [Weak, Use = Uses](const error_code &) {
+        const std::shared_ptr<endpoint_connection> Self = Weak.lock();
+        if (!Self || !Self->Idle || Self->Uses != Use)
+          return;
+        Self->close();
+        Self->Pool.forget(Self.get());
+      });
 }
 
 void endpoint_connection::close() {
--- a/packages/edge/src/front_session.cpp
+++ b/packages/edge/src/front_session.cpp
@@ -89,11 +89,10 @@
     if (!Error && Self->Phase == phase::Reading)
       Self->close();
   });
-  http::async_read_header(
-      Socket, Buffer, *Parser,
-      [Self](const error_code &Error, std::size_t) {
-        Self->onRequestHead(Error);
-      });
+  http::async_read_header(Socket, Buffer, *Parser,
+                          [Self](const error_code &Error, std::size_t) {
+                            Self->onRequestHead(Error);
+                          });
 }
 
 // One framing only, so that nothing can hide inside a body.
@@ -123,8 +122,7 @@
     return close();
   if (!hasPlainFraming())
     return refuseReading(relay::error_kind::InvalidRequest);
-  if (boost::beast::iequals(Parser->get()[http::field::expect],
-                            "100-continue"))
+  if (boost::beast::iequals(Parser->get()[http::field::expect], "100-continue"))
     write("HTTP/1.1 100 Continue\r\n\r\n");
   const std::shared_ptr<front_session> Self = shared_from_this();
   // The body may take as long as the connection may be idle.
@@ -133,10 +131,9 @@
     if (!Waited && Self->Phase == phase::Reading)
       Self->close();
   });
-  http::async_read(Socket, Buffer, *Parser,
-                   [Self](const error_code &Read, std::size_t) {
-                     Self->onRequest(Read);
-                   });
+  http::async_read(
+      Socket, Buffer, *Parser,
+      [Self](const error_code &Read, std::size_t) { Self->onRequest(Read); });
 }
 
 void front_session::onRequest(const error_code &Error) {
@@ -145,7 +142,8 @@
   if (Error == http::error::body_limit)
     return refuseReading(relay::error_kind::BodyTooLarge);
   if (Error)
-    return Error.category() == http::make_error_code(http::error{}).category() &&
+    return Error.category() ==
+                       http::make_error_code(http::error{}).category() &&
                    Error != http::error::partial_message
                ? refuseReading(relay::error_kind::InvalidRequest)
                : close();
@@ -335,10 +333,9 @@
     return;
   Sending.swap(Unsent);
   const std::shared_ptr<front_session> Self = shared_from_this();
-  net::async_write(Socket, net::buffer(Sending),
-                   [Self](const error_code &Error, std::size_t) {
-                     Self->onFlushed(Error);
-                   });
+  net::async_write(
+      Socket, net::buffer(Sending),
+      [Self](const error_code &Error, std::size_t) { Self->onFlushed(Error); });
 }
 
 void front_session::onFlushed(const error_code &Error) {
--- a/packages/edge/src/http_channel.cpp
+++ b/packages/edge/src/http_channel.cpp
@@ -10,8 +10,7 @@
 } // namespace
 
 http_channel::http_channel(net::io_context &Context, std::string Address)
-    : Context(Context), Address(std::move(Address)), Socket(Context),
-      Timer(Context) {}
+    : Address(std::move(Address)), Socket(Context), Timer(Context) {}
 
 void http_channel::request(request_message Request, int TimeoutMs,
                            response_handler Handler) {
--- a/packages/edge/src/plain_server.cpp
+++ b/packages/edge/src/plain_server.cpp
@@ -49,13 +49,13 @@
       Self->Response = std::move(Out);
       Self->Response.keep_alive(KeepAlive);
       Self->Response.prepare_payload();
-      http::async_write(Self->Socket, Self->Response,
-                        [Self, KeepAlive](const error_code &Error,
-                                          std::size_t) {
-                          if (Error || !KeepAlive)
-                            return Self->close();
-                          Self->read();
-                        });
+      http::async_write(
+          Self->Socket, Self->Response,
+          [Self, KeepAlive](const error_code &Error, std::size_t) {
+            if (Error || !KeepAlive)
+              return Self->close();
+            Self->read();
+          });
     });
   }
 
--- a/packages/edge/src/sockets.cpp
+++ b/packages/edge/src/sockets.cpp
@@ -17,8 +17,7 @@
 
 void setOption(tcp::socket &Socket, int Level, int Name, int Value) {
   // A socket without the option still works; it notices a dead peer later.
-  (void)::setsockopt(Socket.native_handle(), Level, Name, &Value,
-                     sizeof Value);
+  (void)::setsockopt(Socket.native_handle(), Level, Name, &Value, sizeof Value);
 }
 
 } // namespace
@@ -49,13 +48,12 @@
       net::ip::make_address(std::string(Text.substr(0, Colon)), Error);
   const std::string_view PortText = Text.substr(Colon + 1);
   int Port = 0;
-  const std::from_chars_result Read = std::from_chars(
-      PortText.data(), PortText.data() + PortText.size(), Port);
+  const std::from_chars_result Read =
+      std::from_chars(PortText.data(), PortText.data() + PortText.size(), Port);
   if (Error || Read.ec != std::errc() ||
       Read.ptr != PortText.data() + PortText.size() || Port < 1 ||
       Port > 65'535)
-    throw std::invalid_argument("\"" + std::string(Text) +
-                                "\" is not IP:PORT");
+    throw std::invalid_argument("\"" + std::string(Text) + "\" is not IP:PORT");
   return {Host, static_cast<std::uint16_t>(Port)};
 }
 
--- a/packages/follow/include/tamarack/follow.hpp
+++ b/packages/follow/include/tamarack/follow.hpp
@@ -38,9 +38,9 @@
 };
 
 struct follower_settings {
-  int PollMs = 1'000;    // Pause between reads that don't wait.
-  int WaitMs = 0;        // Time that the store may hold a read, 0: none.
-  int RetryMs = 250;     // Pause after a failed read.
+  int PollMs = 1'000; // Pause between reads that don't wait.
+  int WaitMs = 0;     // Time that the store may hold a read, 0: none.
+  int RetryMs = 250;  // Pause after a failed read.
 };
 
 // Reads a topic whole once, then what is new. Reads are planned by tick; one
@@ -84,7 +84,8 @@
 public:
   static constexpr int RegisterAgainMs = 2'500; // After the store's return.
 
-  void onEntry(const dispatch::endpoint_entry &Entry);
+  // True if the entry tells something new.
+  bool onEntry(const dispatch::endpoint_entry &Entry);
   void onGone(std::string_view Id, time_ms Now);
   void onAway(time_ms Now);
   void onAnswer(time_ms Now);
@@ -100,8 +101,8 @@
 private:
   struct item {
     dispatch::endpoint_entry Entry;
-    bool Seen = false;       // While a whole list is told.
-    time_ms GoneAfter = -1;  // -1 if listed.
+    bool Seen = false;      // While a whole list is told.
+    time_ms GoneAfter = -1; // -1 if listed.
   };
 
   bool isUnsettled(time_ms Now) const;
--- a/packages/follow/src/endpoint_directory.cpp
+++ b/packages/follow/src/endpoint_directory.cpp
@@ -25,17 +25,18 @@
   return IsAway || (BackAt >= 0 && Now - BackAt < RegisterAgainMs);
 }
 
-void endpoint_directory::onEntry(const dispatch::endpoint_entry &Entry) {
+bool endpoint_directory::onEntry(const dispatch::endpoint_entry &Entry) {
   item &Item = Items[Entry.Id];
   if (!Item.Entry.Id.empty() && isOlder(Entry, Item.Entry)) {
     Item.Seen = true;
-    return;
+    return false;
   }
-  if (Item.GoneAfter >= 0 || !isSame(Item.Entry, Entry))
-    Changed = true;
+  const bool IsNews = Item.GoneAfter >= 0 || !isSame(Item.Entry, Entry);
+  Changed = Changed || IsNews;
   Item.Entry = Entry;
   Item.Seen = true;
   Item.GoneAfter = -1;
+  return IsNews;
 }
 
 void endpoint_directory::onGone(std::string_view Id, time_ms Now) {
--- a/packages/follow/src/topic_follower.cpp
+++ b/packages/follow/src/topic_follower.cpp
@@ -18,7 +18,7 @@
     return NextRead;
   UnderWay = true;
   const bool Whole = !HasWhole;
-  page_handler Handler = [this, Whole](keyed_page Page) {
+  page_handler Handler = [this, Whole](const keyed_page &Page) {
     onPage(Whole, Page);
   };
   if (Whole)
--- a/packages/grants/include/tamarack/grants.hpp
+++ b/packages/grants/include/tamarack/grants.hpp
@@ -114,6 +114,7 @@
 struct grant_settings {
   int LeadMs = 10'000;       // Spending that an instance holds ahead.
   int MarkLeadMs = 3'500;    // Spending that a mark leaves room for.
+  double MarkShare = 0.35;   // Of what is held, a mark leaves that much room.
   int MarkPauseMs = 500;     // Between two marks.
   int RateMs = 8'000;        // Smoothing of the spending rate.
   double LargestShare = 0.3; // Of what is free, in one grant.
@@ -174,7 +175,7 @@
   bool wantsWrite(time_ms Now);
   // The write that fits what is known; none if there is nothing to change.
   std::optional<grant_write> plan(time_ms Now);
-  void onWritten(std::uint64_t At); // Certain.
+  void onWritten(std::uint64_t At);  // Certain.
   void onRejected(std::uint64_t At); // Certain not to have been stored.
 
   // No more grants; the next plan hands everything back.
--- a/packages/grants/src/grant_holder.cpp
+++ b/packages/grants/src/grant_holder.cpp
@@ -13,8 +13,8 @@
 constexpr std::int64_t Unlimited = std::numeric_limits<std::int64_t>::max() / 4;
 constexpr double LeastWeight = 0.2; // Of a rate that has just begun.
 constexpr double BoundSmoothing = 0.05;
-constexpr double RaiseBelow = 0.8;    // Of the target.
-constexpr double HandBackAbove = 1.5; // Of the target.
+constexpr double RaiseBelow = 0.8;             // Of the target.
+constexpr double HandBackAbove = 1.5;          // Of the target.
 constexpr std::int64_t LeastChangeShare = 500; // Of the budget, 1 in so many.
 constexpr int WantedLeadMs = 1'500; // Held ahead while others are short.
 
@@ -55,8 +55,7 @@
 }
 
 std::int64_t grant_holder::prepaidOf(std::string_view Account) const {
-  const relay::account *Found =
-      Table ? Table->findAccount(Account) : nullptr;
+  const relay::account *Found = Table ? Table->findAccount(Account) : nullptr;
   if (Found == nullptr)
     return 0;
   return Found->Prepaid.value_or(Unlimited);
@@ -178,10 +177,12 @@
   Mark.Stamp = Clock.sinceBoot();
   for (const auto &[Name, Local] : Accounts) {
     const std::int64_t Spent = Local.Base + Local.Used + Local.Reserved;
+    const std::int64_t Held = std::max<std::int64_t>(0, Local.Limit - Spent);
+    const double ByRate =
+        Local.Rate * Settings.MarkLeadMs + 2 * Local.UsualBound;
+    const double ByShare = Settings.MarkShare * static_cast<double>(Held);
     const std::int64_t Room =
-        static_cast<std::int64_t>(Local.Rate * Settings.MarkLeadMs +
-                                  2 * Local.UsualBound) +
-        Local.Waiting;
+        static_cast<std::int64_t>(std::max(ByRate, ByShare)) + Local.Waiting;
     Mark.Lines.push_back(
         {Name, std::max(Spent, std::min(Local.Limit, Spent + Room))});
   }
@@ -276,8 +277,8 @@
   const double Left = static_cast<double>(leftOf(Name));
   const double Mine = static_cast<double>(Local.Base + Local.Used + 1);
   const double All = Mine + static_cast<double>(othersUsed(Name));
-  const std::int64_t Lead = static_cast<std::int64_t>(std::min(
-      Local.Rate * LeadMs, Settings.LeadShares * Left * Mine / All));
+  const std::int64_t Lead = static_cast<std::int64_t>(
+      std::min(Local.Rate * LeadMs, Settings.LeadShares * Left * Mine / All));
   if (othersWant(Name))
     return Lead;
   const std::int64_t Equal = static_cast<std::int64_t>(
@@ -300,8 +301,8 @@
   const auto Found = Accounts.find(Account);
   const std::int64_t Spent =
       Found == Accounts.end() ? 0 : Found->second.Base + Found->second.Used;
-  return std::max<std::int64_t>(
-      0, prepaidOf(Account) - othersUsed(Account) - Spent);
+  return std::max<std::int64_t>(0, prepaidOf(Account) - othersUsed(Account) -
+                                       Spent);
 }
 
 // More is granted than there is: the budget was lowered.
@@ -355,10 +356,10 @@
   const std::int64_t Left = std::max<std::int64_t>(0, Local.Limit - Spent);
   std::int64_t Grant = std::min(Target, Free);
   // The less is free, the smaller the grants, so that some is left for others.
-  const std::int64_t Cap = std::max(
-      {static_cast<std::int64_t>(Settings.LargestShare *
-                                 static_cast<double>(Free)),
-       std::min(Local.Waiting, Free), std::min(Left, Target)});
+  const std::int64_t Cap =
+      std::max({static_cast<std::int64_t>(Settings.LargestShare *
+                                          static_cast<double>(Free)),
+                std::min(Local.Waiting, Free), std::min(Left, Target)});
   Grant = std::min(Grant, Cap);
   Wanted = Local.Short && Grant < Local.Waiting;
   return Spent + Grant;
@@ -373,8 +374,8 @@
   Record.PeerAddress = PeerAddress;
   Record.Left = Leaving;
   const holder_record *Before = own();
-  bool Changes = Leaving || Before == nullptr ||
-                 Before->Incarnation != Incarnation;
+  bool Changes =
+      Leaving || Before == nullptr || Before->Incarnation != Incarnation;
   for (auto &[Name, Local] : Accounts) {
     account_line Line;
     Line.Account = Name;
--- a/packages/grants/src/records.cpp
+++ b/packages/grants/src/records.cpp
@@ -11,8 +11,8 @@
 constexpr std::size_t LargestText = 256; // Bytes of a name or address.
 
 using line_form = std::tuple<std::string, std::int64_t, std::int64_t, bool>;
-using record_form = std::tuple<int, std::uint64_t, std::string, bool,
-                               std::vector<line_form>>;
+using record_form =
+    std::tuple<int, std::uint64_t, std::string, bool, std::vector<line_form>>;
 
 using mark_form =
     std::tuple<int, std::uint64_t, std::uint64_t, std::string, time_ms,
@@ -25,9 +25,9 @@
   for (const mark_line &Line : Record.Lines)
     Lines.emplace_back(Line.Account, Line.Mark);
   msgpack::sbuffer Buffer;
-  msgpack::pack(Buffer, mark_form(FormatVersion, Record.Incarnation,
-                                  Record.Epoch, Record.BootId, Record.Stamp,
-                                  std::move(Lines)));
+  msgpack::pack(Buffer,
+                mark_form(FormatVersion, Record.Incarnation, Record.Epoch,
+                          Record.BootId, Record.Stamp, std::move(Lines)));
   return std::string(Buffer.data(), Buffer.size());
 }
 
--- a/packages/peers/include/tamarack/peers.hpp
+++ b/packages/peers/include/tamarack/peers.hpp
@@ -71,9 +71,8 @@
 
   // Peers returns the addresses of other instances, without this one.
   relayed_store(edge::net::io_context &Context, keyed_store &Direct,
-                address_source Peers, const clock &Clock,
-                random_source &Random, path_listener &Listener,
-                relay_settings Settings);
+                address_source Peers, const clock &Clock, random_source &Random,
+                path_listener &Listener, relay_settings Settings);
 
   void newest(store_topic Topic, page_handler Handler) override;
   void read(store_topic Topic, std::uint64_t From, int WaitMs,
@@ -90,12 +89,13 @@
 private:
   using answer_handler = std::function<void(store_answer)>;
 
-  void call(store_request Request, int WaitMs, answer_handler Handler);
+  void call(const store_request &Request, int WaitMs,
+            const answer_handler &Handler);
   void callDirect(const store_request &Request, int WaitMs,
-                  answer_handler Handler);
+                  const answer_handler &Handler);
   // Uncertain: an attempt before may have been stored.
   void callPeer(const store_request &Request, bool Uncertain,
-                answer_handler Handler);
+                const answer_handler &Handler);
   void note(bool Direct);
 
   edge::net::io_context &Context;
@@ -115,7 +115,8 @@
 class peer_service {
 public:
   explicit peer_service(keyed_store &Direct) : Direct(Direct) {}
-  void serve(const edge::request_message &Request, edge::respond Respond);
+  void serve(const edge::request_message &Request,
+             const edge::respond &Respond);
 
 private:
   keyed_store &Direct;
@@ -123,6 +124,6 @@
 
 // Makes the call that Request tells of; WaitMs is for Read.
 void perform(keyed_store &Store, const store_request &Request, int WaitMs,
-             std::function<void(store_answer)> Handler);
+             const std::function<void(store_answer)> &Handler);
 
 } // namespace tamarack::peers
--- a/packages/peers/src/messages.cpp
+++ b/packages/peers/src/messages.cpp
@@ -25,8 +25,7 @@
   return std::string(Buffer.data(), Buffer.size());
 }
 
-template <typename Form>
-std::optional<Form> unpacked(std::string_view Bytes) {
+template <typename Form> std::optional<Form> unpacked(std::string_view Bytes) {
   try {
     const msgpack::object_handle Handle =
         msgpack::unpack(Bytes.data(), Bytes.size());
@@ -46,11 +45,11 @@
 } // namespace
 
 std::string encode(const store_request &Request) {
-  return packed(request_form(
-      FormatVersion, static_cast<int>(Request.Call),
-      static_cast<int>(Request.Topic), Request.From, Request.Writer.Name,
-      Request.Writer.Epoch, Request.Writer.Sequence, Request.Key,
-      Request.Value));
+  return packed(request_form(FormatVersion, static_cast<int>(Request.Call),
+                             static_cast<int>(Request.Topic), Request.From,
+                             Request.Writer.Name, Request.Writer.Epoch,
+                             Request.Writer.Sequence, Request.Key,
+                             Request.Value));
 }
 
 std::optional<store_request> decodeRequest(std::string_view Bytes) {
@@ -62,8 +61,7 @@
   Request.Call = static_cast<store_call>(std::get<1>(*Form));
   Request.Topic = static_cast<store_topic>(std::get<2>(*Form));
   Request.From = std::get<3>(*Form);
-  Request.Writer = {std::get<4>(*Form), std::get<5>(*Form),
-                    std::get<6>(*Form)};
+  Request.Writer = {std::get<4>(*Form), std::get<5>(*Form), std::get<6>(*Form)};
   Request.Key = std::move(std::get<7>(*Form));
   Request.Value = std::move(std::get<8>(*Form));
   return Request;
@@ -89,10 +87,9 @@
   Answer.Page.Status = static_cast<store_status>(std::get<2>(*Form));
   Answer.Page.End = std::get<3>(*Form);
   for (record_form &Record : std::get<4>(*Form))
-    Answer.Page.Records.push_back({std::get<0>(Record),
-                                   std::move(std::get<1>(Record)),
-                                   std::move(std::get<2>(Record)),
-                                   std::get<3>(Record)});
+    Answer.Page.Records.push_back(
+        {std::get<0>(Record), std::move(std::get<1>(Record)),
+         std::move(std::get<2>(Record)), std::get<3>(Record)});
   return Answer;
 }
 
--- a/packages/peers/src/relayed_store.cpp
+++ b/packages/peers/src/relayed_store.cpp
@@ -14,7 +14,7 @@
 } // namespace
 
 void perform(keyed_store &Store, const store_request &Request, int WaitMs,
-             std::function<void(store_answer)> Handler) {
+             const std::function<void(store_answer)> &Handler) {
   const page_handler OnPage = [Handler](keyed_page Page) {
     const store_status Status = Page.Status;
     Handler({Status, std::move(Page)});
@@ -52,41 +52,38 @@
   Listener.onPath(IsDirect);
 }
 
-void relayed_store::call(store_request Request, int WaitMs,
-                         answer_handler Handler) {
+void relayed_store::call(const store_request &Request, int WaitMs,
+                         const answer_handler &Handler) {
   if (Clock.monotonic() >= PeersFirstUntil)
-    return callDirect(Request, WaitMs, std::move(Handler));
-  callPeer(Request, false,
-           [this, Request, Handler](store_answer Answer) {
-             if (isReached(Answer.Status))
-               return Handler(std::move(Answer));
-             // Neither way; the next call tries directly.
-             PeersFirstUntil = 0;
-             Handler(std::move(Answer));
-           });
+    return callDirect(Request, WaitMs, Handler);
+  callPeer(Request, false, [this, Request, Handler](store_answer Answer) {
+    if (isReached(Answer.Status))
+      return Handler(std::move(Answer));
+    // Neither way; the next call tries directly.
+    PeersFirstUntil = 0;
+    Handler(std::move(Answer));
+  });
 }
 
 void relayed_store::callDirect(const store_request &Request, int WaitMs,
-                               answer_handler Handler) {
-  perform(Direct, Request, WaitMs,
-          [this, Request, Handler](store_answer Answer) {
-            if (isReached(Answer.Status)) {
-              note(true);
-              return Handler(std::move(Answer));
-            }
-            PeersFirstUntil = Clock.monotonic() + Settings.DirectPauseMs;
-            callPeer(Request, Answer.Status == store_status::Unavailable,
-                     Handler);
-          });
+                               const answer_handler &Handler) {
+  perform(
+      Direct, Request, WaitMs, [this, Request, Handler](store_answer Answer) {
+        if (isReached(Answer.Status)) {
+          note(true);
+          return Handler(std::move(Answer));
+        }
+        PeersFirstUntil = Clock.monotonic() + Settings.DirectPauseMs;
+        callPeer(Request, Answer.Status == store_status::Unavailable, Handler);
+      });
 }
 
 void relayed_store::callPeer(const store_request &Request, bool Uncertain,
-                             answer_handler Handler) {
+                             const answer_handler &Handler) {
   const std::vector<std::string> Addresses = Peers();
   if (Addresses.empty())
-    return Handler({Uncertain ? store_status::Unavailable
-                              : store_status::Refused,
-                    {}});
+    return Handler(
+        {Uncertain ? store_status::Unavailable : store_status::Refused, {}});
   const std::string &Address = Addresses[Random.next() % Addresses.size()];
   std::shared_ptr<edge::http_channel> &Channel = Channels[Address];
   if (!Channel)
@@ -134,9 +131,9 @@
 void relayed_store::append(store_topic Topic, std::string_view Key,
                            std::string_view Value, std::uint64_t At,
                            append_handler Handler) {
-  call({store_call::Append, Topic, At, {}, std::string(Key),
-        std::string(Value)},
-       0, [Handler](const store_answer &Answer) { Handler(Answer.Status); });
+  call(
+      {store_call::Append, Topic, At, {}, std::string(Key), std::string(Value)},
+      0, [Handler](const store_answer &Answer) { Handler(Answer.Status); });
 }
 
 void relayed_store::appendAs(store_topic Topic, const store_writer &Writer,
@@ -154,11 +151,10 @@
 }
 
 void peer_service::serve(const edge::request_message &Request,
-                         edge::respond Respond) {
+                         const edge::respond &Respond) {
   const std::optional<store_request> Call = decodeRequest(Request.body());
   if (!Call)
-    return Respond(
-        edge::response_message(edge::http::status::bad_request, 11));
+    return Respond(edge::response_message(edge::http::status::bad_request, 11));
   perform(Direct, *Call, 0, [Respond](const store_answer &Answer) {
     edge::response_message Message(edge::http::status::ok, 11);
     Message.body() = encode(Answer);
--- a/packages/relay/include/tamarack/relay.hpp
+++ b/packages/relay/include/tamarack/relay.hpp
@@ -141,7 +141,7 @@
   int MaxAttempts = 1;
   int TargetMs = 1'000;
   time_ms Arrived = 0;
-  time_ms Deadline = 0;         // Final answer due.
+  time_ms Deadline = 0; // Final answer due.
   std::int64_t PromptTokens = 0;
   std::int64_t LargestOutput = 0; // Tokens generated at most.
   int EventTokens = 1;            // Tokens that one event may hold.
@@ -219,9 +219,9 @@
 // Head of an endpoint's answer.
 struct answer_head {
   int Status = 0;
-  bool NotRun = false;    // The endpoint says that it did not run.
-  bool Misplaced = false; // Another endpoint than expected answered.
-  bool Unusable = false;  // Not an answer that may be passed on.
+  bool NotRun = false;              // The endpoint says that it did not run.
+  bool Misplaced = false;           // Another endpoint than expected answered.
+  bool Unusable = false;            // Not an answer that may be passed on.
   std::vector<header_field> Fields; // To be passed on unchanged.
 };
 
@@ -305,15 +305,15 @@
   exchange_report Report;
   std::set<std::string> Tried;
   answer_head Head;
-  std::string Body;           // Whole answers only.
-  std::string Partial;        // Bytes after the last whole event.
-  std::string LastEventId;    // Of the last event passed on.
-  std::int64_t Events = 0;    // Passed on.
+  std::string Body;        // Whole answers only.
+  std::string Partial;     // Bytes after the last whole event.
+  std::string LastEventId; // Of the last event passed on.
+  std::int64_t Events = 0; // Passed on.
   bool Reserved = false;
-  bool InFlight = false;      // An attempt is under way.
-  bool MayHaveRun = false;    // Some attempt may have run.
-  bool Begun = false;         // The caller has the head of a stream.
-  bool SawByte = false;       // Of this attempt.
+  bool InFlight = false;   // An attempt is under way.
+  bool MayHaveRun = false; // Some attempt may have run.
+  bool Begun = false;      // The caller has the head of a stream.
+  bool SawByte = false;    // Of this attempt.
   time_ms MoneyDeadline = 0;
 };
 
--- a/packages/relay/src/exchange.cpp
+++ b/packages/relay/src/exchange.cpp
@@ -8,9 +8,9 @@
 
 namespace {
 
-constexpr int MoneyWaitMs = 400;   // Longest wait for a grant.
-constexpr int MostUnreached = 3;   // Endpoints that can't be connected to.
-constexpr int LeastUsefulMs = 20;  // Less time left is not worth a send.
+constexpr int MoneyWaitMs = 400;  // Longest wait for a grant.
+constexpr int MostUnreached = 3;  // Endpoints that can't be connected to.
+constexpr int LeastUsefulMs = 20; // Less time left is not worth a send.
 constexpr std::size_t LargestWholeAnswer = 8u << 20; // Bytes.
 constexpr std::size_t LargestEvent = 1u << 20;       // Bytes.
 
@@ -292,8 +292,8 @@
     return;
   Reserved = false;
   if (MayHaveRun)
-    Report.Used = std::min(Call.bound(),
-                           Call.PromptTokens + Events * Call.EventTokens);
+    Report.Used =
+        std::min(Call.bound(), Call.PromptTokens + Events * Call.EventTokens);
   Allowance.settle(Call.Account, Call.bound(), Report.Used);
 }
 
--- /dev/null
+++ b/tests/process/platform_fleet.py
@@ -0,0 +1,197 @@
+"""Routers on stand-ins of the users' platform, as separate processes."""
+import contextlib
+import json
+import pathlib
+import socket
+import struct
+import subprocess
+import tempfile
+
+from harness import BIN, free_ports, http, wait_until
+
+STREAM_HOST = "models.example"
+DESK_HOST = "desk.example"
+
+
+def keyed_record(key, value):
+    content = bytes([len(key)]) + key.encode() + value
+    return struct.pack(">I", len(content)) + content
+
+
+class PlatformFleet(contextlib.AbstractContextManager):
+    """A store, runners of an engine service and of a plain one, routers."""
+
+    def __init__(self, routers=2, engines=2, desks=2, prepaid=1_000_000,
+                 grace_s=8):
+        self.folder = pathlib.Path(tempfile.mkdtemp())
+        self.processes = {}
+        self.prepaid = prepaid
+        self.version = 0
+        self.grace_s = grace_s
+        ports = free_ports(1 + engines + desks + 4 * routers)
+        self.store_port = ports.pop()
+        self.store = f"http://127.0.0.1:{self.store_port}"
+        self.runners = {}
+        for kind, count in (("engine", engines), ("desk", desks)):
+            for number in range(count):
+                self.runners[f"{kind}-{number}"] = (kind, ports.pop())
+        self.routers = {f"router-{n}": [ports.pop() for _ in range(4)]
+                        for n in range(routers)}
+
+    def __enter__(self):
+        self.start("store", ["stand_ins/standin-keyed-store", "--port",
+                             str(self.store_port)])
+        wait_until(lambda: self.answers(self.store + "/stats"), "the store")
+        self.publish()
+        for name, (kind, port) in self.runners.items():
+            self.start(name, ["stand_ins/standin-runner", "--id", name,
+                              "--service", kind, "--port", str(port),
+                              "--store-port", str(self.store_port)])
+        for name in self.routers:
+            self.start_router(name)
+        for name in self.routers:
+            self.wait_ready(name)
+        wait_until(lambda: all(self.endpoint_count(name) == len(self.runners)
+                               for name in self.routers), "all endpoints")
+        return self
+
+    def __exit__(self, *_):
+        for process in self.processes.values():
+            if process.poll() is None:
+                process.kill()
+            process.wait()
+
+    def start(self, name, command):
+        log = open(self.folder / f"{name}.log", "ab")
+        self.processes[name] = subprocess.Popen(
+            [BIN / command[0]] + command[1:], stdout=log, stderr=log)
+
+    def start_router(self, name):
+        front, ready, peer, metrics = self.routers[name]
+        peers = ",".join(f"127.0.0.1:{ports[2]}"
+                         for ports in self.routers.values())
+        settings = self.folder / f"{name}.settings"
+        settings.write_text(
+            f"instance = {name}\nzone = zone-a\n"
+            f"front-address = 127.0.0.1:{front}\n"
+            f"ready-address = 127.0.0.1:{ready}\n"
+            f"peer-address = 127.0.0.1:{peer}\npeers = {peers}\n"
+            f"metrics-address = 127.0.0.1:{metrics}\n"
+            f"store-address = 127.0.0.1:{self.store_port}\n"
+            f"repeat-ratio = 0.2\nrepeat-slack = 50\nrepeat-window-s = 10\n"
+            f"grace-s = {self.grace_s}\n")
+        self.start(name, ["tamarackd", "router", "--settings-file",
+                          str(settings)])
+
+    def answers(self, url, status=200):
+        try:
+            return http("GET", url, timeout=2).status == status
+        except OSError:
+            return False
+
+    def url(self, name):
+        return f"http://127.0.0.1:{self.routers[name][0]}"
+
+    def ready_url(self, name):
+        return f"http://127.0.0.1:{self.routers[name][1]}/"
+
+    def wait_ready(self, name):
+        wait_until(lambda: self.answers(self.ready_url(name)),
+                   name + " is ready")
+
+    def metrics(self, name):
+        text = http("GET", f"http://127.0.0.1:{self.routers[name][3]}/metrics"
+                    ).body.decode()
+        rows = [line.rsplit(" ", 1) for line in text.splitlines()
+                if not line.startswith("#")]
+        return {row[0]: float(row[1]) for row in rows}
+
+    def endpoint_count(self, name):
+        return self.metrics(name).get("tamarack_endpoints", 0)
+
+    def control(self, url, **settings):
+        query = "&".join(f"{key}={value}" for key, value in settings.items())
+        http("POST", f"{url}/control?{query}", body="")
+
+    def runner_url(self, name):
+        return f"http://127.0.0.1:{self.runners[name][1]}"
+
+    def runs(self):
+        """Runs by request id, over all runners."""
+        total = {}
+        for name in self.runners:
+            stats = http("GET", self.runner_url(name) + "/stats").json()
+            for request, count in stats["each"].items():
+                total[request] = total.get(request, 0) + count
+        return total
+
+    def seen(self, name):
+        return http("GET", self.runner_url(name) + "/stats").json()["seen"]
+
+    def log_lines(self, name):
+        text = (self.folder / f"{name}.log").read_text()
+        return [json.loads(line) for line in text.splitlines()
+                if line.startswith("{")]
+
+    def publish(self, keys=("key-ring",), **changes):
+        """Writes the next configuration as the operators do."""
+        self.version += 3
+
+        def route(name, host, prefix, kind, service, **more):
+            return dict({"name": name, "host": host, "pathPrefix": prefix,
+                         "kind": kind, "timeoutMs": 8000,
+                         "targetLatencyMs": 300, "priority": 1,
+                         "service": service, "maxAttempts": 2,
+                         "public": False}, **more)
+        document = {
+            "version": self.version,
+            "routes": [
+                route("stream", STREAM_HOST, "/stream/", "streaming",
+                      "engine", resumable=True, sticky=True),
+                route("once", STREAM_HOST, "/stream/once/", "streaming",
+                      "engine", maxAttempts=1),
+                route("sale", DESK_HOST, "/sale/", "non_idempotent", "desk"),
+                route("lookup", DESK_HOST, "/lookup/", "idempotent", "desk")],
+            "services": [
+                {"name": "engine", "healthPath": "/healthz",
+                 "maxConnections": 100,
+                 "engine": {"slots": 8, "kvCapacityTokens": 100000,
+                            "stride": 1}},
+                {"name": "desk", "healthPath": "/healthz",
+                 "maxConnections": 100}],
+            "limits": {"maxHeaderBytes": 8192, "maxBodyBytes": 100000,
+                       "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
+            "tenants": [{"name": "ring", "apiKeys": list(keys),
+                         "priority": 1, "prepaid": self.prepaid}]}
+        document.update(changes)
+        body = keyed_record("config", json.dumps(document).encode())
+        answer = http("POST",
+                      self.store + "/-/log-append?topic=keyed.op&part=0",
+                      body=body, headers={"X-Operator": "1"})
+        assert answer.status == 200, answer.status
+
+    def call(self, router, path, request_id, host=DESK_HOST, method="POST",
+             body="x", **headers):
+        fields = {"Host": host, "Attempt-Id": request_id, "Key": "key-ring",
+                  "Deadline-Ms": "8000"}
+        fields.update({name.replace("_", "-"): value
+                       for name, value in headers.items()})
+        return http(method, self.url(router) + path, body=body, headers=fields)
+
+    def stream(self, router, request_id, output=10, path="/stream/x",
+               prompt=100):
+        return self.call(router, path, request_id, host=STREAM_HOST,
+                         Token_Count=f"{prompt},{output}",
+                         Prompt_Prefix=f"a1:{prompt // 2},b2:{prompt // 2}")
+
+    def raw(self, router, data):
+        """Sends bytes as they are; returns all that comes until the end."""
+        with socket.create_connection(
+                ("127.0.0.1", self.routers[router][0]), timeout=30) as line:
+            line.sendall(data)
+            received = b""
+            while True:
+                part = line.recv(65536)
+                if not part:
+                    return received
+                received += part
--- a/tests/process/scenarios.py
+++ b/tests/process/scenarios.py
@@ -7,6 +7,7 @@
 import traceback
 from http.client import HTTPConnection
 
+import platform_scenarios
 from harness import (Fleet, certificates, http, key_now, trusting, wait_until)
 
 KEY = {"Authorization": "Bearer key-ring"}
@@ -496,7 +497,7 @@
     a_limit_answers_at_once_with_when_to_come_back,
     callers_that_leave_settle_their_reservation,
     links_are_encrypted_when_keys_are_set,
-]
+] + platform_scenarios.SCENARIOS
 
 
 def main():
--- a/tests/unit/follow_test.cpp
+++ b/tests/unit/follow_test.cpp
@@ -26,7 +26,8 @@
     ++Newest;
     Handler(NewestPage);
   }
-  void read(store_topic, std::uint64_t From, int, page_handler Handler) override {
+  void read(store_topic, std::uint64_t From, int,
+            page_handler Handler) override {
     LastFrom = From;
     Handler(ReadPage);
   }
@@ -185,8 +186,7 @@
 // Messages between instances
 //---------------------------------------------------------------------------
 
-TEST_CASE("messages between instances come back as they were sent",
-          "[peers]") {
+TEST_CASE("messages between instances come back as they were sent", "[peers]") {
   peers::store_request Request;
   Request.Call = peers::store_call::AppendAs;
   Request.Topic = store_topic::Marks;
--- a/tests/unit/grants_test.cpp
+++ b/tests/unit/grants_test.cpp
@@ -87,16 +87,15 @@
     Epoch = Topic.MarkEpochs[Name] + 1'000; // Above all that may be late.
     Topic.MarkEpochs[Name] = Epoch;
     const auto Mark = Topic.Marks.find(Name);
-    Holder->onFormerMark(Mark == Topic.Marks.end()
-                             ? std::nullopt
-                             : decodeMark(Mark->second));
+    Holder->onFormerMark(Mark == Topic.Marks.end() ? std::nullopt
+                                                   : decodeMark(Mark->second));
     InFlight.clear();
   }
 
   void readTopic() {
     for (; Read < Topic.Records.size(); ++Read)
-      Holder->onRecord(Read, Topic.Records[Read].Key,
-                       Topic.Records[Read].Value, false);
+      Holder->onRecord(Read, Topic.Records[Read].Key, Topic.Records[Read].Value,
+                       false);
     Holder->onCaughtUp(Topic.Records.size());
   }
 
@@ -167,8 +166,7 @@
         relay::reserve_result::Exhausted);
 }
 
-TEST_CASE("while the store is away only what is granted is spent",
-          "[grants]") {
+TEST_CASE("while the store is away only what is granted is spent", "[grants]") {
   manual_clock Clock;
   topic Topic;
   machine Machine("m", Topic, Clock);
@@ -188,8 +186,7 @@
   machine Machine("m", Topic, Clock);
   Machine.start(1, "boot", tableOf(Budget));
   writeAll(Machine);
-  REQUIRE(Machine.Holder->reserve("a", 100) ==
-          relay::reserve_result::Reserved);
+  REQUIRE(Machine.Holder->reserve("a", 100) == relay::reserve_result::Reserved);
   writeMark(Machine);
   const std::int64_t Ceiling = Machine.Holder->statusOf("a").Ceiling;
 
@@ -235,8 +232,7 @@
   machine Machine("m", Topic, Clock);
   Machine.start(1, "boot", tableOf(Budget));
   writeAll(Machine);
-  REQUIRE(Machine.Holder->reserve("a", 100) ==
-          relay::reserve_result::Reserved);
+  REQUIRE(Machine.Holder->reserve("a", 100) == relay::reserve_result::Reserved);
   Machine.Holder->settle("a", 100, 40);
   Machine.Holder->leave();
   writeAll(Machine);
--- a/tests/unit/platform_test.cpp
+++ b/tests/unit/platform_test.cpp
@@ -115,9 +115,8 @@
   CHECK_THROWS_AS(
       decodeEndpoint("e", replaced(Entry, "\"slots\": 64", "\"slots\": \"a\"")),
       document_error);
-  CHECK_THROWS_AS(
-      decodeEndpoint("e", replaced(Entry, "1700000000000", "17.5")),
-      document_error);
+  CHECK_THROWS_AS(decodeEndpoint("e", replaced(Entry, "1700000000000", "17.5")),
+                  document_error);
   CHECK_THROWS_AS(
       decodeEndpoint("e", replaced(Entry, "\"service\": \"engine\",", "")),
       document_error);
--- a/tests/unit/relay_test.cpp
+++ b/tests/unit/relay_test.cpp
@@ -31,9 +31,8 @@
 
 class fake_placement final : public placement {
 public:
-  std::optional<endpoint_choice> choose(const call &,
-                                        const std::set<std::string> &Tried,
-                                        time_ms) override {
+  std::optional<endpoint_choice>
+  choose(const call &, const std::set<std::string> &Tried, time_ms) override {
     for (const std::string &Name : Endpoints)
       if (!Tried.contains(Name))
         return endpoint_choice{Name, Name + ":1"};
@@ -294,8 +293,20 @@
 
 namespace {
 
-enum class step { Unreached, Head, Failure, NotRun, Event, Part, End, Broken,
-                  Gone, Timer, Unusable, Money };
+enum class step {
+  Unreached,
+  Head,
+  Failure,
+  NotRun,
+  Event,
+  Part,
+  End,
+  Broken,
+  Gone,
+  Timer,
+  Unusable,
+  Money
+};
 constexpr int Steps = 12;
 
 // What the endpoints did, apart from what the exchange believes.
@@ -347,10 +358,9 @@
   case step::Event:
     if (InFlight && Answering) {
       ++World.Event;
-      Exchange.onBody(World.Half
-                          ? "ta: x\n\n"
-                          : "id: " + std::to_string(World.Event) +
-                                "\ndata: x\n\n",
+      Exchange.onBody(World.Half ? "ta: x\n\n"
+                                 : "id: " + std::to_string(World.Event) +
+                                       "\ndata: x\n\n",
                       Now);
       World.Half = false;
     }
@@ -391,9 +401,9 @@
 TEST_CASE("random schedules keep the promises of every kind",
           "[relay][property]") {
   CHECK(rc::check("promises", [] {
-    const call_kind Kind = *rc::gen::element(
-        call_kind::Idempotent, call_kind::NotRepeatable, call_kind::Stream,
-        call_kind::ResumableStream);
+    const call_kind Kind =
+        *rc::gen::element(call_kind::Idempotent, call_kind::NotRepeatable,
+                          call_kind::Stream, call_kind::ResumableStream);
     const int MaxAttempts = *rc::gen::inRange(1, 4);
     exchange_fixture Fixture(callOf(Kind, MaxAttempts));
     Fixture.Placement.Repeats = *rc::gen::inRange(0, 4);
