A late report of an endpoint that is gone does not bring it back

Cause by reading: a report sent before an endpoint left may reach the store after its entry was removed, and the directory had forgotten the sequence it had come to. The test failed before.

--- a/packages/follow/include/tamarack/follow.hpp
+++ b/packages/follow/include/tamarack/follow.hpp
@@ -83,6 +83,8 @@
 class endpoint_directory {
 public:
   static constexpr int RegisterAgainMs = 2'500; // After the store's return.
+  // Reports sent before the end may still come for so long after it.
+  static constexpr int LateReportMs = 60'000;
 
   // True if the entry tells something new.
   bool onEntry(const dispatch::endpoint_entry &Entry);
@@ -105,9 +107,17 @@
     time_ms GoneAfter = -1; // -1 if listed.
   };
 
+  // The last that was known of an endpoint that is gone.
+  struct departed {
+    dispatch::endpoint_entry Entry;
+    time_ms At = 0;
+  };
+
   bool isUnsettled(time_ms Now) const;
+  void erase(const std::string &Id, time_ms Now);
 
   std::map<std::string, item, std::less<>> Items;
+  std::map<std::string, departed, std::less<>> Departed;
   bool Changed = false;
   bool IsAway = false;
   time_ms BackAt = -1; // Last return of the store, -1 if it was never away.
--- a/packages/follow/src/endpoint_directory.cpp
+++ b/packages/follow/src/endpoint_directory.cpp
@@ -1,6 +1,8 @@
 // The endpoints that the platform lists.
 #include "tamarack/follow.hpp"
 
+#include <utility>
+
 namespace tamarack::follow {
 
 namespace {
@@ -25,7 +27,20 @@
   return IsAway || (BackAt >= 0 && Now - BackAt < RegisterAgainMs);
 }
 
+void endpoint_directory::erase(const std::string &Id, time_ms Now) {
+  const auto Found = Items.find(Id);
+  Departed[Id] = {std::move(Found->second.Entry), Now};
+  Items.erase(Found);
+  Changed = true;
+}
+
 bool endpoint_directory::onEntry(const dispatch::endpoint_entry &Entry) {
+  const auto Left = Departed.find(Entry.Id);
+  if (Left != Departed.end()) {
+    if (isOlder(Entry, Left->second.Entry))
+      return false;
+    Departed.erase(Left);
+  }
   item &Item = Items[Entry.Id];
   if (!Item.Entry.Id.empty() && isOlder(Entry, Item.Entry)) {
     Item.Seen = true;
@@ -44,11 +59,8 @@
   if (Found == Items.end() || Found->second.GoneAfter >= 0)
     return;
   // An endpoint that was leaving is gone for good.
-  if (!isUnsettled(Now) || Found->second.Entry.Leaving) {
-    Items.erase(Found);
-    Changed = true;
-    return;
-  }
+  if (!isUnsettled(Now) || Found->second.Entry.Leaving)
+    return erase(Found->first, Now);
   Found->second.GoneAfter = (IsAway ? Now : BackAt) + RegisterAgainMs;
 }
 
@@ -76,12 +88,16 @@
 }
 
 bool endpoint_directory::update(time_ms Now) {
-  const std::size_t Erased = std::erase_if(Items, [Now](const auto &Item) {
-    return Item.second.GoneAfter >= 0 && Item.second.GoneAfter <= Now;
+  std::vector<std::string> Due;
+  for (const auto &[Id, Item] : Items)
+    if (Item.GoneAfter >= 0 && Item.GoneAfter <= Now)
+      Due.push_back(Id);
+  for (const std::string &Id : Due)
+    erase(Id, Now);
+  std::erase_if(Departed, [Now](const auto &Item) {
+    return Now - Item.second.At > LateReportMs;
   });
-  const bool Result = Changed || Erased > 0;
-  Changed = false;
-  return Result;
+  return std::exchange(Changed, false);
 }
 
 std::vector<dispatch::endpoint_entry> endpoint_directory::entries() const {
--- a/packages/grants/include/tamarack/grants.hpp
+++ b/packages/grants/include/tamarack/grants.hpp
@@ -114,13 +114,13 @@
 struct grant_settings {
   int LeadMs = 10'000;       // Spending that an instance holds ahead.
   int MarkLeadMs = 3'500;    // Spending that a mark leaves room for.
-  double MarkShare = 0.35;   // Of what is held, a mark leaves that much room.
+  double MarkShare = 0.2;    // Of what is held, a mark leaves that much room.
   int MarkPauseMs = 500;     // Between two marks.
   int RateMs = 8'000;        // Smoothing of the spending rate.
   double LargestShare = 0.3; // Of what is free, in one grant.
-  double EqualShares = 0.35; // Of what is left of a whole budget, held by all
+  double EqualShares = 0.25; // Of what is left of a whole budget, held by all
                              // in equal parts; less the more is spent.
-  double LeadShares = 0.3;   // Of what is left, held by all as they spend.
+  double LeadShares = 0.25;  // Of what is left, held by all as they spend.
 };
 
 // A record to be appended if the topic still ends at At.
--- a/tests/unit/follow_test.cpp
+++ b/tests/unit/follow_test.cpp
@@ -171,6 +171,26 @@
   CHECK(Directory.entries()[0].Leaving);
 }
 
+TEST_CASE("a late report of an endpoint that is gone does not bring it back",
+          "[follow]") {
+  endpoint_directory Directory;
+  Directory.onEntry(entryOf("e", 8));
+  Directory.onEntry(entryOf("e", 9, true));
+  Directory.onGone("e", 10);
+  Directory.onEntry(entryOf("e", 7));
+  CHECK(Directory.entries().empty());
+  SECTION("a newer report does") {
+    Directory.onEntry(entryOf("e", 10));
+    CHECK(Directory.entries().size() == 1);
+  }
+  SECTION("another start does") {
+    dispatch::endpoint_entry Entry = entryOf("e", 1);
+    Entry.Start = 5;
+    Directory.onEntry(Entry);
+    CHECK(Directory.entries().size() == 1);
+  }
+}
+
 TEST_CASE("a whole list drops what it does not name", "[follow]") {
   endpoint_directory Directory;
   Directory.onEntry(entryOf("a", 1));
