Notice a silent connection to the store soon; ask peers that can help, then directly

Trace: the endpoint topic's kept connection had gone silent, the read waited 0.9 s, the peer asked next was itself turned away by the store and waited as long: 2.6 s without news.

--- a/packages/daemon/src/router.cpp
+++ b/packages/daemon/src/router.cpp
@@ -18,7 +18,7 @@
 
 constexpr follow::follower_settings ConfigurationReads{0, ConfigurationWaitMs,
                                                        250};
-constexpr follow::follower_settings EndpointReads{800, 0, 250};
+constexpr follow::follower_settings EndpointReads{600, 0, 150};
 constexpr follow::follower_settings GrantReads{1'000, 0, 250};
 
 } // namespace
@@ -129,7 +129,7 @@
       DirectStore(Context, {Settings.StoreAddress}),
       Store(Context, DirectStore, [this] { return peerAddresses(); }, Clock,
             Random, *this, {}),
-      PeerService(DirectStore),
+      PeerService(DirectStore, Store),
       Dispatcher(Settings.Zone, Settings.Repeats, Random),
       Placement(Dispatcher, Log, Metrics), Codec(Dispatcher, Random),
       Grants(Settings.Instance, Random.next(), Settings.PeerAddress,
--- a/packages/edge/include/tamarack/edge.hpp
+++ b/packages/edge/include/tamarack/edge.hpp
@@ -196,25 +196,33 @@
 
 using response_handler = std::function<void(std::optional<response_message>)>;
 
+struct channel_request {
+  request_message Message;
+  int TimeoutMs = 1'000;   // Longest wait for the answer, once connected.
+  bool Repeatable = false; // Sent again on a new connection if a kept one
+                           // stays silent for SilentMs.
+  int SilentMs = 400;
+};
+
 // Requests to one server, one after the other on one kept connection. No
 // answer within the time limit closes the connection.
 class http_channel : public std::enable_shared_from_this<http_channel> {
 public:
   http_channel(net::io_context &Context, std::string Address);
   // Handler is called once, with nothing if no answer came.
-  void request(request_message Request, int TimeoutMs,
-               response_handler Handler);
+  void request(channel_request Request, response_handler Handler);
   std::size_t waiting() const { return Queue.size(); }
   void close();
 
 private:
   struct item {
-    request_message Request;
-    int TimeoutMs = 1'000;
+    channel_request Request;
     response_handler Handler;
   };
 
   void next();
+  void begin();
+  void arm(int Ms);
   void connect();
   void send();
   void finish(std::optional<response_message> Response);
--- a/packages/edge/src/http_channel.cpp
+++ b/packages/edge/src/http_channel.cpp
@@ -12,9 +12,8 @@
 http_channel::http_channel(net::io_context &Context, std::string Address)
     : Address(std::move(Address)), Socket(Context), Timer(Context) {}
 
-void http_channel::request(request_message Request, int TimeoutMs,
-                           response_handler Handler) {
-  Queue.push_back({std::move(Request), TimeoutMs, std::move(Handler)});
+void http_channel::request(channel_request Request, response_handler Handler) {
+  Queue.push_back({std::move(Request), std::move(Handler)});
   if (!Busy)
     next();
 }
@@ -23,17 +22,28 @@
   if (Queue.empty())
     return;
   Busy = true;
+  begin();
+}
+
+void http_channel::begin() {
   ++Round;
+  const channel_request &Request = Queue.front().Request;
+  const bool MayBeSilent = Connected && Request.Repeatable;
+  arm(MayBeSilent ? std::min(Request.SilentMs, Request.TimeoutMs)
+                  : Request.TimeoutMs);
+  if (Connected)
+    send();
+  else
+    connect();
+}
+
+void http_channel::arm(int Ms) {
   const std::shared_ptr<http_channel> Self = shared_from_this();
-  Timer.expires_after(std::chrono::milliseconds(Queue.front().TimeoutMs));
+  Timer.expires_after(std::chrono::milliseconds(Ms));
   Timer.async_wait([Self, This = Round](const error_code &Error) {
     if (!Error && Self->Busy && Self->Round == This)
       Self->onDeadline();
   });
-  if (Connected)
-    send();
-  else
-    connect();
 }
 
 void http_channel::connect() {
@@ -53,7 +63,7 @@
 
 void http_channel::send() {
   const std::shared_ptr<http_channel> Self = shared_from_this();
-  request_message &Request = Queue.front().Request;
+  request_message &Request = Queue.front().Request.Message;
   Request.set(http::field::host, Address);
   Request.prepare_payload();
   Parser.emplace();
@@ -76,7 +86,14 @@
                     });
 }
 
-void http_channel::onDeadline() { finish(std::nullopt); }
+void http_channel::onDeadline() {
+  const bool Repeat = Connected && Queue.front().Request.Repeatable;
+  if (!Repeat)
+    return finish(std::nullopt);
+  Queue.front().Request.Repeatable = false;
+  close();
+  begin();
+}
 
 void http_channel::close() {
   Connected = false;
--- a/packages/peers/include/tamarack/peers.hpp
+++ b/packages/peers/include/tamarack/peers.hpp
@@ -54,7 +54,8 @@
 
 struct relay_settings {
   int DirectPauseMs = 1'000; // Peers go first for so long after a failure.
-  int PeerMs = 700;          // Longest wait for a peer's answer.
+  int PeerMs = 500;          // Longest wait for a peer's answer.
+  std::size_t MostPeers = 2; // Asked for one call.
 };
 
 // Told when the store is reached another way than before.
@@ -85,17 +86,22 @@
   void fence(store_topic Topic, const store_writer &Writer,
              append_handler Handler) override;
   std::uint64_t relayedCount() const { return Relayed; }
+  // False while the store is reached through peers, or not at all.
+  bool isDirect() const { return IsDirect && !LastFailed; }
 
 private:
   using answer_handler = std::function<void(store_answer)>;
 
   void call(const store_request &Request, int WaitMs,
             const answer_handler &Handler);
-  void callDirect(const store_request &Request, int WaitMs,
+  void callDirect(const store_request &Request, int WaitMs, bool ThenPeers,
                   const answer_handler &Handler);
   // Uncertain: an attempt before may have been stored.
   void callPeer(const store_request &Request, bool Uncertain,
                 const answer_handler &Handler);
+  void callNextPeer(const store_request &Request,
+                    std::vector<std::string> Addresses, bool Uncertain,
+                    const answer_handler &Handler);
   void note(bool Direct);
 
   edge::net::io_context &Context;
@@ -106,6 +112,8 @@
   path_listener &Listener;
   relay_settings Settings;
   bool IsDirect = true;
+  bool LastFailed = false; // The last direct call.
+  std::string LastHelper;  // Address of the peer that reached the store last.
   time_ms PeersFirstUntil = 0;
   std::uint64_t Relayed = 0;
   std::map<std::string, std::shared_ptr<edge::http_channel>> Channels;
@@ -114,12 +122,15 @@
 // Makes calls to the store for other instances.
 class peer_service {
 public:
-  explicit peer_service(keyed_store &Direct) : Direct(Direct) {}
+  // Own tells whether this instance reaches the store itself.
+  peer_service(keyed_store &Direct, const relayed_store &Own)
+      : Direct(Direct), Own(Own) {}
   void serve(const edge::request_message &Request,
              const edge::respond &Respond);
 
 private:
   keyed_store &Direct;
+  const relayed_store &Own;
 };
 
 // Makes the call that Request tells of; WaitMs is for Read.
--- a/packages/peers/src/relayed_store.cpp
+++ b/packages/peers/src/relayed_store.cpp
@@ -1,16 +1,31 @@
 // The store, directly or through a peer.
 #include "tamarack/peers.hpp"
 
+#include <algorithm>
+
 namespace tamarack::peers {
 
 namespace {
 
 constexpr char Path[] = "/store";
 
+bool isRead(store_call Call) {
+  return Call == store_call::Newest || Call == store_call::Read;
+}
+
 bool isReached(store_status Status) {
   return Status != store_status::Unavailable && Status != store_status::Refused;
 }
 
+// Lets std::shuffle draw from a random_source.
+struct shuffler {
+  using result_type = std::uint64_t;
+  static constexpr result_type min() { return 0; }
+  static constexpr result_type max() { return ~result_type{0}; }
+  result_type operator()() { return Random.next(); }
+  random_source &Random;
+};
+
 } // namespace
 
 void perform(keyed_store &Store, const store_request &Request, int WaitMs,
@@ -54,58 +69,84 @@
 
 void relayed_store::call(const store_request &Request, int WaitMs,
                          const answer_handler &Handler) {
-  if (Clock.monotonic() >= PeersFirstUntil)
-    return callDirect(Request, WaitMs, Handler);
+  if (Clock.monotonic() >= PeersFirstUntil || LastHelper.empty())
+    return callDirect(Request, WaitMs, true, Handler);
   callPeer(Request, false, [this, Request, Handler](store_answer Answer) {
     if (isReached(Answer.Status))
       return Handler(std::move(Answer));
-    // Neither way; the next call tries directly.
     PeersFirstUntil = 0;
+    LastHelper.clear();
+    // Nothing was stored, or it does no harm to ask again.
+    if (Answer.Status == store_status::Refused || isRead(Request.Call))
+      return callDirect(Request, 0, false, Handler);
     Handler(std::move(Answer));
   });
 }
 
 void relayed_store::callDirect(const store_request &Request, int WaitMs,
-                               const answer_handler &Handler) {
-  perform(
-      Direct, Request, WaitMs, [this, Request, Handler](store_answer Answer) {
-        if (isReached(Answer.Status)) {
-          note(true);
-          return Handler(std::move(Answer));
-        }
-        PeersFirstUntil = Clock.monotonic() + Settings.DirectPauseMs;
-        callPeer(Request, Answer.Status == store_status::Unavailable, Handler);
-      });
+                               bool ThenPeers, const answer_handler &Handler) {
+  perform(Direct, Request, WaitMs,
+          [this, Request, ThenPeers, Handler](store_answer Answer) {
+            LastFailed = !isReached(Answer.Status);
+            if (!LastFailed) {
+              note(true);
+              return Handler(std::move(Answer));
+            }
+            PeersFirstUntil = Clock.monotonic() + Settings.DirectPauseMs;
+            if (!ThenPeers)
+              return Handler(std::move(Answer));
+            callPeer(Request, Answer.Status == store_status::Unavailable,
+                     Handler);
+          });
 }
 
 void relayed_store::callPeer(const store_request &Request, bool Uncertain,
                              const answer_handler &Handler) {
-  const std::vector<std::string> Addresses = Peers();
+  std::vector<std::string> Addresses = Peers();
+  // The one that helped last goes first, then others by chance.
+  std::shuffle(Addresses.begin(), Addresses.end(), shuffler{Random});
+  const auto Helper = std::find(Addresses.begin(), Addresses.end(), LastHelper);
+  if (Helper != Addresses.end())
+    std::iter_swap(Addresses.begin(), Helper);
+  if (Addresses.size() > Settings.MostPeers)
+    Addresses.resize(Settings.MostPeers);
+  callNextPeer(Request, std::move(Addresses), Uncertain, Handler);
+}
+
+void relayed_store::callNextPeer(const store_request &Request,
+                                 std::vector<std::string> Addresses,
+                                 bool Uncertain,
+                                 const answer_handler &Handler) {
   if (Addresses.empty())
     return Handler(
         {Uncertain ? store_status::Unavailable : store_status::Refused, {}});
-  const std::string &Address = Addresses[Random.next() % Addresses.size()];
+  const std::string Address = Addresses.front();
+  Addresses.erase(Addresses.begin());
   std::shared_ptr<edge::http_channel> &Channel = Channels[Address];
   if (!Channel)
     Channel = std::make_shared<edge::http_channel>(Context, Address);
   edge::request_message Message(edge::http::verb::post, Path, 11);
   Message.body() = encode(Request);
   Channel->request(
-      std::move(Message), Settings.PeerMs,
-      [this, Uncertain,
+      {std::move(Message), Settings.PeerMs, isRead(Request.Call)},
+      [this, Request, Addresses, Address, Uncertain,
        Handler](const std::optional<edge::response_message> &Response) {
         std::optional<store_answer> Answer;
         if (Response && Response->result() == edge::http::status::ok)
           Answer = decodeAnswer(Response->body());
         if (!Answer)
           Answer = store_answer{};
-        if (isReached(Answer->Status)) {
-          ++Relayed;
-          note(false);
+        if (!isReached(Answer->Status)) {
+          const bool MayBeStored =
+              Uncertain || (Answer->Status == store_status::Unavailable &&
+                            !isRead(Request.Call));
+          return callNextPeer(Request, Addresses, MayBeStored, Handler);
         }
-        // What was refused now may have been stored by the attempt before.
-        const bool Stored = Answer->Status == store_status::Ok;
-        if (Uncertain && !Stored && Answer->Status != store_status::Trimmed)
+        ++Relayed;
+        LastHelper = Address;
+        note(false);
+        // What was refused now may have been stored by an attempt before.
+        if (Uncertain && Answer->Status == store_status::Conflict)
           Answer->Status = store_status::Unavailable;
         Handler(std::move(*Answer));
       });
