--- /dev/null
+++ b/bench/engine.cpp
@@ -0,0 +1,173 @@
+// Costs of the request engine, the choice and the grants, one slope each.
+#include "tamarack/dispatch.hpp"
+#include "tamarack/grants.hpp"
+#include "tamarack/relay.hpp"
+
+#include <benchmark/benchmark.h>
+
+#include <malloc.h>
+#include <random>
+
+namespace {
+
+using namespace tamarack;
+
+class seeded_random final : public random_source {
+public:
+  std::uint64_t next() override { return Engine(); }
+
+private:
+  std::mt19937_64 Engine{1};
+};
+
+class fixed_clock final : public clock {
+public:
+  time_ms now() const override { return 0; }
+  time_ms monotonic() const override { return 0; }
+  time_ms sinceBoot() const override { return 0; }
+};
+
+class free_allowance final : public relay::allowance {
+public:
+  relay::reserve_result reserve(std::string_view, std::int64_t) override {
+    return relay::reserve_result::Reserved;
+  }
+  void settle(std::string_view, std::int64_t, std::int64_t) override {}
+};
+
+class idle_host final : public relay::exchange_host {
+public:
+  void send(const relay::endpoint_choice &,
+            const relay::send_options &) override {}
+  void cancelSend() override {}
+  void beginAnswer(const relay::answer_head &) override {}
+  void passOn(std::string_view Bytes) override { Passed += Bytes.size(); }
+  void endAnswer() override {}
+  void wholeAnswer(const relay::answer_head &, std::string_view) override {}
+  void breakOff() override {}
+  void refuse(relay::error_kind, int) override {}
+  std::size_t Passed = 0;
+};
+
+relay::call callOf(std::uint64_t Number) {
+  relay::call Call;
+  Call.Id = "0123456789abcdef";
+  Call.Service = "s";
+  Call.Account = "a";
+  Call.Kind = relay::call_kind::ResumableStream;
+  Call.MaxAttempts = 2;
+  Call.Deadline = 10'000;
+  Call.PromptTokens = 6'600;
+  Call.LargestOutput = 400;
+  Call.EventTokens = 5;
+  Call.Prompt = {{1, 512}, {2 + Number % 120, 4'870}, {1'000 + Number, 1'200}};
+  return Call;
+}
+
+struct endpoints_fixture {
+  explicit endpoints_fixture(int Count) : Dispatcher("z", {}, Random) {
+    const std::shared_ptr<relay::route_table> Table =
+        std::make_shared<relay::route_table>();
+    relay::service Service;
+    Service.Name = "s";
+    Service.KvTokens = 475'000;
+    Table->add(Service);
+    Dispatcher.setTable(Table);
+    std::vector<dispatch::endpoint_entry> Entries;
+    for (int I = 0; I < Count; ++I) {
+      dispatch::endpoint_entry Entry;
+      Entry.Id = "i-" + std::to_string(I);
+      Entry.Service = "s";
+      Entry.Address = "10.0.0.1:80";
+      Entry.Zone = "z";
+      Entry.Slots = 64;
+      Entries.push_back(std::move(Entry));
+    }
+    Dispatcher.setEndpoints(Entries, 0);
+  }
+
+  seeded_random Random;
+  dispatch::dispatcher Dispatcher;
+};
+
+// One stream of 60 events, from its arrival to its end.
+void serveStream(benchmark::State &State) {
+  endpoints_fixture Endpoints(9);
+  free_allowance Allowance;
+  const std::string Event = "id: 7\ndata: " + std::string(43, 'x') + "\n\n";
+  std::uint64_t Number = 0;
+  std::size_t Bytes = 0;
+  for (auto _ : State) {
+    idle_host Host;
+    const std::size_t Before = ::mallinfo2().uordblks;
+    relay::exchange Exchange(callOf(++Number), Endpoints.Dispatcher, Allowance,
+                             Host);
+    Exchange.start(0);
+    relay::answer_head Head;
+    Head.Status = 200;
+    Exchange.onHead(std::move(Head), 1);
+    for (int Piece = 0; Piece < 60; ++Piece)
+      Exchange.onBody(Event, 2);
+    Bytes = std::max(Bytes, ::mallinfo2().uordblks - Before);
+    Exchange.onEnd(3);
+    benchmark::DoNotOptimize(Host.Passed);
+  }
+  State.SetItemsProcessed(State.iterations());
+  State.counters["pieces_per_s"] =
+      benchmark::Counter(static_cast<double>(State.iterations()) * 60,
+                         benchmark::Counter::kIsRate);
+  State.counters["bytes_a_request"] = static_cast<double>(Bytes);
+}
+BENCHMARK(serveStream);
+
+void chooseEndpoint(benchmark::State &State) {
+  endpoints_fixture Endpoints(static_cast<int>(State.range(0)));
+  std::uint64_t Number = 0;
+  for (auto _ : State)
+    benchmark::DoNotOptimize(
+        Endpoints.Dispatcher.choose(callOf(++Number), {}, 0));
+}
+BENCHMARK(chooseEndpoint)->Arg(9)->Arg(60)->Arg(90)->Arg(360);
+
+// Planning one write of grants: instances in the topic x client accounts.
+void planGrants(benchmark::State &State) {
+  const fixed_clock Clock;
+  const int Instances = static_cast<int>(State.range(0));
+  const int Accounts = static_cast<int>(State.range(1));
+  const std::shared_ptr<relay::route_table> Table =
+      std::make_shared<relay::route_table>();
+  grants::holder_record Record;
+  for (int I = 0; I < Accounts; ++I) {
+    relay::account Account;
+    Account.Name = "account-" + std::to_string(I);
+    Account.Prepaid = 1'000'000;
+    Table->add(Account, {});
+    Record.Lines.push_back({Account.Name, 1'000, 500, false});
+  }
+  grants::grant_holder Holder("own", 1, "10.0.0.1:1", "boot", {}, Clock);
+  Holder.setBudgets(Table);
+  Holder.onFormerMark(std::nullopt);
+  const std::string Value = grants::encode(Record);
+  for (int I = 0; I < Instances; ++I)
+    Holder.onRecord(static_cast<std::uint64_t>(I), "i" + std::to_string(I),
+                    Value, false);
+  Holder.onCaughtUp(static_cast<std::uint64_t>(Instances));
+  for (auto _ : State) {
+    const std::optional<grants::grant_write> Write = Holder.plan(0);
+    benchmark::DoNotOptimize(Write);
+    State.PauseTiming();
+    if (Write)
+      Holder.onRejected(Write->At);
+    State.ResumeTiming();
+  }
+  State.counters["record_bytes"] = static_cast<double>(Value.size());
+}
+BENCHMARK(planGrants)
+    ->Args({8, 10})
+    ->Args({86, 24})
+    ->Args({370, 310})
+    ->Unit(benchmark::kMicrosecond);
+
+} // namespace
+
+BENCHMARK_MAIN();
--- a/packages/daemon/src/router.cpp
+++ b/packages/daemon/src/router.cpp
@@ -132,7 +132,7 @@
       PeerService(DirectStore, Store),
       Dispatcher(Settings.Zone, Settings.Repeats, Random),
       Placement(Dispatcher, Log, Metrics), Codec(Dispatcher, Random),
-      Grants(Settings.Instance, Random.next(), Settings.PeerAddress,
+      Grants(Settings.Instance, Random.next() | 1, Settings.PeerAddress,
              adapters::readBootId(), {}, Clock),
       ConfigurationListener(std::make_unique<configuration_listener>(*this)),
       EndpointListener(std::make_unique<endpoint_listener>(*this)),
--- a/packages/grants/include/tamarack/grants.hpp
+++ b/packages/grants/include/tamarack/grants.hpp
@@ -50,9 +50,9 @@
 };
 
 struct holder_record {
-  std::uint64_t Incarnation = 0;
-  std::string PeerAddress; // Where other instances reach this one.
-  bool Left = false;       // Ended in order, ceilings are what was spent.
+  std::uint64_t Incarnation = 0; // Never 0 once written.
+  std::string PeerAddress;       // Where other instances reach this one.
+  bool Left = false;             // Ended in order, ceilings are what was spent.
   std::vector<account_line> Lines;
 };
 
@@ -204,22 +204,28 @@
 
   std::int64_t limitOf(std::string_view Name, const local_account &Local) const;
   std::int64_t leftOf(std::string_view Account) const;
-  std::size_t holderCount() const;
 
   struct pending_write {
     std::uint64_t At = 0;
     holder_record Record;
   };
 
+  // Sums over the records of all other instances.
+  struct account_totals {
+    std::int64_t Ceiling = 0;
+    std::int64_t Used = 0;
+    std::int64_t Idle = 0; // Granted and not used, of those that live.
+    int Wanting = 0;       // Instances that are short of money.
+  };
+
+  void keep(std::string_view Name, holder_record Record);
+  void count(const holder_record &Record, int Sign);
+  const account_totals &others(std::string_view Account) const;
   std::vector<pending_write>::iterator latestPending(std::uint64_t At);
   local_account &accountOf(std::string_view Name);
   const holder_record *own() const;
   std::int64_t prepaidOf(std::string_view Account) const;
-  std::int64_t othersCeiling(std::string_view Account) const;
-  std::int64_t othersUsed(std::string_view Account) const;
-  std::int64_t othersIdle(std::string_view Account) const;
   bool isOverGranted(std::string_view Name, const local_account &Local) const;
-  bool othersWant(std::string_view Account) const;
   std::int64_t wantedCeiling(std::string_view Name, const local_account &Local,
                              bool &Wanted) const;
   std::int64_t target(std::string_view Name, const local_account &Local) const;
@@ -235,6 +241,8 @@
   const clock &Clock;
   std::shared_ptr<const relay::route_table> Table;
   std::map<std::string, holder_record, std::less<>> Holders;
+  std::map<std::string, account_totals, std::less<>> Others; // By account.
+  int LivingOthers = 0; // Other instances that have not left.
   std::map<std::string, local_account, std::less<>> Accounts;
   std::vector<pending_write> Pending; // Outcome not certain.
   std::uint64_t End = 0;
--- a/packages/grants/src/grant_holder.cpp
+++ b/packages/grants/src/grant_holder.cpp
@@ -26,6 +26,11 @@
   return nullptr;
 }
 
+// False for the record of an instance that has left, and for none at all.
+bool isLiving(const holder_record &Record) {
+  return !Record.Left && Record.Incarnation != 0;
+}
+
 } // namespace
 
 grant_holder::grant_holder(std::string Instance, std::uint64_t Incarnation,
@@ -61,40 +66,34 @@
   return Found->Prepaid.value_or(Unlimited);
 }
 
-std::int64_t grant_holder::othersCeiling(std::string_view Account) const {
-  std::int64_t Sum = 0;
-  for (const auto &[Name, Record] : Holders)
-    if (Name != Instance)
-      if (const account_line *Line = lineOf(Record, Account))
-        Sum += Line->Ceiling;
-  return Sum;
-}
-
-std::int64_t grant_holder::othersUsed(std::string_view Account) const {
-  std::int64_t Sum = 0;
-  for (const auto &[Name, Record] : Holders)
-    if (Name != Instance)
-      if (const account_line *Line = lineOf(Record, Account))
-        Sum += std::min(Line->Used, Line->Ceiling);
-  return Sum;
+// Adds the lines of another instance's record to the sums, or takes them off.
+void grant_holder::count(const holder_record &Record, int Sign) {
+  for (const account_line &Line : Record.Lines) {
+    account_totals &Totals = Others[Line.Account];
+    Totals.Ceiling += Sign * Line.Ceiling;
+    Totals.Used += Sign * std::min(Line.Used, Line.Ceiling);
+    if (Record.Left)
+      continue;
+    Totals.Idle += Sign * std::max<std::int64_t>(0, Line.Ceiling - Line.Used);
+    Totals.Wanting += Line.Wanted ? Sign : 0;
+  }
 }
 
-std::int64_t grant_holder::othersIdle(std::string_view Account) const {
-  std::int64_t Sum = 0;
-  for (const auto &[Name, Record] : Holders)
-    if (Name != Instance && !Record.Left)
-      if (const account_line *Line = lineOf(Record, Account))
-        Sum += std::max<std::int64_t>(0, Line->Ceiling - Line->Used);
-  return Sum;
+void grant_holder::keep(std::string_view Name, holder_record Record) {
+  holder_record &Known = Holders[std::string(Name)];
+  if (Name != Instance) {
+    count(Known, -1);
+    count(Record, 1);
+    LivingOthers += (isLiving(Record) ? 1 : 0) - (isLiving(Known) ? 1 : 0);
+  }
+  Known = std::move(Record);
 }
 
-bool grant_holder::othersWant(std::string_view Account) const {
-  for (const auto &[Name, Record] : Holders)
-    if (Name != Instance && !Record.Left)
-      if (const account_line *Line = lineOf(Record, Account))
-        if (Line->Wanted)
-          return true;
-  return false;
+const grant_holder::account_totals &
+grant_holder::others(std::string_view Account) const {
+  static const account_totals None;
+  const auto Found = Others.find(Account);
+  return Found == Others.end() ? None : Found->second;
 }
 
 void grant_holder::onRecord(std::uint64_t Offset, std::string_view Key,
@@ -107,7 +106,7 @@
     ++Unreadable;
     return;
   }
-  Holders[std::string(Key)] = std::move(*Record);
+  keep(Key, std::move(*Record));
 }
 
 void grant_holder::onCaughtUp(std::uint64_t NewEnd) {
@@ -216,7 +215,7 @@
   Local.UsualBound += (static_cast<double>(Bound) - Local.UsualBound) *
                       (Local.UsualBound == 0 ? 1 : BoundSmoothing);
   const std::int64_t Spent = Local.Base + Local.Used + Local.Reserved;
-  if (Spent + Bound + othersUsed(Account) > prepaidOf(Account))
+  if (Spent + Bound + others(Account).Used > prepaidOf(Account))
     return relay::reserve_result::Exhausted;
   if (Adopted && Spent + Bound <= limitOf(Account, Local)) {
     Local.Reserved += Bound;
@@ -231,8 +230,8 @@
   }
   if (CaughtUp) {
     const std::int64_t Free =
-        prepaidOf(Account) - othersCeiling(Account) - Spent;
-    if (Free + othersIdle(Account) < Bound)
+        prepaidOf(Account) - others(Account).Ceiling - Spent;
+    if (Free + others(Account).Idle < Bound)
       return relay::reserve_result::Exhausted;
   }
   Local.Short = true;
@@ -273,42 +272,35 @@
 // What this instance would like to have left to spend.
 std::int64_t grant_holder::target(std::string_view Name,
                                   const local_account &Local) const {
-  const int LeadMs = othersWant(Name) ? WantedLeadMs : Settings.LeadMs;
+  const int LeadMs =
+      (others(Name).Wanting > 0) ? WantedLeadMs : Settings.LeadMs;
   const double Left = static_cast<double>(leftOf(Name));
   const double Mine = static_cast<double>(Local.Base + Local.Used + 1);
-  const double All = Mine + static_cast<double>(othersUsed(Name));
+  const double All = Mine + static_cast<double>(others(Name).Used);
   const std::int64_t Lead = static_cast<std::int64_t>(
       std::min(Local.Rate * LeadMs, Settings.LeadShares * Left * Mine / All));
-  if (othersWant(Name))
+  if (others(Name).Wanting > 0)
     return Lead;
   const std::int64_t Equal = static_cast<std::int64_t>(
       Settings.EqualShares * Left *
       (Left / static_cast<double>(std::max<std::int64_t>(1, prepaidOf(Name)))) /
-      static_cast<double>(holderCount()));
+      static_cast<double>(LivingOthers + 1));
   return std::max(Lead + static_cast<std::int64_t>(Local.UsualBound), Equal);
 }
 
-// Instances that share the budgets, this one included.
-std::size_t grant_holder::holderCount() const {
-  std::size_t Count = 1;
-  for (const auto &[Name, Record] : Holders)
-    Count += Name != Instance && !Record.Left ? 1 : 0;
-  return Count;
-}
-
 // What nobody has spent yet, as far as is known.
 std::int64_t grant_holder::leftOf(std::string_view Account) const {
   const auto Found = Accounts.find(Account);
   const std::int64_t Spent =
       Found == Accounts.end() ? 0 : Found->second.Base + Found->second.Used;
-  return std::max<std::int64_t>(0, prepaidOf(Account) - othersUsed(Account) -
+  return std::max<std::int64_t>(0, prepaidOf(Account) - others(Account).Used -
                                        Spent);
 }
 
 // More is granted than there is: the budget was lowered.
 bool grant_holder::isOverGranted(std::string_view Name,
                                  const local_account &Local) const {
-  return prepaidOf(Name) - othersCeiling(Name) - Local.Limit < 0;
+  return prepaidOf(Name) - others(Name).Ceiling - Local.Limit < 0;
 }
 
 bool grant_holder::needsChange(std::string_view Name,
@@ -323,7 +315,7 @@
   const std::int64_t Worth = prepaidOf(Name) / LeastChangeShare + 1;
   if (Left < Target * RaiseBelow) {
     const std::int64_t Free =
-        prepaidOf(Name) - othersCeiling(Name) - Local.Limit;
+        prepaidOf(Name) - others(Name).Ceiling - Local.Limit;
     return std::min(Free, Target - Left) > Worth;
   }
   return Left > Target * HandBackAbove && Left - Target > Worth;
@@ -350,7 +342,7 @@
     return Spent;
   const std::int64_t Prepaid = prepaidOf(Name);
   const std::int64_t Free =
-      std::max<std::int64_t>(0, Prepaid - othersCeiling(Name) - Spent);
+      std::max<std::int64_t>(0, Prepaid - others(Name).Ceiling - Spent);
   const std::int64_t Target =
       target(Name, Local) + (Local.Short ? Local.Waiting : 0);
   const std::int64_t Left = std::max<std::int64_t>(0, Local.Limit - Spent);
@@ -446,8 +438,8 @@
     Status.Reserved = Found->second.Reserved;
   }
   Status.Prepaid = prepaidOf(Account);
-  Status.OthersCeiling = othersCeiling(Account);
-  Status.OthersUsed = othersUsed(Account);
+  Status.OthersCeiling = others(Account).Ceiling;
+  Status.OthersUsed = others(Account).Used;
   Status.Free = Status.Prepaid - Status.OthersCeiling - Status.Ceiling;
   return Status;
 }
