Wait shorter for a grant, send callers back later while the store is away

Calls that waited 400 ms for money seldom got it (a grant takes some 20 ms); when the store is away, coming back after 2 s found it away still.

--- a/packages/relay/src/exchange.cpp
+++ b/packages/relay/src/exchange.cpp
@@ -8,9 +8,10 @@
 
 namespace {
 
-constexpr int MoneyWaitMs = 400;  // Longest wait for a grant.
-constexpr int MostUnreached = 3;  // Endpoints that can't be connected to.
-constexpr int LeastUsefulMs = 20; // Less time left is not worth a send.
+constexpr int MoneyWaitMs = 150;   // Longest wait for a grant.
+constexpr int AwayRetryMs = 3'000; // Outages of the store last seconds.
+constexpr int MostUnreached = 3;   // Endpoints that can't be connected to.
+constexpr int LeastUsefulMs = 20;  // Less time left is not worth a send.
 constexpr std::size_t LargestWholeAnswer = 8u << 20; // Bytes.
 constexpr std::size_t LargestEvent = 1u << 20;       // Bytes.
 
@@ -49,7 +50,7 @@
     State = state::WaitingForMoney;
     return;
   case reserve_result::Away:
-    return giveUp(error_kind::BudgetUnavailable, 0);
+    return giveUp(error_kind::BudgetUnavailable, AwayRetryMs);
   case reserve_result::Exhausted:
     return giveUp(error_kind::BudgetExhausted, 0);
   }
--- a/tools/tidy.sh
+++ b/tools/tidy.sh
@@ -2,5 +2,5 @@
 # Runs clang-tidy over all sources, several at once.
 set -eu
 cd "$(dirname "$0")/.."
-git ls-files 'packages/*.cpp' 'stand_ins/*.cpp' |
+git ls-files 'packages/*.cpp' 'platform/*.cpp' 'stand_ins/*.cpp' |
   xargs -P "$(nproc)" -n 2 clang-tidy --quiet -p build/release 2>/dev/null
