--- a/packages/dispatch/src/dispatcher.cpp
+++ b/packages/dispatch/src/dispatcher.cpp
@@ -120,6 +120,13 @@
   State.PenaltyAt = Now;
 }
 
+// Not reached lately; when that is over, one call at a time finds out.
+bool dispatcher::isAvoided(const state &State, time_ms Now) {
+  if (State.AvoidUntil > Now)
+    return true;
+  return State.UnreachedInRow > 0 && State.InFlight > 0;
+}
+
 bool dispatcher::mayTake(const state &State, const relay::call &Call) const {
   if (State.Entry.Leaving || State.SaysLeaving || !State.Listed)
     return false;
@@ -198,7 +205,7 @@
     const double Noise =
         NoiseMs * static_cast<double>(Random.next() % 1024) / 1024;
     double Cost = cost(Call, *State, State == Preferred, Now) + Noise;
-    if (State->AvoidUntil > Now)
+    if (isAvoided(*State, Now))
       Cost += AvoidCostMs;
     if (Best == nullptr || Cost < BestCost) {
       Best = State;
--- a/tests/unit/dispatch_test.cpp
+++ b/tests/unit/dispatch_test.cpp
@@ -137,6 +137,19 @@
   CHECK(Fixture.choose(Call, 5'000) == First);
 }
 
+TEST_CASE("one call at a time finds out whether an endpoint is back",
+          "[dispatch]") {
+  dispatch_fixture Fixture(1);
+  Fixture.Dispatcher.setEndpoints(entries(2), 0);
+  const relay::call Call = callOf(2, 3);
+  const std::string First = Fixture.send(Call);
+  Fixture.Dispatcher.onEnded(Call, First, relay::attempt_end::Unreached, 0);
+  REQUIRE(Fixture.send(Call, 5'000) == First);
+  CHECK(Fixture.choose(Call, 5'010) != First);
+  Fixture.Dispatcher.onFirstByte(Call, First, 5'020);
+  CHECK(Fixture.choose(Call, 5'030) == First);
+}
+
 TEST_CASE("an endpoint that fails loses work and gets it back", "[dispatch]") {
   dispatch_fixture Fixture(1, 0);
   Fixture.Dispatcher.setEndpoints(entries(2), 0);
