--- a/packages/dispatch/include/tamarack/dispatch.hpp
+++ b/packages/dispatch/include/tamarack/dispatch.hpp
@@ -181,6 +181,7 @@
   double penalty(const state &State, time_ms Now) const;
   void punish(state &State, double By, time_ms Now);
   static bool isAvoided(const state &State, time_ms Now);
+  static bool isOutOfReach(const state &State, time_ms Now);
   bool mayTake(const state &State, const relay::call &Call) const;
   state *find(std::string_view Endpoint);
   bool isEngine(std::string_view Service) const;
--- a/packages/dispatch/src/dispatcher.cpp
+++ b/packages/dispatch/src/dispatcher.cpp
@@ -11,7 +11,8 @@
 namespace {
 
 constexpr int AvoidFirstMs = 500;     // After an endpoint was not reached.
-constexpr int AvoidLongestMs = 4'000; // After it was not reached many times.
+constexpr int AvoidLongestMs = 1'500; // After it was not reached many times.
+constexpr int OutOfReachAfter = 2;    // Tries in a row that did not reach it.
 constexpr double FailedPenalty = 0.2; // Added by a failure answer, of 1.
 constexpr double BrokenPenalty = 0.3; // Added by a refusal or a break, of 1.
 constexpr double PenaltyHalfLifeMs = 1'500;
@@ -127,6 +128,11 @@
   return State.UnreachedInRow > 0 && State.InFlight > 0;
 }
 
+// Not reached several times in a row: calls don't wait for another try.
+bool dispatcher::isOutOfReach(const state &State, time_ms Now) {
+  return State.UnreachedInRow >= OutOfReachAfter && isAvoided(State, Now);
+}
+
 bool dispatcher::mayTake(const state &State, const relay::call &Call) const {
   if (State.Entry.Leaving || State.SaysLeaving || !State.Listed)
     return false;
@@ -195,7 +201,8 @@
   std::vector<const state *> Candidates;
   for (const std::string &Id : Members->second) {
     const state &State = Endpoints.find(Id)->second;
-    if (!Tried.contains(Id) && mayTake(State, Call))
+    if (!Tried.contains(Id) && mayTake(State, Call) &&
+        !isOutOfReach(State, Now))
       Candidates.push_back(&State);
   }
   const state *Preferred = preferred(Call, Candidates);
--- a/tests/unit/dispatch_test.cpp
+++ b/tests/unit/dispatch_test.cpp
@@ -137,6 +137,21 @@
   CHECK(Fixture.choose(Call, 5'000) == First);
 }
 
+TEST_CASE("nobody waits for endpoints that are known to be out of reach",
+          "[dispatch]") {
+  dispatch_fixture Fixture(1);
+  Fixture.Dispatcher.setEndpoints(entries(2), 0);
+  const relay::call Call = callOf(2, 3);
+  for (time_ms Now : {0, 2'000})
+    for (const char *Endpoint : {"e0", "e1"}) {
+      Fixture.Dispatcher.onSent(Call, Endpoint, Now);
+      Fixture.Dispatcher.onEnded(Call, Endpoint, relay::attempt_end::Unreached,
+                                 Now);
+    }
+  CHECK(Fixture.choose(Call, 2'100).empty());
+  CHECK_FALSE(Fixture.choose(Call, 4'000).empty());
+}
+
 TEST_CASE("one call at a time finds out whether an endpoint is back",
           "[dispatch]") {
   dispatch_fixture Fixture(1);
