--- a/packages/peers/src/relayed_store.cpp
+++ b/packages/peers/src/relayed_store.cpp
@@ -196,6 +196,11 @@
   const std::optional<store_request> Call = decodeRequest(Request.body());
   if (!Call)
     return Respond(edge::response_message(edge::http::status::bad_request, 11));
+  if (!Own.isDirect()) {
+    edge::response_message Message(edge::http::status::ok, 11);
+    Message.body() = encode(store_answer{store_status::Refused, {}});
+    return Respond(std::move(Message));
+  }
   perform(Direct, *Call, 0, [Respond](const store_answer &Answer) {
     edge::response_message Message(edge::http::status::ok, 11);
     Message.body() = encode(Answer);
--- a/tests/unit/edge_test.cpp
+++ b/tests/unit/edge_test.cpp
@@ -237,6 +237,17 @@
   CHECK(Fixture.read() == store_status::Ok);
 }
 
+TEST_CASE("a peer that does not reach the store itself refuses at once",
+          "[peers]") {
+  peer_fixture Fixture(store_status::Refused, store_status::Refused);
+  // The helper finds out that it has lost the store.
+  Fixture.HelperStore.read(store_topic::Grants, 0, 0,
+                           [](const keyed_page &) {});
+  const int Calls = Fixture.Helpers.Calls;
+  CHECK(Fixture.append() == store_status::Refused);
+  CHECK(Fixture.Helpers.Calls == Calls);
+}
+
 TEST_CASE("addresses are numeric", "[edge]") {
   CHECK(parseAddress("10.0.0.1:80").port() == 80);
   for (const char *Wrong : {"", "10.0.0.1", "host:80", "10.0.0.1:0",
