--- a/tests/process/scenarios.py
+++ b/tests/process/scenarios.py
@@ -515,6 +515,7 @@
     wanted = sys.argv[1:]
     red = known_red()
     failed = []
+    red_count = 0
     run = [s for s in SCENARIOS if not wanted or s.__name__ in wanted]
     for scenario in run:
         started = time.monotonic()
@@ -525,12 +526,16 @@
             traceback.print_exc()
             if scenario.__name__ in red:
                 verdict = "RED "  # Listed in KNOWN-RED.txt.
+                red_count += 1
             else:
                 failed.append(scenario.__name__)
                 verdict = "FAIL"
         print(f"{verdict} {scenario.__name__} "
               f"({time.monotonic() - started:.0f} s)", flush=True)
-    print(f"process: {len(run) - len(failed)} passed, {len(failed)} failed")
+    if red_count:
+        print(f"known red: {red_count}")
+    print(f"process: {len(run) - len(failed) - red_count} passed, "
+          f"{len(failed)} failed")
     sys.exit(1 if failed else 0)
 
 
