--- a/packages/edge/include/tamarack/edge.hpp
+++ b/packages/edge/include/tamarack/edge.hpp
@@ -186,7 +186,6 @@
   tcp::acceptor Acceptor;
   net::steady_timer AcceptTimer;
   bool Draining = false;
-  bool Closing = false;
   std::set<std::shared_ptr<front_session>> Sessions;
 };
 
--- a/packages/edge/src/front_server.cpp
+++ b/packages/edge/src/front_server.cpp
@@ -51,7 +51,6 @@
 void front_server::beginDrain() { Draining = true; }
 
 void front_server::stopAccepting() {
-  Closing = true;
   error_code Ignored;
   Acceptor.close(Ignored);
   const std::set<std::shared_ptr<front_session>> Copy = Sessions;
--- a/packages/edge/src/front_session.cpp
+++ b/packages/edge/src/front_session.cpp
@@ -33,7 +33,6 @@
 }
 
 void front_session::startIdleTimer() {
-  IdleSince = now();
   const int IdleMs = Server.Draining ? Server.Settings.IdleDuringDrainMs
                                      : Server.Limits.IdleMs;
   Timer.expires_after(std::chrono::milliseconds(IdleMs));
--- a/packages/edge/src/front_session.hpp
+++ b/packages/edge/src/front_session.hpp
@@ -85,7 +85,6 @@
   bool IsHead = false;
   bool LingerAfterFlush = false;
   time_ms TimerDue = 0;
-  time_ms IdleSince = 0;
 
   request_message Forward;
   std::unique_ptr<relay::exchange> Exchange;
--- a/packages/relay/include/tamarack/relay.hpp
+++ b/packages/relay/include/tamarack/relay.hpp
@@ -179,7 +179,6 @@
   // Empty if no endpoint takes this call now.
   virtual std::optional<endpoint_choice>
   choose(const call &Call, const std::set<std::string> &Tried, time_ms Now) = 0;
-  // Tokens > 0 tells the part of the prompt that must be read anew.
   virtual void onSent(const call &Call, std::string_view Endpoint,
                       time_ms Now) = 0;
   virtual void onFirstByte(const call &Call, std::string_view Endpoint,
