Hand back idle rests of a budget while another instance is short

Now an instance hands back all that it does not need while others are short, tells its true spending then, keeps what a call of its own waits for, and of several that are short the first by name gets the rest.

--- a/packages/grants/include/tamarack/grants.hpp
+++ b/packages/grants/include/tamarack/grants.hpp
@@ -194,12 +194,13 @@
     std::int64_t Reserved = 0; // By calls under way.
     std::int64_t Limit = 0;    // Base + this incarnation's spending at most.
     std::int64_t Waiting = 0;  // Largest bound that waits for money.
+    time_ms AskedAt = 0;       // When a call last found too little.
     double UsualBound = 0;     // Smoothed.
     double RawRate = 0;        // Tokens a ms, smoothed from 0.
     double Rate = 0;           // The same without the bias of that start.
     double Weight = 0;         // Of what the smoothing has seen, up to 1.
     std::int64_t Recent = 0;   // Used since the rate was last brought up.
-    bool Short = false;        // A call waits for money.
+    bool Short = false;        // That call is not in a planned write yet.
   };
 
   std::int64_t limitOf(std::string_view Name, const local_account &Local) const;
@@ -230,6 +231,12 @@
                              bool &Wanted) const;
   std::int64_t target(std::string_view Name, const local_account &Local) const;
   bool needsChange(std::string_view Name, const local_account &Local) const;
+  void noteWaiting(local_account &Local, std::int64_t Bound) const;
+  std::int64_t waiting(const local_account &Local) const;
+  bool wasWanting(std::string_view Name, const local_account &Local) const;
+  bool isMissedByOthers(std::string_view Name, std::int64_t Left,
+                        std::int64_t Target) const;
+  bool yieldsToAnother(std::string_view Name) const;
   void adoptOwn();
   void updateRates(time_ms Now);
 
--- a/packages/grants/src/grant_holder.cpp
+++ b/packages/grants/src/grant_holder.cpp
@@ -17,6 +17,7 @@
 constexpr double HandBackAbove = 1.5;          // Of the target.
 constexpr std::int64_t LeastChangeShare = 500; // Of the budget, 1 in so many.
 constexpr int WantedLeadMs = 1'500; // Held ahead while others are short.
+constexpr int AskFadesMs = 1'000; // After the last call that found too little.
 
 const account_line *lineOf(const holder_record &Record,
                            std::string_view Account) {
@@ -181,7 +182,7 @@
         Local.Rate * Settings.MarkLeadMs + 2 * Local.UsualBound;
     const double ByShare = Settings.MarkShare * static_cast<double>(Held);
     const std::int64_t Room =
-        static_cast<std::int64_t>(std::max(ByRate, ByShare)) + Local.Waiting;
+        static_cast<std::int64_t>(std::max(ByRate, ByShare)) + waiting(Local);
     Mark.Lines.push_back(
         {Name, std::max(Spent, std::min(Local.Limit, Spent + Room))});
   }
@@ -219,13 +220,15 @@
     return relay::reserve_result::Exhausted;
   if (Adopted && Spent + Bound <= limitOf(Account, Local)) {
     Local.Reserved += Bound;
+    if (Bound >= Local.Waiting)
+      Local.Waiting = 0;
     return relay::reserve_result::Reserved;
   }
   if (Away)
     return relay::reserve_result::Away;
   if (Adopted && Spent + Bound <= Local.Limit) {
     MarkShort = true;
-    Local.Waiting = std::max(Local.Waiting, Bound);
+    noteWaiting(Local, Bound);
     return relay::reserve_result::Pending;
   }
   if (CaughtUp) {
@@ -235,10 +238,20 @@
       return relay::reserve_result::Exhausted;
   }
   Local.Short = true;
-  Local.Waiting = std::max(Local.Waiting, Bound);
+  noteWaiting(Local, Bound);
   return relay::reserve_result::Pending;
 }
 
+void grant_holder::noteWaiting(local_account &Local, std::int64_t Bound) const {
+  Local.Waiting = std::max(waiting(Local), Bound);
+  Local.AskedAt = Clock.monotonic();
+}
+
+// Largest bound of a call that found too little a moment ago, 0 if none did.
+std::int64_t grant_holder::waiting(const local_account &Local) const {
+  return Clock.monotonic() - Local.AskedAt < AskFadesMs ? Local.Waiting : 0;
+}
+
 void grant_holder::settle(std::string_view Account, std::int64_t Bound,
                           std::int64_t Used) {
   if (prepaidOf(Account) >= Unlimited && !Accounts.contains(Account))
@@ -279,8 +292,9 @@
   const double All = Mine + static_cast<double>(others(Name).Used);
   const std::int64_t Lead = static_cast<std::int64_t>(
       std::min(Local.Rate * LeadMs, Settings.LeadShares * Left * Mine / All));
+  // A rest that is too small for a usual call is of use only to others.
   if (others(Name).Wanting > 0)
-    return Lead;
+    return static_cast<double>(Lead) < Local.UsualBound ? 0 : Lead;
   const std::int64_t Equal = static_cast<std::int64_t>(
       Settings.EqualShares * Left *
       (Left / static_cast<double>(std::max<std::int64_t>(1, prepaidOf(Name)))) /
@@ -303,12 +317,51 @@
   return prepaidOf(Name) - others(Name).Ceiling - Local.Limit < 0;
 }
 
+// The record still asks others for money that no call waits for any more.
+bool grant_holder::wasWanting(std::string_view Name,
+                              const local_account &Local) const {
+  const holder_record *Record = own();
+  const account_line *Told = Record ? lineOf(*Record, Name) : nullptr;
+  return Told != nullptr && Told->Wanted && waiting(Local) == 0;
+}
+
+// Others are short of money, and this instance holds some that it does not
+// need, or its record tells of some that it has spent since.
+bool grant_holder::isMissedByOthers(std::string_view Name, std::int64_t Left,
+                                    std::int64_t Target) const {
+  if (Left > Target * HandBackAbove)
+    return true;
+  const holder_record *Record = own();
+  const account_line *Told = Record ? lineOf(*Record, Name) : nullptr;
+  if (Told == nullptr)
+    return false;
+  const std::int64_t ToldIdle = Told->Ceiling - Told->Used;
+  const std::int64_t Worth = prepaidOf(Name) / LeastChangeShare;
+  return ToldIdle > 0 && (Left <= 0 || ToldIdle - Left > Worth);
+}
+
+// Of several that are short of money the first by name gets the rest; each
+// keeping a part too small for its calls would help none of them.
+bool grant_holder::yieldsToAnother(std::string_view Name) const {
+  for (const auto &[Other, Record] : Holders) {
+    if (Other >= Instance)
+      return false;
+    const account_line *Line =
+        isLiving(Record) ? lineOf(Record, Name) : nullptr;
+    if (Line != nullptr && Line->Wanted)
+      return true;
+  }
+  return false;
+}
+
 bool grant_holder::needsChange(std::string_view Name,
                                const local_account &Local) const {
   const std::int64_t Left =
       Local.Limit - Local.Base - Local.Used - Local.Reserved;
-  const std::int64_t Target = target(Name, Local);
-  if (Local.Short)
+  const std::int64_t Target = target(Name, Local) + waiting(Local);
+  if (Local.Short || wasWanting(Name, Local))
+    return true;
+  if (others(Name).Wanting > 0 && isMissedByOthers(Name, Left, Target))
     return true;
   if (isOverGranted(Name, Local))
     return Left > 0;
@@ -343,17 +396,19 @@
   const std::int64_t Prepaid = prepaidOf(Name);
   const std::int64_t Free =
       std::max<std::int64_t>(0, Prepaid - others(Name).Ceiling - Spent);
-  const std::int64_t Target =
-      target(Name, Local) + (Local.Short ? Local.Waiting : 0);
+  const std::int64_t Waiting = waiting(Local);
+  const std::int64_t Target = target(Name, Local) + Waiting;
   const std::int64_t Left = std::max<std::int64_t>(0, Local.Limit - Spent);
   std::int64_t Grant = std::min(Target, Free);
   // The less is free, the smaller the grants, so that some is left for others.
   const std::int64_t Cap =
       std::max({static_cast<std::int64_t>(Settings.LargestShare *
                                           static_cast<double>(Free)),
-                std::min(Local.Waiting, Free), std::min(Left, Target)});
+                std::min(Waiting, Free), std::min(Left, Target)});
   Grant = std::min(Grant, Cap);
-  Wanted = Local.Short && Grant < Local.Waiting;
+  Wanted = Grant < Waiting;
+  if (Wanted && yieldsToAnother(Name))
+    return Spent;
   return Spent + Grant;
 }
 
@@ -374,10 +429,10 @@
     Line.Ceiling = wantedCeiling(Name, Local, Line.Wanted);
     Line.Used = Local.Base + Local.Used + Local.Reserved;
     Local.Short = false;
-    Local.Waiting = 0;
     const account_line *Known = Before ? lineOf(*Before, Name) : nullptr;
     Changes = Changes || Known == nullptr || Known->Ceiling != Line.Ceiling ||
-              Known->Wanted != Line.Wanted;
+              Known->Wanted != Line.Wanted ||
+              (others(Name).Wanting > 0 && Known->Used != Line.Used);
     Record.Lines.push_back(std::move(Line));
   }
   if (!Changes)
--- a/tests/unit/grants_test.cpp
+++ b/tests/unit/grants_test.cpp
@@ -473,3 +473,60 @@
     RC_ASSERT(World.committed() <= Budget);
   }));
 }
+
+// The pattern: an account's last tokens lie idle at instances that nobody asks
+// any more, while calls arrive at another one.
+TEST_CASE("the end of a budget is reached and told, wherever its rest lies",
+          "[grants][property]") {
+  CHECK(rc::check("idle rests reach the instance that is asked", [] {
+    constexpr std::int64_t Bound = 110;
+    manual_clock Clock;
+    topic Topic;
+    machine Idle("idle", Topic, Clock);
+    machine Asked("asked", Topic, Clock);
+    Idle.start(1, "boot-1", tableOf(Budget));
+    Asked.start(2, "boot-2", tableOf(Budget));
+    const auto Round = [&] {
+      for (machine *Machine : {&Idle, &Asked}) {
+        writeAll(*Machine);
+        writeMark(*Machine);
+      }
+      Clock.Time += 300;
+    };
+    std::int64_t Spent = 0;
+    const auto Spend = [&](machine &Machine, std::int64_t Amount) {
+      if (Machine.Holder->reserve("a", Amount) !=
+          relay::reserve_result::Reserved)
+        return;
+      Machine.Holder->settle("a", Amount, Amount);
+      Spent += Amount;
+    };
+    const std::vector<std::pair<int, int>> Load =
+        *rc::gen::container<std::vector<std::pair<int, int>>>(
+            rc::gen::pair(rc::gen::inRange(0, 3), rc::gen::inRange(1, 20'000)));
+    for (const auto &[Who, Amount] : Load) {
+      if (Who == 0)
+        Round();
+      else
+        Spend(Who == 1 ? Idle : Asked, Amount);
+    }
+    // From now on one is asked, or both in turn, to the end.
+    const bool Both = *rc::gen::arbitrary<bool>();
+    for (int Step = 0; Step < 400 && Budget - Spent >= Bound; ++Step) {
+      Spend(Asked, std::max(Bound, (Budget - Spent) / 4));
+      if (Both)
+        Spend(Idle, Bound);
+      Round();
+    }
+    RC_ASSERT(Budget - Spent < Bound);
+    // The other's rest is handed back once its usual spending has faded.
+    relay::reserve_result Last = relay::reserve_result::Pending;
+    for (int Step = 0; Step < 100; ++Step) {
+      Last = Asked.Holder->reserve("a", Bound);
+      if (Last != relay::reserve_result::Pending)
+        break;
+      Round();
+    }
+    RC_ASSERT(Last == relay::reserve_result::Exhausted);
+  }));
+}
