--- a/bench/engine.cpp
+++ b/bench/engine.cpp
@@ -32,7 +32,9 @@
   relay::reserve_result reserve(std::string_view, std::int64_t) override {
     return relay::reserve_result::Reserved;
   }
-  void settle(std::string_view, std::int64_t, std::int64_t) override {}
+  bool settle(std::string_view, std::int64_t, std::int64_t) override {
+    return true;
+  }
 };
 
 class idle_host final : public relay::exchange_host {
@@ -94,19 +96,23 @@
 void serveStream(benchmark::State &State) {
   endpoints_fixture Endpoints(9);
   free_allowance Allowance;
-  const std::string Event = "id: 7\ndata: " + std::string(43, 'x') + "\n\n";
+  std::vector<std::string> Events;
+  for (int Id = 1; Id <= 60; ++Id)
+    Events.push_back("id: " + std::to_string(Id) +
+                     "\ndata: " + std::string(43, 'x') + "\n\n");
   std::uint64_t Number = 0;
   std::size_t Bytes = 0;
   for (auto _ : State) {
     idle_host Host;
     const std::size_t Before = ::mallinfo2().uordblks;
+    relay::numbered_reader Reader;
     relay::exchange Exchange(callOf(++Number), Endpoints.Dispatcher, Allowance,
-                             Host);
+                             Reader, Host);
     Exchange.start(0);
     relay::answer_head Head;
     Head.Status = 200;
     Exchange.onHead(std::move(Head), 1);
-    for (int Piece = 0; Piece < 60; ++Piece)
+    for (const std::string &Event : Events)
       Exchange.onBody(Event, 2);
     Bytes = std::max(Bytes, ::mallinfo2().uordblks - Before);
     Exchange.onEnd(3);
--- a/packages/daemon/src/logged_placement.cpp
+++ b/packages/daemon/src/logged_placement.cpp
@@ -53,8 +53,9 @@
   return Allowed;
 }
 
-int logged_placement::retryAfterMs(const relay::call &Call) const {
-  return Dispatcher.retryAfterMs(Call);
+relay::placement_refusal
+logged_placement::refusal(const relay::call &Call) const {
+  return Dispatcher.refusal(Call);
 }
 
 } // namespace tamarack::daemon
--- a/packages/daemon/src/logged_placement.hpp
+++ b/packages/daemon/src/logged_placement.hpp
@@ -22,7 +22,7 @@
   void onEnded(const relay::call &Call, std::string_view Endpoint,
                relay::attempt_end End, time_ms Now) override;
   bool tryRepeat(std::string_view Service, time_ms Now) override;
-  int retryAfterMs(const relay::call &Call) const override;
+  relay::placement_refusal refusal(const relay::call &Call) const override;
 
 private:
   dispatch::dispatcher &Dispatcher;
--- a/packages/daemon/src/router.hpp
+++ b/packages/daemon/src/router.hpp
@@ -43,7 +43,7 @@
   // relay::allowance: the grants, and a write at once when money is short.
   relay::reserve_result reserve(std::string_view Account,
                                 std::int64_t Bound) override;
-  void settle(std::string_view Account, std::int64_t Bound,
+  bool settle(std::string_view Account, std::int64_t Bound,
               std::int64_t Used) override;
 
   void logMoneyRefusal(const relay::call &Call);
--- a/packages/daemon/src/router_money.cpp
+++ b/packages/daemon/src/router_money.cpp
@@ -27,9 +27,9 @@
   return Result;
 }
 
-void router::settle(std::string_view Account, std::int64_t Bound,
+bool router::settle(std::string_view Account, std::int64_t Bound,
                     std::int64_t Used) {
-  Grants.settle(Account, Bound, Used);
+  return Grants.settle(Account, Bound, Used);
 }
 
 // Before anything is spent: nothing of the former incarnation can come any
--- a/packages/dispatch/include/tamarack/dispatch.hpp
+++ b/packages/dispatch/include/tamarack/dispatch.hpp
@@ -148,7 +148,7 @@
   void onEnded(const relay::call &Call, std::string_view Endpoint,
                relay::attempt_end End, time_ms Now) override;
   bool tryRepeat(std::string_view Service, time_ms Now) override;
-  int retryAfterMs(const relay::call &Call) const override;
+  relay::placement_refusal refusal(const relay::call &Call) const override;
 
   std::size_t endpointCount() const { return Endpoints.size(); }
   // One line for logs: what the choice knew of the endpoint.
--- a/packages/dispatch/src/dispatcher.cpp
+++ b/packages/dispatch/src/dispatcher.cpp
@@ -286,8 +286,9 @@
   return Repeats[std::string(Service)].trySpend(Limits, Instances, Now);
 }
 
-int dispatcher::retryAfterMs(const relay::call &Call) const {
-  return isEngine(Call.Service) ? RetryAfterMsEngine : RetryAfterMsPlain;
+relay::placement_refusal dispatcher::refusal(const relay::call &Call) const {
+  return {relay::error_kind::NoEndpoint,
+          isEngine(Call.Service) ? RetryAfterMsEngine : RetryAfterMsPlain};
 }
 
 std::string dispatcher::describe(std::string_view Endpoint, time_ms Now) const {
--- a/packages/edge/src/front_session.cpp
+++ b/packages/edge/src/front_session.cpp
@@ -181,8 +181,10 @@
   }
   Forward = std::move(Decoded.Forward);
   Server.Observer.onCall(*Decoded.Call);
-  Exchange = std::make_unique<relay::exchange>(
-      std::move(*Decoded.Call), Server.Placement, Server.Allowance, *this);
+  Reader = {};
+  Exchange = std::make_unique<relay::exchange>(std::move(*Decoded.Call),
+                                               Server.Placement,
+                                               Server.Allowance, Reader, *this);
   Exchange->start(now());
   afterEvent();
 }
--- a/packages/edge/src/front_session.hpp
+++ b/packages/edge/src/front_session.hpp
@@ -87,6 +87,7 @@
   time_ms TimerDue = 0;
 
   request_message Forward;
+  relay::numbered_reader Reader;
   std::unique_ptr<relay::exchange> Exchange;
   std::shared_ptr<endpoint_call> Attempt;
 
--- a/packages/grants/include/tamarack/grants.hpp
+++ b/packages/grants/include/tamarack/grants.hpp
@@ -168,7 +168,7 @@
 
   relay::reserve_result reserve(std::string_view Account,
                                 std::int64_t Bound) override;
-  void settle(std::string_view Account, std::int64_t Bound,
+  bool settle(std::string_view Account, std::int64_t Bound,
               std::int64_t Used) override;
 
   // True if the topic should be read so that a write can be planned.
--- a/packages/grants/src/grant_holder.cpp
+++ b/packages/grants/src/grant_holder.cpp
@@ -252,15 +252,16 @@
   return Clock.monotonic() - Local.AskedAt < AskFadesMs ? Local.Waiting : 0;
 }
 
-void grant_holder::settle(std::string_view Account, std::int64_t Bound,
+bool grant_holder::settle(std::string_view Account, std::int64_t Bound,
                           std::int64_t Used) {
   if (prepaidOf(Account) >= Unlimited && !Accounts.contains(Account))
-    return;
+    return true;
   local_account &Local = accountOf(Account);
   assert(Used <= Bound && "no call uses more than it reserved");
   Local.Reserved = std::max<std::int64_t>(0, Local.Reserved - Bound);
   Local.Used += Used;
   Local.Recent += Used;
+  return true;
 }
 
 void grant_holder::updateRates(time_ms Now) {
--- a/packages/relay/include/tamarack/relay.hpp
+++ b/packages/relay/include/tamarack/relay.hpp
@@ -4,8 +4,9 @@
 //   what is configured   call_kind, route, service, account, route_table
 //   one request          call, prompt_part
 //   what it needs        placement, allowance, exchange_host
-//   the state machine    exchange
 //   event streams        stream_event, event_splitter
+//   reading answers      answer_reader, numbered_reader
+//   the state machine    exchange
 //
 // Rules kept here, for every kind of caller and endpoint:
 //   - a call that may not be repeated is sent again only after the endpoint
@@ -172,6 +173,12 @@
 
 std::string_view toString(attempt_end End);
 
+// Why no endpoint takes a call.
+struct placement_refusal {
+  error_kind Kind = error_kind::NoEndpoint;
+  int RetryAfterMs = 0; // When the caller should come back.
+};
+
 // Chooses endpoints and learns from what becomes of the attempts.
 class placement {
 public:
@@ -187,8 +194,8 @@
                        attempt_end End, time_ms Now) = 0;
   // True if one more send of a call is allowed now; spends it.
   virtual bool tryRepeat(std::string_view Service, time_ms Now) = 0;
-  // When a caller that found no endpoint should come back, ms.
-  virtual int retryAfterMs(const call &Call) const = 0;
+  // Told to a caller for whom no endpoint was found.
+  virtual placement_refusal refusal(const call &Call) const = 0;
 };
 
 enum class reserve_result {
@@ -204,8 +211,9 @@
   virtual ~allowance() = default;
   virtual reserve_result reserve(std::string_view Account,
                                  std::int64_t Bound) = 0;
-  // Gives the reservation back and counts what was used of it.
-  virtual void settle(std::string_view Account, std::int64_t Bound,
+  // Gives the reservation back and counts what was used of it. False: that
+  // could not be kept, so the answer must not be ended as whole.
+  virtual bool settle(std::string_view Account, std::int64_t Bound,
                       std::int64_t Used) = 0;
 };
 
@@ -241,6 +249,83 @@
   virtual void refuse(error_kind Kind, int RetryAfterMs) = 0;
 };
 
+//---------------------------------------------------------------------------
+// Event streams
+//---------------------------------------------------------------------------
+
+struct stream_event {
+  std::int64_t Id = -1; // "id" field, -1 if absent or not a number.
+  std::string Data;     // "data" field.
+  std::string Raw;      // The event as received, with its empty line.
+};
+
+// Cuts a text/event-stream into its events.
+class event_splitter {
+public:
+  void push(std::string_view Bytes) { Buffer.append(Bytes); }
+  // The next whole event, if there is one.
+  std::optional<stream_event> next();
+  // Forgets a part of an event, before another connection goes on.
+  void clear() { Buffer.clear(); }
+  std::size_t pending() const { return Buffer.size(); }
+
+private:
+  std::string Buffer;
+};
+
+//---------------------------------------------------------------------------
+// Reading answers
+//---------------------------------------------------------------------------
+
+enum class event_use {
+  Pass,    // Goes to the caller.
+  Drop,    // The caller has it already, or did not ask for it.
+  Last,    // Ends the answer; goes out once the call is settled.
+  Foreign, // Does not continue this answer.
+};
+
+// How far the caller got its answer.
+enum class delivery { Whole, CallerGone, Incomplete };
+
+// Understands the answers of one call in the form that its endpoints speak.
+class answer_reader {
+public:
+  virtual ~answer_reader() = default;
+  // The next attempt begins the answer anew.
+  virtual void restart() = 0;
+  // False if the answer is not this call's, or does not go on where the one
+  // before broke off.
+  virtual bool onHead(const answer_head &Head, std::string_view Endpoint) = 0;
+  virtual event_use onEvent(const stream_event &Event) = 0;
+  // An answer that is no stream. False if it can't be understood.
+  virtual bool onWhole(const answer_head &Head, std::string_view Body) = 0;
+  // True if a stream may end here.
+  virtual bool isWhole() const = 0;
+  // True if a stream that broke off can be continued by another attempt.
+  virtual bool canResume(call_kind Kind) const = 0;
+  virtual std::string resumeAfter() const = 0; // Id of the last event passed.
+  // Tokens to charge for a call that may have run.
+  virtual std::int64_t used(const call &Call, delivery How) const = 0;
+};
+
+// Streams of events with rising ids; an attempt goes on elsewhere after the
+// last id that was passed on.
+class numbered_reader final : public answer_reader {
+public:
+  void restart() override { *this = {}; }
+  bool onHead(const answer_head &, std::string_view) override { return true; }
+  event_use onEvent(const stream_event &Event) override;
+  bool onWhole(const answer_head &, std::string_view) override { return true; }
+  bool isWhole() const override { return true; }
+  bool canResume(call_kind Kind) const override;
+  std::string resumeAfter() const override;
+  std::int64_t used(const call &Call, delivery How) const override;
+
+private:
+  std::int64_t LastId = -1;
+  std::int64_t Events = 0; // Passed on.
+};
+
 //---------------------------------------------------------------------------
 // The state machine
 //---------------------------------------------------------------------------
@@ -263,7 +348,7 @@
 class exchange {
 public:
   exchange(call Call, placement &Placement, allowance &Allowance,
-           exchange_host &Host);
+           answer_reader &Reader, exchange_host &Host);
 
   void start(time_ms Now);
   void onMoney(time_ms Now); // Grants have changed; matters while waiting.
@@ -278,7 +363,6 @@
   // When onTimer is due next.
   time_ms nextTimer() const;
   bool isDone() const { return Report.Done; }
-  bool hasBegunAnswer() const { return Begun; }
   const call &request() const { return Call; }
   const exchange_report &report() const { return Report; }
 
@@ -290,14 +374,22 @@
   bool mayRepeat(time_ms Now);
   void endAttempt(attempt_end End, time_ms Now);
   void passEvents(time_ms Now);
-  void passFirst(time_ms Now);
+  void passOn(std::string_view Events, time_ms Now);
+  void noteFirstByte(time_ms Now);
+  void endStream(time_ms Now);
+  void endWhole(time_ms Now);
   void giveUp(error_kind Kind, int RetryAfterMs);
+  void giveUpUnplaced();
   void failAfterSend(bool TimedOut);
-  void finish();
+  void failUnsettled();
+  void fail(error_kind Kind);
+  bool settle(delivery How);
+  void finish(delivery How);
 
   call Call;
   placement &Placement;
   allowance &Allowance;
+  answer_reader &Reader;
   exchange_host &Host;
 
   state State = state::New;
@@ -305,9 +397,8 @@
   std::set<std::string> Tried;
   answer_head Head;
   std::string Body;        // Whole answers only.
-  std::string Partial;     // Bytes after the last whole event.
-  std::string LastEventId; // Of the last event passed on.
-  std::int64_t Events = 0; // Passed on.
+  event_splitter Splitter; // Of the attempt under way.
+  std::string LastEvent;   // Held back until the call is settled.
   bool Reserved = false;
   bool InFlight = false;   // An attempt is under way.
   bool MayHaveRun = false; // Some attempt may have run.
@@ -316,28 +407,4 @@
   time_ms MoneyDeadline = 0;
 };
 
-//---------------------------------------------------------------------------
-// Event streams
-//---------------------------------------------------------------------------
-
-struct stream_event {
-  std::int64_t Id = -1; // "id" field, -1 if absent or not a number.
-  std::string Data;     // "data" field.
-  std::string Raw;      // The event as received, with its empty line.
-};
-
-// Cuts a text/event-stream into its events.
-class event_splitter {
-public:
-  void push(std::string_view Bytes) { Buffer.append(Bytes); }
-  // The next whole event, if there is one.
-  std::optional<stream_event> next();
-  // Forgets a part of an event, before another connection goes on.
-  void clear() { Buffer.clear(); }
-  std::size_t pending() const { return Buffer.size(); }
-
-private:
-  std::string Buffer;
-};
-
 } // namespace tamarack::relay
--- a/packages/relay/src/exchange.cpp
+++ b/packages/relay/src/exchange.cpp
@@ -17,21 +17,12 @@
 
 bool isSuccess(int Status) { return Status >= 200 && Status < 300; }
 
-// End of the last whole event in Bytes, 0 if there is none.
-std::size_t endOfWholeEvents(std::string_view Bytes) {
-  const std::size_t Plain = Bytes.rfind("\n\n");
-  const std::size_t Cr = Bytes.rfind("\r\n\r\n");
-  const std::size_t PlainEnd = Plain == Bytes.npos ? 0 : Plain + 2;
-  const std::size_t CrEnd = Cr == Bytes.npos ? 0 : Cr + 4;
-  return std::max(PlainEnd, CrEnd);
-}
-
 } // namespace
 
 exchange::exchange(call Call, placement &Placement, allowance &Allowance,
-                   exchange_host &Host)
+                   answer_reader &Reader, exchange_host &Host)
     : Call(std::move(Call)), Placement(Placement), Allowance(Allowance),
-      Host(Host) {}
+      Reader(Reader), Host(Host) {}
 
 void exchange::start(time_ms Now) {
   assert(State == state::New && "an exchange starts once");
@@ -65,27 +56,31 @@
   if (Call.Deadline - Now < LeastUsefulMs) {
     if (MayHaveRun)
       return failAfterSend(true);
-    return giveUp(error_kind::DeadlineTooShort, Placement.retryAfterMs(Call));
+    return giveUp(error_kind::DeadlineTooShort,
+                  Placement.refusal(Call).RetryAfterMs);
   }
   const std::optional<endpoint_choice> Choice =
       Placement.choose(Call, Tried, Now);
   if (!Choice) {
     if (MayHaveRun)
       return failAfterSend(false);
-    return giveUp(error_kind::NoEndpoint, Placement.retryAfterMs(Call));
+    return giveUpUnplaced();
   }
   State = state::Sending;
   InFlight = true;
   SawByte = false;
   Head = {};
   Body.clear();
-  Partial.clear();
+  Splitter.clear();
+  if (!Begun)
+    Reader.restart();
   Report.LastEndpoint = Choice->Endpoint;
   ++Report.Attempts;
   Placement.onSent(Call, Choice->Endpoint, Now);
   send_options Options;
   Options.FreshConnection = !isRepeatable(Call.Kind);
-  Options.ResumeAfter = LastEventId;
+  if (Begun)
+    Options.ResumeAfter = Reader.resumeAfter();
   Options.Deadline = Call.Deadline;
   Host.send(*Choice, Options);
 }
@@ -120,7 +115,7 @@
     return place(Now);
   if (MayHaveRun)
     return failAfterSend(false);
-  giveUp(error_kind::NoEndpoint, Placement.retryAfterMs(Call));
+  giveUpUnplaced();
 }
 
 void exchange::onHead(answer_head NewHead, time_ms Now) {
@@ -137,7 +132,7 @@
       return place(Now);
     if (MayHaveRun)
       return failAfterSend(false);
-    return giveUp(error_kind::Overloaded, Placement.retryAfterMs(Call));
+    return giveUp(error_kind::Overloaded, Placement.refusal(Call).RetryAfterMs);
   }
   MayHaveRun = true;
   const bool Failed = Head.Status >= 500;
@@ -151,10 +146,12 @@
     endAttempt(attempt_end::Failed, Now);
     return failAfterSend(false);
   }
+  if (!Reader.onHead(Head, Report.LastEndpoint))
+    return onBroken(Now);
   State = state::Answering;
 }
 
-void exchange::passFirst(time_ms Now) {
+void exchange::noteFirstByte(time_ms Now) {
   if (!SawByte) {
     SawByte = true;
     Placement.onFirstByte(Call, Report.LastEndpoint, Now);
@@ -167,56 +164,85 @@
   if (State != state::Answering)
     return;
   if (isStream(Call.Kind) && isSuccess(Head.Status)) {
-    Partial.append(Bytes);
-    if (Partial.size() > LargestEvent)
-      return onBroken(Now);
+    Splitter.push(Bytes);
     return passEvents(Now);
   }
   if (Body.size() + Bytes.size() > LargestWholeAnswer)
     return onBroken(Now);
   Body.append(Bytes);
-  passFirst(Now);
+  noteFirstByte(Now);
 }
 
 void exchange::passEvents(time_ms Now) {
-  const std::size_t End = endOfWholeEvents(Partial);
-  if (End == 0)
-    return;
-  event_splitter Splitter;
-  Splitter.push(std::string_view(Partial).substr(0, End));
+  std::string Passed;
   while (std::optional<stream_event> Event = Splitter.next()) {
-    ++Events;
-    if (Event->Id >= 0)
-      LastEventId = std::to_string(Event->Id);
+    switch (Reader.onEvent(*Event)) {
+    case event_use::Pass:
+      Passed += Event->Raw;
+      break;
+    case event_use::Drop:
+      break;
+    case event_use::Last:
+      LastEvent = std::move(Event->Raw);
+      passOn(Passed, Now);
+      Host.cancelSend(); // Nothing more is due of this answer.
+      return endStream(Now);
+    case event_use::Foreign:
+      passOn(Passed, Now);
+      return onBroken(Now);
+    }
   }
-  passFirst(Now);
+  passOn(Passed, Now);
+  if (Splitter.pending() > LargestEvent)
+    onBroken(Now);
+}
+
+void exchange::passOn(std::string_view Events, time_ms Now) {
+  if (Events.empty())
+    return;
+  noteFirstByte(Now);
   if (!Begun) {
     Begun = true;
     Host.beginAnswer(Head);
   }
-  const std::string Whole = Partial.substr(0, End);
-  Partial.erase(0, End);
-  Host.passOn(Whole);
+  Host.passOn(Events);
 }
 
 void exchange::onEnd(time_ms Now) {
   if (State != state::Answering)
     return;
-  const bool Success = isSuccess(Head.Status);
+  if (!isStream(Call.Kind) || !isSuccess(Head.Status))
+    return endWhole(Now);
+  const bool Torn = Splitter.pending() > 0;
+  if (Torn || !Reader.isWhole())
+    return onBroken(Now);
+  endStream(Now);
+}
+
+void exchange::endWhole(time_ms Now) {
+  if (!Reader.onWhole(Head, Body))
+    return onBroken(Now);
   endAttempt(Head.Status >= 500 ? attempt_end::Failed : attempt_end::Good, Now);
   Report.Status = Head.Status;
-  if (!isStream(Call.Kind) || !Success) {
-    Host.wholeAnswer(Head, Body);
-    return finish();
-  }
+  if (!settle(delivery::Whole))
+    return failUnsettled();
+  Host.wholeAnswer(Head, Body);
+  finish(delivery::Whole);
+}
+
+void exchange::endStream(time_ms Now) {
+  endAttempt(attempt_end::Good, Now);
+  Report.Status = Head.Status;
   if (!Begun) {
     Begun = true;
     Host.beginAnswer(Head);
   }
-  if (!Partial.empty())
-    Host.passOn(Partial);
+  if (!settle(delivery::Whole))
+    return failAfterSend(false);
+  if (!LastEvent.empty())
+    Host.passOn(LastEvent);
   Host.endAnswer();
-  finish();
+  finish(delivery::Whole);
 }
 
 void exchange::onBroken(time_ms Now) {
@@ -225,9 +251,8 @@
   MayHaveRun = true;
   Host.cancelSend();
   endAttempt(attempt_end::Broken, Now);
-  // A stream can go on elsewhere only from a numbered event.
-  const bool CanGoOn = isRepeatable(Call.Kind) &&
-                       (!Begun || !LastEventId.empty() || Events == 0);
+  const bool CanGoOn =
+      Begun ? Reader.canResume(Call.Kind) : isRepeatable(Call.Kind);
   if (CanGoOn && mayRepeat(Now))
     return place(Now);
   failAfterSend(false);
@@ -242,7 +267,7 @@
     Host.cancelSend();
     endAttempt(attempt_end::Cancelled, Now);
   }
-  finish();
+  finish(delivery::CallerGone);
 }
 
 time_ms exchange::nextTimer() const {
@@ -267,14 +292,28 @@
     Report.BrokenOff = true;
     Report.Error = error_kind::AnswerIncomplete;
     Host.breakOff();
-    return finish();
+    return finish(delivery::Incomplete);
   }
-  const error_kind Kind =
-      TimedOut ? error_kind::OutcomeUnknown : error_kind::EndpointFailed;
+  fail(TimedOut ? error_kind::OutcomeUnknown : error_kind::EndpointFailed);
+}
+
+// The answer is whole, but its cost could not be kept.
+void exchange::failUnsettled() {
+  fail(isRepeatable(Call.Kind) ? error_kind::AnswerIncomplete
+                               : error_kind::OutcomeUnknown);
+}
+
+// Nothing has been passed on; the call may have run.
+void exchange::fail(error_kind Kind) {
   Report.Error = Kind;
   Report.Status = calls::rowOf(Kind).Status;
   Host.refuse(Kind, 0);
-  finish();
+  finish(delivery::Incomplete);
+}
+
+void exchange::giveUpUnplaced() {
+  const placement_refusal Refusal = Placement.refusal(Call);
+  giveUp(Refusal.Kind, Refusal.RetryAfterMs);
 }
 
 void exchange::giveUp(error_kind Kind, int RetryAfterMs) {
@@ -283,19 +322,23 @@
   Report.Error = Kind;
   Report.Status = Row.Status;
   Host.refuse(Kind, RetryAfterMs > 0 ? RetryAfterMs : Row.RetryAfterMs);
-  finish();
+  finish(delivery::Incomplete);
 }
 
-void exchange::finish() {
-  State = state::Done;
-  Report.Done = true;
+// Once; what is left of the reservation goes back.
+bool exchange::settle(delivery How) {
   if (!Reserved)
-    return;
+    return true;
   Reserved = false;
   if (MayHaveRun)
-    Report.Used =
-        std::min(Call.bound(), Call.PromptTokens + Events * Call.EventTokens);
-  Allowance.settle(Call.Account, Call.bound(), Report.Used);
+    Report.Used = std::min(Call.bound(), Reader.used(Call, How));
+  return Allowance.settle(Call.Account, Call.bound(), Report.Used);
+}
+
+void exchange::finish(delivery How) {
+  State = state::Done;
+  Report.Done = true;
+  settle(How);
 }
 
 } // namespace tamarack::relay
--- a/tests/unit/relay_test.cpp
+++ b/tests/unit/relay_test.cpp
@@ -50,7 +50,9 @@
     --Repeats;
     return true;
   }
-  int retryAfterMs(const call &) const override { return 250; }
+  placement_refusal refusal(const call &) const override {
+    return {error_kind::NoEndpoint, 250};
+  }
 
   std::vector<std::string> Endpoints = {"e1", "e2", "e3"};
   int Repeats = 100;
@@ -65,12 +67,15 @@
       Reserved += Bound;
     return Result;
   }
-  void settle(std::string_view, std::int64_t Bound,
+  bool settle(std::string_view, std::int64_t Bound,
               std::int64_t Used) override {
     Reserved -= Bound;
     Spent += Used;
+    return Keeps;
   }
 
+  bool Keeps = true;
+
   reserve_result Result = reserve_result::Reserved;
   std::int64_t Reserved = 0;
   std::int64_t Spent = 0;
@@ -119,10 +124,11 @@
 
 struct exchange_fixture {
   explicit exchange_fixture(call Call)
-      : Exchange(std::move(Call), Placement, Allowance, Host) {}
+      : Exchange(std::move(Call), Placement, Allowance, Reader, Host) {}
 
   fake_placement Placement;
   fake_allowance Allowance;
+  numbered_reader Reader;
   fake_host Host;
   exchange Exchange;
 };
@@ -222,6 +228,45 @@
   CHECK(Fixture.Allowance.Spent == 100 + 2 * 5);
 }
 
+TEST_CASE("events that don't continue the answer are never passed on",
+          "[relay]") {
+  exchange_fixture Fixture(callOf(call_kind::ResumableStream));
+  Fixture.Exchange.start(Start);
+  Fixture.Exchange.onHead(headOf(200), Start + 10);
+  Fixture.Exchange.onBody("id: 1\ndata: a\n\nid: 1\ndata: b\n\n", Start + 11);
+  CHECK(Fixture.Host.Body == "id: 1\ndata: a\n\n");
+  REQUIRE(Fixture.Host.Sends.size() == 2);
+  CHECK(Fixture.Host.LastOptions.ResumeAfter == "1");
+}
+
+TEST_CASE("a stream that ends inside an event is not whole", "[relay]") {
+  exchange_fixture Fixture(callOf(call_kind::Stream));
+  Fixture.Exchange.start(Start);
+  Fixture.Exchange.onHead(headOf(200), Start + 10);
+  Fixture.Exchange.onBody("id: 1\ndata: a\n\nid: 2\nda", Start + 11);
+  Fixture.Exchange.onEnd(Start + 12);
+  CHECK(Fixture.Host.BrokenOff == 1);
+  CHECK(Fixture.Host.Body == "id: 1\ndata: a\n\n");
+}
+
+TEST_CASE("an answer that can't be settled is not ended as whole", "[relay]") {
+  exchange_fixture Stream(callOf(call_kind::Stream));
+  Stream.Allowance.Keeps = false;
+  Stream.Exchange.start(Start);
+  Stream.Exchange.onHead(headOf(200), Start + 10);
+  Stream.Exchange.onBody("id: 1\ndata: a\n\n", Start + 11);
+  Stream.Exchange.onEnd(Start + 12);
+  CHECK(Stream.Host.BrokenOff == 1);
+
+  exchange_fixture Whole(callOf(call_kind::NotRepeatable));
+  Whole.Allowance.Keeps = false;
+  Whole.Exchange.start(Start);
+  Whole.Exchange.onHead(headOf(200), Start + 10);
+  Whole.Exchange.onEnd(Start + 12);
+  CHECK(Whole.Host.Refused == error_kind::OutcomeUnknown);
+  CHECK(Whole.Host.Finals == 1);
+}
+
 TEST_CASE("a stream that can't go on is broken off, not ended", "[relay]") {
   exchange_fixture Fixture(callOf(call_kind::Stream));
   Fixture.Exchange.start(Start);
