--- a/bench/engine.cpp
+++ b/bench/engine.cpp
@@ -155,15 +155,14 @@
   Holder.onFormerMark(std::nullopt);
   const std::string Value = grants::encode(Record);
   for (int I = 0; I < Instances; ++I)
-    Holder.onRecord(static_cast<std::uint64_t>(I), "i" + std::to_string(I),
-                    Value, false);
-  Holder.onCaughtUp(static_cast<std::uint64_t>(Instances));
+    Holder.onRecord("i" + std::to_string(I), Value, false);
+  Holder.onCaughtUp();
   for (auto _ : State) {
-    const std::optional<grants::grant_write> Write = Holder.plan(0);
+    const std::optional<grants::holder_record> Write = Holder.plan(0);
     benchmark::DoNotOptimize(Write);
     State.PauseTiming();
     if (Write)
-      Holder.onRejected(Write->At);
+      Holder.onRejected(Write->Number);
     State.ResumeTiming();
   }
   State.counters["record_bytes"] = static_cast<double>(Value.size());
--- a/models/ceiling.pml
+++ b/models/ceiling.pml
@@ -1,28 +1,35 @@
-/* One budget, shared through records with a condition, and marks of spending.
+/* One budget, shared through records in one ordered topic, and marks of
+ * spending.
  *
- * Two instances each keep a ceiling in the store. A ceiling is written only on
- * the condition that the store has not changed since it was read; the answer
- * may be lost. An instance spends up to its ceiling. It writes marks ahead of
- * its spending and keeps to the mark while the mark is young. It may die at any
- * point; its next incarnation charges the mark if that is young and the machine
- * was not booted anew, else the whole ceiling.
+ * Two instances each keep a ceiling in the topic. A ceiling holds as far as the
+ * budget covers it beside the other's, once an instance has read everything up
+ * to its own record; what comes later counts it in full. An answer may be lost,
+ * and a record that hands back may come late, until a newer one of the same
+ * writer is stored. An instance spends up to what it holds. It writes marks
+ * ahead of its spending and keeps to the mark while the mark is young. It may
+ * die at any point; its next incarnation charges the mark if that is young and
+ * the machine was not booted anew, else the whole ceiling.
  *
  * Checked: both together never spend more than BUDGET.
  *
  * Broken variants, each must be rejected:
  *   -DPASS_MARK   an instance spends up to its ceiling whatever its mark says
  *   -DFREE_OLD    a new incarnation charges the mark however old it is
- *   -DNO_REREAD   a ceiling is written without the condition
- *   -DTRUST_LOST  a raise counts as stored though its answer was lost
+ *   -DNO_REREAD   a raise holds as soon as it is stored, without reading
+ *   -DTRUST_LOST  a hand-back that may still come does not bind
+ *   -DNO_FENCE    a late record is taken after a newer one of its writer
  */
 #define BUDGET 4
 #define INSTANCES 2
+#define MIN(a, b) ((a) < (b) -> (a) : (b))
+#define MAX(a, b) ((a) > (b) -> (a) : (b))
 
 /* The store. */
 byte ceiling[INSTANCES];
 byte mark[INSTANCES];
 bool marked[INSTANCES]; /* a mark of this incarnation is stored */
-byte version = 0;       /* end of the topic, modulo its few values */
+bool late[INSTANCES];   /* a record of this writer may still come */
+byte lateval[INSTANCES];
 
 /* The world. */
 bool young[INSTANCES];  /* less than the validity has passed since the mark */
@@ -30,57 +37,59 @@
 
 #define TOTAL (spent[0] + spent[1])
 #define OTHER(i) ceiling[1 - i]
+#define COVERED(i) (OTHER(i) >= BUDGET -> 0 : BUDGET - OTHER(i))
 
 proctype instance(byte i) {
-  byte limit = 0;   /* believed ceiling */
+  byte granted = 0; /* what holds by the topic's order */
+  byte limit = 0;   /* the same, or less while a record may still come */
   byte used = 0;    /* charged, former incarnations included */
   byte known = 0;   /* the other's ceiling as read */
-  byte at = 0;      /* version as read */
   byte deaths = 0;
   byte writes = 0;
   do
-  :: /* read the topic */
-     atomic { known = OTHER(i); at = version; limit = ceiling[i] }
-  :: /* raise, if the sum allows */
+  :: /* read the topic to its end */
+     atomic {
+       known = OTHER(i);
+       granted = MAX(granted, MIN(ceiling[i], COVERED(i)));
+       limit = granted;
+       if
+#ifndef TRUST_LOST
+       :: late[i] -> limit = MIN(limit, lateval[i])
+#endif
+       :: else -> skip
+       fi
+     }
+  :: /* ask for one more, by what was read last */
      (writes < 3 && limit + 1 + known <= BUDGET) ->
      atomic {
        writes++;
-       if
-#ifndef NO_REREAD
-       :: at != version -> skip /* refused */
+       /* What may have come before counts as come; nothing comes after. */
+       granted = limit;
+#ifndef NO_FENCE
+       late[i] = false;
 #endif
+       ceiling[i] = limit + 1;
 #ifdef NO_REREAD
-       :: true ->
-#else
-       :: at == version ->
+       granted = limit + 1;
+       limit = granted
 #endif
-          ceiling[i] = limit + 1;
-          version = (version + 1) % 16;
-          at = version;
-          if
-          :: limit = limit + 1
-          :: skip /* stored, the answer is lost */
-          fi
-       :: /* not stored, no answer */
-#ifdef TRUST_LOST
-          limit = limit + 1
-#else
-          skip
-#endif
-       fi
      }
   :: /* hand back what is idle */
-     (writes < 3 && limit > used && (!marked[i] || !young[i] || mark[i] <= used)) ->
+     (writes < 3 && !late[i] && limit > used &&
+      (!marked[i] || !young[i] || mark[i] <= used)) ->
      atomic {
        writes++;
+       limit = used;
        if
-       :: at == version ->
-          ceiling[i] = used;
-          version = (version + 1) % 16;
-          at = version;
-       :: else -> skip
-       fi;
-       limit = used
+       :: ceiling[i] = used; granted = used
+       :: late[i] = true; lateval[i] = used /* comes late, or never */
+       fi
+     }
+  :: /* the late record comes */
+     atomic { late[i] -> ceiling[i] = lateval[i]; late[i] = false;
+#ifndef TRUST_LOST
+       granted = MIN(granted, lateval[i])
+#endif
      }
   :: /* mark ahead; the store keeps the order of marks */
      atomic {
@@ -113,10 +122,10 @@
 #endif
        :: used = ceiling[i] /* booted anew, or the mark is old or missing */
        fi;
+       granted = used;
        limit = used;
        ceiling[i] = used;
-       version = (version + 1) % 16;
-       at = version;
+       late[i] = false;
        known = OTHER(i);
        marked[i] = false;
        young[i] = false
--- a/models/check.sh
+++ b/models/check.sh
@@ -46,6 +46,7 @@
 check ceiling rejected -DFREE_OLD
 check ceiling rejected -DNO_REREAD
 check ceiling rejected -DTRUST_LOST
+check ceiling rejected -DNO_FENCE
 check single_run accepted
 check single_run rejected -DNO_READ
 check single_run rejected -DLIE
--- a/packages/daemon/src/router.cpp
+++ b/packages/daemon/src/router.cpp
@@ -100,12 +100,11 @@
   explicit grant_listener(router &Router) : Router(Router) {}
 
   void onRecord(const keyed_record &Record) override {
-    Router.Grants.onRecord(Record.Offset, Record.Key, Record.Value,
-                           Record.Removed);
+    Router.Grants.onRecord(Record.Key, Record.Value, Record.Removed);
   }
   void onAway() override { Router.Grants.onAway(); }
-  void onCaughtUp(std::uint64_t End) override {
-    Router.Grants.onCaughtUp(End);
+  void onCaughtUp(std::uint64_t) override {
+    Router.Grants.onCaughtUp();
     Router.Dispatcher.setInstances(
         static_cast<int>(Router.Grants.peers().size()) + 1);
     Router.writeGrants();
@@ -156,6 +155,7 @@
           }),
       Signals(Context, SIGTERM, SIGINT, SIGHUP), Timer(Context) {
   MarkWriter.Name = Settings.Instance;
+  GrantWriter.Name = Settings.Instance;
 }
 
 router::~router() = default;
--- a/packages/daemon/src/router.hpp
+++ b/packages/daemon/src/router.hpp
@@ -58,9 +58,11 @@
   void writeGrants();
   void fenceMarks();
   void readFormerMark(bool Fenced);
+  void recordStart(std::optional<grants::mark_record> Former);
+  std::string startKey() const;
   void writeMark();
   void onMarkWritten(store_status Status);
-  void onGrantWritten(std::uint64_t At, store_status Status);
+  void onGrantWritten(std::uint64_t Number, store_status Status);
   void waitForSignals();
   void reload();
   void beginStop();
@@ -98,6 +100,7 @@
   edge::net::steady_timer Timer;
   std::shared_ptr<const relay::route_table> Table;
   store_writer MarkWriter;
+  store_writer GrantWriter;
   bool MarkReadUnderWay = false;
   bool MarkKnown = false;
   time_ms MarkUncertainAt = -1; // -1: the last outcome is known.
--- a/packages/daemon/src/router_money.cpp
+++ b/packages/daemon/src/router_money.cpp
@@ -5,10 +5,10 @@
 
 namespace {
 
-constexpr int FreshEnoughMs = 50;          // What is known of grants.
 constexpr int GrantPauseMs = 150;          // Between two writes of grants.
 constexpr int GrantRetryMs = 250;          // After a write that failed.
-constexpr std::uint64_t EpochStep = 1'000; // Above a former incarnation's.
+// Above a former incarnation's, which takes the next at each uncertain write.
+constexpr std::uint64_t EpochStep = 1'000'000;
 
 } // namespace
 
@@ -18,11 +18,7 @@
   if (Result == relay::reserve_result::Pending)
     edge::net::post(Context, [this] {
       writeMark();
-      const time_ms Now = Clock.monotonic();
-      if (Now - GrantFollower.lastAnswer() < FreshEnoughMs)
-        return writeGrants();
-      GrantFollower.hurry();
-      GrantFollower.tick(Now);
+      writeGrants();
     });
   return Result;
 }
@@ -33,7 +29,7 @@
 }
 
 // Before anything is spent: nothing of the former incarnation can come any
-// more, and then its last mark is read.
+// more, its last mark is read, and the epoch of this start is recorded.
 void router::readFormerMark(bool Fenced) {
   if (MarkReadUnderWay)
     return;
@@ -43,21 +39,21 @@
     if (Page.Status != store_status::Ok)
       return;
     std::optional<grants::mark_record> Former;
-    for (const keyed_record &Record : Page.Records)
-      if (Record.Key == Settings.Instance)
-        Former = grants::decodeMark(Record.Value);
-    if (!Fenced) {
-      MarkWriter.Epoch =
-          std::max(MarkWriter.Epoch, Former ? Former->Epoch : 0) + EpochStep;
-      return fenceMarks();
+    std::uint64_t Epoch = MarkWriter.Epoch;
+    for (const keyed_record &Record : Page.Records) {
+      const bool IsMark = Record.Key == Settings.Instance;
+      if (!IsMark && Record.Key != startKey())
+        continue;
+      const std::optional<grants::mark_record> Known =
+          grants::decodeMark(Record.Value);
+      Epoch = std::max(Epoch, Known ? Known->Epoch : 0);
+      if (IsMark)
+        Former = Known;
     }
-    MarkKnown = true;
-    Log.write("former_mark",
-              {{"found", std::int64_t(Former.has_value())},
-               {"age_ms", Former ? Clock.sinceBoot() - Former->Stamp
-                                 : std::int64_t(-1)}});
-    Grants.onFormerMark(std::move(Former));
-    GrantFollower.hurry();
+    if (Fenced)
+      return recordStart(std::move(Former));
+    MarkWriter.Epoch = Epoch + EpochStep;
+    fenceMarks();
   });
 }
 
@@ -71,6 +67,32 @@
   });
 }
 
+std::string router::startKey() const { return "start/" + Settings.Instance; }
+
+// The next incarnation writes its grants in a higher epoch than this one.
+void router::recordStart(std::optional<grants::mark_record> Former) {
+  MarkReadUnderWay = true;
+  grants::mark_record Start;
+  Start.Epoch = MarkWriter.Epoch;
+  Store.appendAs(
+      store_topic::Marks, MarkWriter, startKey(), grants::encode(Start),
+      [this, Former = std::move(Former)](store_status Status) {
+        MarkReadUnderWay = false;
+        if (Status != store_status::Ok)
+          return; // The next tick begins anew, in a higher epoch.
+        ++MarkWriter.Sequence;
+        GrantWriter.Epoch = MarkWriter.Epoch;
+        MarkKnown = true;
+        Log.write("former_mark",
+                  {{"found", std::int64_t(Former.has_value())},
+                   {"epoch", static_cast<std::int64_t>(MarkWriter.Epoch)},
+                   {"age_ms", Former ? Clock.sinceBoot() - Former->Stamp
+                                     : std::int64_t(-1)}});
+        Grants.onFormerMark(Former);
+        GrantFollower.hurry();
+      });
+}
+
 void router::writeMark() {
   const time_ms Now = Clock.monotonic();
   if (!MarkKnown ||
@@ -114,41 +136,49 @@
   const time_ms Now = Clock.monotonic();
   if (GrantWriteUnderWay || Now < NextGrantWrite || !Table)
     return;
-  const std::optional<grants::grant_write> Write = Grants.plan(Now);
-  if (!Write)
+  const std::optional<grants::holder_record> Record = Grants.plan(Now);
+  if (!Record)
     return;
   GrantWriteUnderWay = true;
-  Store.append(store_topic::Grants, Settings.Instance, Write->Value, Write->At,
-               [this, At = Write->At](store_status Status) {
-                 onGrantWritten(At, Status);
-               });
+  Store.appendAs(store_topic::Grants, GrantWriter, Settings.Instance,
+                 grants::encode(*Record),
+                 [this, Number = Record->Number](store_status Status) {
+                   onGrantWritten(Number, Status);
+                 });
 }
 
-void router::onGrantWritten(std::uint64_t At, store_status Status) {
+void router::onGrantWritten(std::uint64_t Number, store_status Status) {
   const time_ms Now = Clock.monotonic();
   GrantWriteUnderWay = false;
   switch (Status) {
   case store_status::Ok:
-    Grants.onWritten(At);
+    ++GrantWriter.Sequence;
+    Grants.onWritten(Number);
     NextGrantWrite = Now + GrantPauseMs;
     Metrics.counterOf("tamarack_grant_writes_total").add();
-    return Front.onMoney();
-  case store_status::Conflict:
-    Grants.onRejected(At);
-    Metrics.counterOf("tamarack_grant_conflicts_total").add();
+    // What it brings holds once it is read back.
     GrantFollower.hurry();
     GrantFollower.tick(Now);
     return;
+  case store_status::Conflict: // A higher epoch of this writer is known.
+    Grants.onRejected(Number);
+    ++GrantWriter.Epoch;
+    GrantWriter.Sequence = 0;
+    Metrics.counterOf("tamarack_grant_conflicts_total").add();
+    break;
   case store_status::Refused:
-    Grants.onRejected(At);
+    Grants.onRejected(Number);
     break;
   case store_status::Trimmed:
   case store_status::Unavailable:
-    // It may be stored now or later; the topic will tell.
+    // It may be stored now or later, but not after one of the next epoch.
+    ++GrantWriter.Epoch;
+    GrantWriter.Sequence = 0;
     break;
   }
   Log.write("grant_write_failed",
-            {{"offset", static_cast<std::int64_t>(At)},
+            {{"number", static_cast<std::int64_t>(Number)},
+             {"epoch", static_cast<std::int64_t>(GrantWriter.Epoch)},
              {"answered", std::int64_t(Status == store_status::Refused)}});
   NextGrantWrite = Now + GrantRetryMs;
   GrantFollower.hurry();
--- a/packages/follow/include/tamarack/follow.hpp
+++ b/packages/follow/include/tamarack/follow.hpp
@@ -66,6 +66,7 @@
   topic_listener &Listener;
   follower_settings Settings;
   bool HasWhole = false;
+  bool CaughtUp = false;
   bool UnderWay = false;
   bool Away = false;
   std::uint64_t Next = 0;
--- a/packages/follow/src/topic_follower.cpp
+++ b/packages/follow/src/topic_follower.cpp
@@ -24,7 +24,8 @@
   if (Whole)
     Store.newest(Topic, std::move(Handler));
   else
-    Store.read(Topic, Next, Away ? 0 : Settings.WaitMs, std::move(Handler));
+    Store.read(Topic, Next, Away || !CaughtUp ? 0 : Settings.WaitMs,
+               std::move(Handler));
   return Now + Settings.RetryMs;
 }
 
@@ -33,6 +34,7 @@
   UnderWay = false;
   if (Page.Status == store_status::Trimmed) {
     HasWhole = false;
+    CaughtUp = false;
     NextRead = Now;
     return;
   }
@@ -54,8 +56,11 @@
                                        : Page.Records.back().Offset + 1;
   if (Whole)
     Listener.onWholeEnds();
-  const bool More = Next < Page.End;
-  if (!More)
+  // The newest records are no snapshot; a read from where they began makes
+  // them complete.
+  const bool More = Whole || Next < Page.End;
+  CaughtUp = !More;
+  if (CaughtUp)
     Listener.onCaughtUp(Page.End);
   NextRead = More || Settings.WaitMs > 0 ? Now : Now + Settings.PollMs;
 }
--- a/packages/grants/include/tamarack/grants.hpp
+++ b/packages/grants/include/tamarack/grants.hpp
@@ -6,11 +6,13 @@
 //   the scheme   grant_holder, an implementation of relay::allowance
 //
 // Each instance keeps one record under its own name: for each client account
-// the ceiling of all that it may spend, counted since the budget began and over
-// all its incarnations. The sum of all ceilings of an account never exceeds its
-// prepaid budget, since a record is appended only on the condition that the
-// topic has not changed since it was read. An instance spends up to its ceiling
-// without asking anyone, so a cut changes nothing for what it holds.
+// the ceiling of all that it asks to spend, counted since the budget began and
+// over all its incarnations. The order of the topic decides between them: a
+// ceiling holds as far as the budget still covers it beside the ceilings of all
+// others, once everything before the own record is known. All that come later
+// count it in full, so what holds never exceeds the budget, and no write fails
+// because another instance wrote at the same time. An instance spends up to
+// what it holds without asking anyone, so a cut changes nothing for that.
 //
 // An instance runs one process at a time, so a new incarnation proves that the
 // former one is dead. What that one spent at most is told by its last mark: it
@@ -21,8 +23,9 @@
 // above it; otherwise the whole ceiling counts as spent. Time of day plays no
 // part, and an instance that is only frozen or cut off keeps its grants.
 //
-// A late append can't do harm: it lands only where its condition still holds,
-// and until it is certain that it can't, the lower of the two ceilings binds.
+// A late append can't do harm: each incarnation writes in a higher epoch than
+// the one before, the store takes nothing of a writer's former epoch, and until
+// a later record is seen the lowest ceiling of all that may still come binds.
 // Nothing here is thread-safe; times are monotonic ms.
 #pragma once
 
@@ -51,6 +54,7 @@
 
 struct holder_record {
   std::uint64_t Incarnation = 0; // Never 0 once written.
+  std::uint64_t Number = 0;      // Of the writes of this incarnation, from 1.
   std::string PeerAddress;       // Where other instances reach this one.
   bool Left = false;             // Ended in order, ceilings are what was spent.
   std::vector<account_line> Lines;
@@ -123,12 +127,6 @@
   double LeadShares = 0.25;  // Of what is left, held by all as they spend.
 };
 
-// A record to be appended if the topic still ends at At.
-struct grant_write {
-  std::uint64_t At = 0;
-  std::string Value;
-};
-
 // What an operator wants to know of one account.
 struct account_status {
   std::int64_t Prepaid = 0;
@@ -149,12 +147,11 @@
   void setBudgets(std::shared_ptr<const relay::route_table> Table);
 
   // The topic, in order. An unreadable record stays out and is counted.
-  void onRecord(std::uint64_t Offset, std::string_view Key,
-                std::string_view Value, bool Removed);
+  void onRecord(std::string_view Key, std::string_view Value, bool Removed);
   // The store does not answer; onCaughtUp ends that.
   void onAway() { Away = true; }
-  // All records before End are known.
-  void onCaughtUp(std::uint64_t End);
+  // Everything up to the last record given is known.
+  void onCaughtUp();
 
   // The last mark of the former incarnation, read after its writer was fenced;
   // none if there is none. Nothing can be spent before.
@@ -173,10 +170,11 @@
 
   // True if the topic should be read so that a write can be planned.
   bool wantsWrite(time_ms Now);
-  // The write that fits what is known; none if there is nothing to change.
-  std::optional<grant_write> plan(time_ms Now);
-  void onWritten(std::uint64_t At);  // Certain.
-  void onRejected(std::uint64_t At); // Certain not to have been stored.
+  // The record to write; none if there is nothing to change, or if the one
+  // before is stored and has not been read back.
+  std::optional<holder_record> plan(time_ms Now);
+  void onWritten(std::uint64_t Number);  // Stored; holds once it is read.
+  void onRejected(std::uint64_t Number); // Never will be stored.
 
   // No more grants; the next plan hands everything back.
   void leave() { Leaving = true; }
@@ -192,7 +190,8 @@
     std::int64_t Base = 0;     // Spent by former incarnations.
     std::int64_t Used = 0;     // Spent by this one.
     std::int64_t Reserved = 0; // By calls under way.
-    std::int64_t Limit = 0;    // Base + this incarnation's spending at most.
+    std::int64_t Granted = 0;  // Ceiling that holds by the topic's order.
+    std::int64_t Limit = 0;    // The same, or less while a write is uncertain.
     std::int64_t Waiting = 0;  // Largest bound that waits for money.
     time_ms AskedAt = 0;       // When a call last found too little.
     double UsualBound = 0;     // Smoothed.
@@ -207,8 +206,8 @@
   std::int64_t leftOf(std::string_view Account) const;
 
   struct pending_write {
-    std::uint64_t At = 0;
     holder_record Record;
+    bool Stored = false; // For certain, but not read back.
   };
 
   // Sums over the records of all other instances.
@@ -222,7 +221,8 @@
   void keep(std::string_view Name, holder_record Record);
   void count(const holder_record &Record, int Sign);
   const account_totals &others(std::string_view Account) const;
-  std::vector<pending_write>::iterator latestPending(std::uint64_t At);
+  std::vector<pending_write>::iterator pendingOf(std::uint64_t Number);
+  void onOwnRecord(const holder_record &Record);
   local_account &accountOf(std::string_view Name);
   const holder_record *own() const;
   std::int64_t prepaidOf(std::string_view Account) const;
@@ -233,11 +233,14 @@
   bool needsChange(std::string_view Name, const local_account &Local) const;
   void noteWaiting(local_account &Local, std::int64_t Bound) const;
   std::int64_t waiting(const local_account &Local) const;
+  bool asksTooMuch(std::string_view Name, const local_account &Local) const;
   bool wasWanting(std::string_view Name, const local_account &Local) const;
   bool isMissedByOthers(std::string_view Name, std::int64_t Left,
                         std::int64_t Target) const;
   bool yieldsToAnother(std::string_view Name) const;
   void adoptOwn();
+  void adoptFormer(const holder_record &Record);
+  void updateLimits();
   void updateRates(time_ms Now);
 
   std::string Instance;
@@ -251,8 +254,8 @@
   std::map<std::string, account_totals, std::less<>> Others; // By account.
   int LivingOthers = 0; // Other instances that have not left.
   std::map<std::string, local_account, std::less<>> Accounts;
-  std::vector<pending_write> Pending; // Outcome not certain.
-  std::uint64_t End = 0;
+  std::vector<pending_write> Pending; // Not read back, oldest first.
+  std::uint64_t LastNumber = 0;
   bool CaughtUp = false;
   bool Away = false;
   bool FormerMarkKnown = false;
--- a/packages/grants/src/grant_holder.cpp
+++ b/packages/grants/src/grant_holder.cpp
@@ -97,9 +97,8 @@
   return Found == Others.end() ? None : Found->second;
 }
 
-void grant_holder::onRecord(std::uint64_t Offset, std::string_view Key,
-                            std::string_view Value, bool Removed) {
-  End = std::max(End, Offset + 1);
+void grant_holder::onRecord(std::string_view Key, std::string_view Value,
+                            bool Removed) {
   if (Removed)
     return; // Ceilings are never forgotten.
   std::optional<holder_record> Record = decode(Value);
@@ -107,16 +106,30 @@
     ++Unreadable;
     return;
   }
+  if (Key == Instance && Record->Incarnation == Incarnation)
+    onOwnRecord(*Record);
   keep(Key, std::move(*Record));
 }
 
-void grant_holder::onCaughtUp(std::uint64_t NewEnd) {
-  End = std::max(End, NewEnd);
+// What is older can't come any more. It may have come before, so that others
+// took what it handed back.
+void grant_holder::onOwnRecord(const holder_record &Record) {
+  for (const pending_write &Write : Pending)
+    if (Write.Record.Number <= Record.Number)
+      for (const account_line &Line : Write.Record.Lines) {
+        local_account &Local = accountOf(Line.Account);
+        Local.Granted = std::min(Local.Granted, Line.Ceiling);
+      }
+  std::erase_if(Pending, [&Record](const pending_write &Write) {
+    return Write.Record.Number <= Record.Number;
+  });
+  if (Record.Left)
+    HandedBack = true;
+}
+
+void grant_holder::onCaughtUp() {
   CaughtUp = true;
   Away = false;
-  // A write whose condition no longer holds can't land any more.
-  std::erase_if(Pending,
-                [this](const pending_write &Write) { return Write.At < End; });
   adoptOwn();
 }
 
@@ -129,34 +142,43 @@
 
 // Brings the local limits in line with the own record.
 void grant_holder::adoptOwn() {
-  if (!FormerMarkKnown)
+  if (!FormerMarkKnown || !CaughtUp)
     return;
   const holder_record *Record = own();
-  if (Record != nullptr && Record->Incarnation != Incarnation) {
-    if (Adopted)
-      return;
-    for (const account_line &Line : Record->Lines) {
-      local_account &Local = accountOf(Line.Account);
-      Local.Base = spentAtMost(*Record, FormerMark, Line.Account, Line.Ceiling,
-                               BootId, Clock.sinceBoot());
-      Local.Limit = Local.Base;
-    }
-    Adopted = true;
-    return;
-  }
+  const bool IsFormer = Record != nullptr && Record->Incarnation != Incarnation;
+  if (IsFormer && !Adopted)
+    adoptFormer(*Record);
   Adopted = true;
-  if (Record == nullptr)
+  if (Record == nullptr || IsFormer)
     return;
   for (const account_line &Line : Record->Lines) {
-    std::int64_t Limit = Line.Ceiling;
-    for (const pending_write &Write : Pending) {
-      const account_line *Uncertain = lineOf(Write.Record, Line.Account);
-      Limit = std::min(Limit, Uncertain ? Uncertain->Ceiling : 0);
-    }
     local_account &Local = accountOf(Line.Account);
-    Local.Limit = Limit;
-    assert(Local.Base <= Line.Ceiling || Record->Left);
+    const std::int64_t Covered =
+        prepaidOf(Line.Account) - others(Line.Account).Ceiling;
+    Local.Granted = std::max(Local.Granted, std::min(Line.Ceiling, Covered));
   }
+  updateLimits();
+}
+
+void grant_holder::adoptFormer(const holder_record &Record) {
+  for (const account_line &Line : Record.Lines) {
+    local_account &Local = accountOf(Line.Account);
+    Local.Base = spentAtMost(Record, FormerMark, Line.Account, Line.Ceiling,
+                             BootId, Clock.sinceBoot());
+    Local.Granted = Local.Base;
+    Local.Limit = Local.Base;
+  }
+}
+
+// While the outcome of writes is open the lowest of their ceilings binds.
+void grant_holder::updateLimits() {
+  for (auto &[Name, Local] : Accounts)
+    Local.Limit = Local.Granted;
+  for (const pending_write &Write : Pending)
+    for (const account_line &Line : Write.Record.Lines) {
+      local_account &Local = accountOf(Line.Account);
+      Local.Limit = std::min(Local.Limit, Line.Ceiling);
+    }
 }
 
 std::int64_t grant_holder::limitOf(std::string_view Name,
@@ -318,6 +340,15 @@
   return prepaidOf(Name) - others(Name).Ceiling - Local.Limit < 0;
 }
 
+// The record claims more than the budget covered, which is lost to others.
+bool grant_holder::asksTooMuch(std::string_view Name,
+                               const local_account &Local) const {
+  const holder_record *Record = own();
+  const account_line *Told = Record ? lineOf(*Record, Name) : nullptr;
+  return Told != nullptr && Told->Ceiling > Local.Granted &&
+         waiting(Local) == 0;
+}
+
 // The record still asks others for money that no call waits for any more.
 bool grant_holder::wasWanting(std::string_view Name,
                               const local_account &Local) const {
@@ -366,6 +397,8 @@
     return true;
   if (isOverGranted(Name, Local))
     return Left > 0;
+  if (asksTooMuch(Name, Local))
+    return true;
   const std::int64_t Worth = prepaidOf(Name) / LeastChangeShare + 1;
   if (Left < Target * RaiseBelow) {
     const std::int64_t Free =
@@ -413,9 +446,10 @@
   return Spent + Grant;
 }
 
-std::optional<grant_write> grant_holder::plan(time_ms Now) {
+std::optional<holder_record> grant_holder::plan(time_ms Now) {
   updateRates(Now);
-  if (!CaughtUp || !Adopted || !wantsWrite(Now))
+  const bool NotReadBack = !Pending.empty() && Pending.back().Stored;
+  if (!CaughtUp || !Adopted || NotReadBack || !wantsWrite(Now))
     return std::nullopt;
   holder_record Record;
   Record.Incarnation = Incarnation;
@@ -438,43 +472,33 @@
   }
   if (!Changes)
     return std::nullopt;
-  // Until the outcome is certain the lower of both ceilings binds.
-  for (const account_line &Line : Record.Lines) {
-    local_account &Local = accountOf(Line.Account);
-    Local.Limit = std::min(Local.Limit, Line.Ceiling);
-  }
-  grant_write Write{End, encode(Record)};
-  Pending.push_back({End, std::move(Record)});
-  return Write;
+  Record.Number = ++LastNumber;
+  Pending.push_back({Record, false});
+  updateLimits();
+  return Record;
 }
 
-// Several writes of the same condition may be uncertain; what is told is told
-// of the latest one.
 std::vector<grant_holder::pending_write>::iterator
-grant_holder::latestPending(std::uint64_t At) {
-  for (auto Item = Pending.end(); Item != Pending.begin();) {
-    --Item;
-    if (Item->At == At)
-      return Item;
-  }
-  return Pending.end();
+grant_holder::pendingOf(std::uint64_t Number) {
+  return std::find_if(Pending.begin(), Pending.end(),
+                      [Number](const pending_write &Write) {
+                        return Write.Record.Number == Number;
+                      });
 }
 
-void grant_holder::onWritten(std::uint64_t At) {
-  const auto Found = latestPending(At);
+void grant_holder::onWritten(std::uint64_t Number) {
+  const auto Found = pendingOf(Number);
   if (Found == Pending.end())
-    return;
-  Holders[Instance] = Found->Record;
-  if (Found->Record.Left)
-    HandedBack = true;
-  onCaughtUp(At + 1);
+    return; // Read back already.
+  Found->Stored = true;
+  HandedBack = HandedBack || Found->Record.Left;
 }
 
-void grant_holder::onRejected(std::uint64_t At) {
-  const auto Found = latestPending(At);
+void grant_holder::onRejected(std::uint64_t Number) {
+  const auto Found = pendingOf(Number);
   if (Found != Pending.end())
     Pending.erase(Found);
-  adoptOwn();
+  updateLimits();
 }
 
 std::vector<std::pair<std::string, std::string>> grant_holder::peers() const {
--- a/packages/grants/src/records.cpp
+++ b/packages/grants/src/records.cpp
@@ -7,12 +7,13 @@
 
 namespace {
 
-constexpr int FormatVersion = 1;
+constexpr int FormatVersion = 2;
 constexpr std::size_t LargestText = 256; // Bytes of a name or address.
 
 using line_form = std::tuple<std::string, std::int64_t, std::int64_t, bool>;
 using record_form =
-    std::tuple<int, std::uint64_t, std::string, bool, std::vector<line_form>>;
+    std::tuple<int, std::uint64_t, std::uint64_t, std::string, bool,
+               std::vector<line_form>>;
 
 using mark_form =
     std::tuple<int, std::uint64_t, std::uint64_t, std::string, time_ms,
@@ -59,8 +60,9 @@
     Lines.emplace_back(Line.Account, Line.Ceiling, Line.Used, Line.Wanted);
   msgpack::sbuffer Buffer;
   msgpack::pack(Buffer,
-                record_form(FormatVersion, Record.Incarnation,
-                            Record.PeerAddress, Record.Left, std::move(Lines)));
+                record_form(FormatVersion, Record.Incarnation, Record.Number,
+                            Record.PeerAddress, Record.Left,
+                            std::move(Lines)));
   return std::string(Buffer.data(), Buffer.size());
 }
 
@@ -71,13 +73,14 @@
     record_form Form;
     Handle.get().convert(Form);
     if (std::get<0>(Form) != FormatVersion ||
-        std::get<2>(Form).size() > LargestText)
+        std::get<3>(Form).size() > LargestText)
       return std::nullopt;
     holder_record Record;
     Record.Incarnation = std::get<1>(Form);
-    Record.PeerAddress = std::get<2>(Form);
-    Record.Left = std::get<3>(Form);
-    for (const line_form &Line : std::get<4>(Form)) {
+    Record.Number = std::get<2>(Form);
+    Record.PeerAddress = std::get<3>(Form);
+    Record.Left = std::get<4>(Form);
+    for (const line_form &Line : std::get<5>(Form)) {
       if (std::get<1>(Line) < 0 || std::get<0>(Line).size() > LargestText)
         return std::nullopt;
       Record.Lines.push_back({std::get<0>(Line), std::get<1>(Line),
--- a/packages/peers/include/tamarack/peers.hpp
+++ b/packages/peers/include/tamarack/peers.hpp
@@ -26,15 +26,15 @@
 // Messages
 //---------------------------------------------------------------------------
 
-enum class store_call { Newest, Read, Append, AppendAs, Fence };
+enum class store_call { Newest, Read, AppendAs, Fence };
 
 struct store_request {
   store_call Call = store_call::Newest;
   store_topic Topic = store_topic::Configuration;
-  std::uint64_t From = 0; // Read: first offset. Append: offset of the end.
+  std::uint64_t From = 0; // Read: first offset.
   store_writer Writer;    // AppendAs and Fence.
-  std::string Key;        // Appends.
-  std::string Value;      // Appends.
+  std::string Key;        // AppendAs.
+  std::string Value;      // AppendAs.
 };
 
 struct store_answer {
@@ -78,8 +78,6 @@
   void newest(store_topic Topic, page_handler Handler) override;
   void read(store_topic Topic, std::uint64_t From, int WaitMs,
             page_handler Handler) override;
-  void append(store_topic Topic, std::string_view Key, std::string_view Value,
-              std::uint64_t At, append_handler Handler) override;
   void appendAs(store_topic Topic, const store_writer &Writer,
                 std::string_view Key, std::string_view Value,
                 append_handler Handler) override;
--- a/packages/peers/src/messages.cpp
+++ b/packages/peers/src/messages.cpp
@@ -7,7 +7,7 @@
 
 namespace {
 
-constexpr int FormatVersion = 1;
+constexpr int FormatVersion = 2;
 constexpr int LastCall = static_cast<int>(store_call::Fence);
 constexpr int LastTopic = static_cast<int>(store_topic::Marks);
 constexpr int LastStatus = static_cast<int>(store_status::Unavailable);
--- a/packages/peers/src/relayed_store.cpp
+++ b/packages/peers/src/relayed_store.cpp
@@ -42,9 +42,6 @@
     return Store.newest(Request.Topic, OnPage);
   case store_call::Read:
     return Store.read(Request.Topic, Request.From, WaitMs, OnPage);
-  case store_call::Append:
-    return Store.append(Request.Topic, Request.Key, Request.Value, Request.From,
-                        OnAppend);
   case store_call::AppendAs:
     return Store.appendAs(Request.Topic, Request.Writer, Request.Key,
                           Request.Value, OnAppend);
@@ -169,14 +166,6 @@
        });
 }
 
-void relayed_store::append(store_topic Topic, std::string_view Key,
-                           std::string_view Value, std::uint64_t At,
-                           append_handler Handler) {
-  call(
-      {store_call::Append, Topic, At, {}, std::string(Key), std::string(Value)},
-      0, [Handler](const store_answer &Answer) { Handler(Answer.Status); });
-}
-
 void relayed_store::appendAs(store_topic Topic, const store_writer &Writer,
                              std::string_view Key, std::string_view Value,
                              append_handler Handler) {
--- a/packages/ports/include/tamarack/ports.hpp
+++ b/packages/ports/include/tamarack/ports.hpp
@@ -111,7 +111,7 @@
 
 enum class store_status {
   Ok,
-  Conflict,    // The condition did not hold; nothing was stored.
+  Conflict,    // The writer was overtaken; nothing was stored.
   Trimmed,     // The records asked for are gone; read the newest instead.
   Refused,     // The store did nothing; ask again later.
   Unavailable, // No answer; an append may be stored now or later.
@@ -144,10 +144,6 @@
   // Records from offset From on. Waits up to WaitMs for a first one.
   virtual void read(store_topic Topic, std::uint64_t From, int WaitMs,
                     page_handler Handler) = 0;
-  // Appends one record if the topic ends at offset At.
-  virtual void append(store_topic Topic, std::string_view Key,
-                      std::string_view Value, std::uint64_t At,
-                      append_handler Handler) = 0;
   // Appends one record in the order of its writer's sequence. Conflict if the
   // writer has a higher epoch or the sequence does not follow.
   virtual void appendAs(store_topic Topic, const store_writer &Writer,
--- a/tests/unit/edge_test.cpp
+++ b/tests/unit/edge_test.cpp
@@ -85,11 +85,6 @@
   void read(store_topic, std::uint64_t, int, page_handler Handler) override {
     page(Handler);
   }
-  void append(store_topic, std::string_view, std::string_view, std::uint64_t,
-              append_handler Handler) override {
-    ++Calls;
-    Handler(Status);
-  }
   void appendAs(store_topic, const store_writer &, std::string_view,
                 std::string_view, append_handler Handler) override {
     ++Calls;
@@ -141,8 +136,8 @@
 
   store_status append() {
     std::optional<store_status> Outcome;
-    Store.append(store_topic::Grants, "k", "v", 7,
-                 [&Outcome](store_status Status) { Outcome = Status; });
+    Store.appendAs(store_topic::Grants, {"w", 1, 7}, "k", "v",
+                   [&Outcome](store_status Status) { Outcome = Status; });
     while (!Outcome)
       Context.run_one();
     return *Outcome;
--- a/tests/unit/follow_test.cpp
+++ b/tests/unit/follow_test.cpp
@@ -31,10 +31,6 @@
     LastFrom = From;
     Handler(ReadPage);
   }
-  void append(store_topic, std::string_view, std::string_view, std::uint64_t,
-              append_handler Handler) override {
-    Handler(AppendStatus);
-  }
   void appendAs(store_topic, const store_writer &, std::string_view,
                 std::string_view, append_handler Handler) override {
     Handler(AppendStatus);
@@ -128,6 +124,9 @@
   Fixture.Store.NewestPage.Status = store_status::Ok;
   Fixture.Follower.tick(250);
   CHECK_FALSE(Fixture.Follower.isAway());
+  CHECK(Fixture.Listener.CaughtUp == 0); // The newest are no snapshot.
+  Fixture.Follower.tick(250);
+  CHECK(Fixture.Store.LastFrom == 5);
   CHECK(Fixture.Listener.CaughtUp == 1);
 }
 
--- a/tests/unit/grants_test.cpp
+++ b/tests/unit/grants_test.cpp
@@ -52,15 +52,26 @@
     std::string Key;
     std::string Value;
   };
+  struct writer_state {
+    std::uint64_t Epoch = 0;
+    std::uint64_t Next = 0; // Sequence that must follow in this epoch.
+  };
   std::vector<record> Records;
+  std::map<std::string, writer_state> Writers;
+  std::map<std::string, std::uint64_t> Starts; // Epoch of the last start.
   std::map<std::string, std::string> Marks;
   std::map<std::string, std::uint64_t> MarkEpochs;
 
-  bool append(const std::string &Key, const std::string &Value,
-              std::uint64_t At) {
-    if (At != Records.size())
+  // As the store does: nothing of a former epoch, sequences without gaps.
+  bool append(const store_writer &Writer, const std::string &Value) {
+    writer_state &State = Writers[Writer.Name];
+    const bool Follows =
+        Writer.Epoch > State.Epoch ||
+        (Writer.Epoch == State.Epoch && Writer.Sequence == State.Next);
+    if (!Follows)
       return false;
-    Records.push_back({Key, Value});
+    State = {Writer.Epoch, Writer.Sequence + 1};
+    Records.push_back({Writer.Name, Value});
     return true;
   }
   bool mark(const std::string &Key, std::uint64_t Epoch,
@@ -84,6 +95,7 @@
         Name, Incarnation, "peer", std::move(BootId), grant_settings(), Clock);
     Holder->setBudgets(std::move(Table));
     Read = 0;
+    Writer = {Name, Topic.Starts[Name] += 1'000'000, 0};
     Epoch = Topic.MarkEpochs[Name] + 1'000; // Above all that may be late.
     Topic.MarkEpochs[Name] = Epoch;
     const auto Mark = Topic.Marks.find(Name);
@@ -94,9 +106,18 @@
 
   void readTopic() {
     for (; Read < Topic.Records.size(); ++Read)
-      Holder->onRecord(Read, Topic.Records[Read].Key, Topic.Records[Read].Value,
+      Holder->onRecord(Topic.Records[Read].Key, Topic.Records[Read].Value,
                        false);
-    Holder->onCaughtUp(Topic.Records.size());
+    Holder->onCaughtUp();
+  }
+
+  // The next write, with its place in the order of this machine's writes.
+  std::optional<holder_record> plan() {
+    return Holder->plan(Clock.monotonic());
+  }
+  void onUncertain() {
+    ++Writer.Epoch;
+    Writer.Sequence = 0;
   }
 
   std::string Name;
@@ -104,20 +125,20 @@
   machine_clock Clock;
   std::unique_ptr<grant_holder> Holder;
   std::size_t Read = 0;
-  std::uint64_t Epoch = 0;
+  store_writer Writer;     // Of grants.
+  std::uint64_t Epoch = 0; // Of marks.
   std::vector<std::int64_t> InFlight; // Bounds reserved.
 };
 
 void writeAll(machine &Machine) {
   Machine.readTopic();
-  if (const std::optional<grant_write> Write =
-          Machine.Holder->plan(Machine.Clock.monotonic())) {
-    if (Machine.Topic.append(Machine.Name, Write->Value, Write->At))
-      Machine.Holder->onWritten(Write->At);
-    else
-      Machine.Holder->onRejected(Write->At);
-    Machine.Read = Machine.Topic.Records.size();
-  }
+  const std::optional<holder_record> Write = Machine.plan();
+  if (!Write)
+    return;
+  REQUIRE(Machine.Topic.append(Machine.Writer, encode(*Write)));
+  ++Machine.Writer.Sequence;
+  Machine.Holder->onWritten(Write->Number);
+  Machine.readTopic();
 }
 
 void writeMark(machine &Machine) {
@@ -263,26 +284,56 @@
   writeAll(Machine);
   Machine.Holder->setBudgets(tableOf(50));
   Machine.readTopic();
-  const std::optional<grant_write> Late =
-      Machine.Holder->plan(Clock.monotonic());
+  const std::optional<holder_record> Late = Machine.plan();
   REQUIRE(Late);
+  const store_writer LateWriter = Machine.Writer;
   // No answer. Meanwhile the budget is raised again.
+  Machine.onUncertain();
   Machine.Holder->setBudgets(tableOf(Budget));
   Machine.readTopic();
   CHECK(Machine.Holder->reserve("a", 51) == relay::reserve_result::Pending);
   SECTION("it lands late") {
-    REQUIRE(Topic.append("m", Late->Value, Late->At));
+    REQUIRE(Topic.append(LateWriter, encode(*Late)));
     Machine.readTopic();
     CHECK(Machine.Holder->reserve("a", 51) == relay::reserve_result::Pending);
   }
-  SECTION("another write makes sure that it never lands") {
-    REQUIRE(Topic.append("n", encode(holder_record()), Late->At));
-    CHECK_FALSE(Topic.append("m", Late->Value, Late->At));
-    Machine.readTopic();
+  SECTION("a later write makes sure that it never lands") {
+    writeAll(Machine);
+    CHECK_FALSE(Topic.append(LateWriter, encode(*Late)));
     CHECK(Machine.Holder->reserve("a", 51) == relay::reserve_result::Reserved);
   }
 }
 
+TEST_CASE("two that ask for the same rest get it once, by the topic's order",
+          "[grants]") {
+  manual_clock Clock;
+  topic Topic;
+  machine First("m", Topic, Clock);
+  machine Second("n", Topic, Clock);
+  First.start(1, "boot-1", tableOf(Budget));
+  Second.start(2, "boot-2", tableOf(Budget));
+  First.readTopic();
+  Second.readTopic();
+  constexpr std::int64_t Most = Budget * 3 / 4;
+  First.Holder->reserve("a", Most);
+  Second.Holder->reserve("a", Most);
+  const std::optional<holder_record> FirstWrite = First.plan();
+  const std::optional<holder_record> SecondWrite = Second.plan();
+  REQUIRE(FirstWrite);
+  REQUIRE(SecondWrite);
+  REQUIRE(Topic.append(First.Writer, encode(*FirstWrite)));
+  REQUIRE(Topic.append(Second.Writer, encode(*SecondWrite)));
+  // Stored is not granted yet.
+  First.Holder->onWritten(FirstWrite->Number);
+  CHECK(First.Holder->reserve("a", Most) == relay::reserve_result::Pending);
+  Second.readTopic();
+  CHECK(Second.Holder->reserve("a", Most) != relay::reserve_result::Reserved);
+  First.readTopic();
+  const std::int64_t Sum = First.Holder->statusOf("a").Ceiling +
+                           Second.Holder->statusOf("a").Ceiling;
+  CHECK(Sum <= Budget);
+}
+
 //---------------------------------------------------------------------------
 // Random schedules
 //---------------------------------------------------------------------------
@@ -311,9 +362,8 @@
 
 struct late_write {
   bool IsMark = false;
-  std::string Key;
+  store_writer Writer;
   std::string Value;
-  std::uint64_t At = 0; // Offset or epoch.
 };
 
 struct grant_world {
@@ -363,12 +413,14 @@
     case move::WriteDropped:
     case move::WriteLate: {
       Machine.readTopic();
-      const std::optional<grant_write> Write =
-          Machine.Holder->plan(Clock.monotonic());
-      if (Write && Move == move::WriteLost)
-        Topic.append(Machine.Name, Write->Value, Write->At);
-      if (Write && Move == move::WriteLate)
-        Late.push_back({false, Machine.Name, Write->Value, Write->At});
+      const std::optional<holder_record> Write = Machine.plan();
+      if (!Write)
+        break;
+      if (Move == move::WriteLost)
+        Topic.append(Machine.Writer, encode(*Write));
+      if (Move == move::WriteLate)
+        Late.push_back({false, Machine.Writer, encode(*Write)});
+      Machine.onUncertain();
       break;
     }
     case move::Mark:
@@ -384,7 +436,8 @@
       if (Move == move::MarkLost)
         Topic.mark(Machine.Name, Machine.Epoch, encode(*Mark));
       else
-        Late.push_back({true, Machine.Name, encode(*Mark), Machine.Epoch});
+        Late.push_back(
+            {true, {Machine.Name, Machine.Epoch, 0}, encode(*Mark)});
       ++Machine.Epoch;
       Machine.Holder->onMarkUncertain();
       break;
@@ -392,9 +445,9 @@
     case move::DeliverLate:
       for (const late_write &Write : Late)
         if (Write.IsMark)
-          Topic.mark(Write.Key, Write.At, Write.Value);
+          Topic.mark(Write.Writer.Name, Write.Writer.Epoch, Write.Value);
         else
-          Topic.append(Write.Key, Write.Value, Write.At);
+          Topic.append(Write.Writer, Write.Value);
       Late.clear();
       break;
     case move::Crash:
