--- a/packages/daemon/src/router_money.cpp
+++ b/packages/daemon/src/router_money.cpp
@@ -5,8 +5,8 @@
 
 namespace {
 
-constexpr int GrantPauseMs = 150;          // Between two writes of grants.
-constexpr int GrantRetryMs = 250;          // After a write that failed.
+constexpr int GrantPauseMs = 40;  // Between two writes of grants.
+constexpr int GrantRetryMs = 250; // After a write that failed.
 // Above a former incarnation's, which takes the next at each uncertain write.
 constexpr std::uint64_t EpochStep = 1'000'000;
 
--- a/packages/grants/include/tamarack/grants.hpp
+++ b/packages/grants/include/tamarack/grants.hpp
@@ -117,8 +117,8 @@
 
 struct grant_settings {
   int LeadMs = 10'000;       // Spending that an instance holds ahead.
-  int MarkLeadMs = 3'500;    // Spending that a mark leaves room for.
-  double MarkShare = 0.2;    // Of what is held, a mark leaves that much room.
+  int MarkLeadMs = 5'000;    // Spending that a mark leaves room for.
+  double MarkShare = 0.35;   // Of what is held, a mark leaves that much room.
   int MarkPauseMs = 500;     // Between two marks.
   int RateMs = 8'000;        // Smoothing of the spending rate.
   double LargestShare = 0.3; // Of what is free, in one grant.
--- a/packages/grants/src/records.cpp
+++ b/packages/grants/src/records.cpp
@@ -11,9 +11,8 @@
 constexpr std::size_t LargestText = 256; // Bytes of a name or address.
 
 using line_form = std::tuple<std::string, std::int64_t, std::int64_t, bool>;
-using record_form =
-    std::tuple<int, std::uint64_t, std::uint64_t, std::string, bool,
-               std::vector<line_form>>;
+using record_form = std::tuple<int, std::uint64_t, std::uint64_t, std::string,
+                               bool, std::vector<line_form>>;
 
 using mark_form =
     std::tuple<int, std::uint64_t, std::uint64_t, std::string, time_ms,
@@ -61,8 +60,7 @@
   msgpack::sbuffer Buffer;
   msgpack::pack(Buffer,
                 record_form(FormatVersion, Record.Incarnation, Record.Number,
-                            Record.PeerAddress, Record.Left,
-                            std::move(Lines)));
+                            Record.PeerAddress, Record.Left, std::move(Lines)));
   return std::string(Buffer.data(), Buffer.size());
 }
 
