Hold three tenths of what is left as instances spend, less where no calls come

Accounts are drawn on by one instance or by all; equal shares at instances that never see an account served nobody.

--- a/packages/grants/include/tamarack/grants.hpp
+++ b/packages/grants/include/tamarack/grants.hpp
@@ -124,7 +124,7 @@
   double LargestShare = 0.3; // Of what is free, in one grant.
   double EqualShares = 0.25; // Of what is left of a whole budget, held by all
                              // in equal parts; less the more is spent.
-  double LeadShares = 0.4;   // Of what is left, held by all as they spend.
+  double LeadShares = 0.3;   // Of what is left, held by all as they spend.
 };
 
 // What an operator wants to know of one account.
