Tell callers to come back after 6 s instead of 3 while the store is away

Outages and cuts of the store last 5 to 10 s; callers who came back after 3 s were mostly refused again.

--- a/packages/relay/src/exchange.cpp
+++ b/packages/relay/src/exchange.cpp
@@ -9,7 +9,7 @@
 namespace {
 
 constexpr int MoneyWaitMs = 250;   // Longest wait for a grant.
-constexpr int AwayRetryMs = 3'000; // Outages of the store last seconds.
+constexpr int AwayRetryMs = 6'000; // Outages of the store last seconds.
 constexpr int MostUnreached = 3;   // Endpoints that can't be connected to.
 constexpr int LeastUsefulMs = 20;  // Less time left is not worth a send.
 constexpr std::size_t LargestWholeAnswer = 8u << 20; // Bytes.
