Read only the newest of configurations that come quickly

Now a version that others have replaced in the same answer is passed over, and while versions come quickly the newest is read every 0.7 s. The new test fails without it.

--- a/packages/follow/include/tamarack/follow.hpp
+++ b/packages/follow/include/tamarack/follow.hpp
@@ -38,11 +38,13 @@
 };
 
 struct follower_settings {
-  int PollMs = 1'000;          // Pause between reads that don't wait.
-  int WaitMs = 0;              // Time that the store may hold a read, 0: none.
-  int RetryMs = 250;           // Pause after a failed read.
-  bool WholeAfterAway = false; // Only the newest records matter: what came
-                               // while the store was away is not read.
+  int PollMs = 1'000;      // Pause between reads that don't wait.
+  int WaitMs = 0;          // Time that the store may hold a read, 0: none.
+  int RetryMs = 250;       // Pause after a failed read.
+  bool OnlyNewest = false; // Versions that others have replaced are passed
+                           // over, and not even read where they are many.
+  int PaceMs = 700;        // Pause between reads while versions come quickly,
+                           // with OnlyNewest.
 };
 
 // Reads a topic whole once, then what is new. Reads are planned by tick; one
@@ -61,6 +63,8 @@
 
 private:
   void onPage(bool Whole, const keyed_page &Page);
+  void pass(const keyed_page &Page);
+  bool comesQuickly(const keyed_page &Page, time_ms Now);
 
   store_topic Topic;
   keyed_store &Store;
@@ -74,6 +78,7 @@
   std::uint64_t Next = 0;
   time_ms NextRead = 0;
   time_ms LastAnswer = -1;
+  time_ms LastChange = -1; // When records last came.
 };
 
 //---------------------------------------------------------------------------
--- a/packages/follow/src/topic_follower.cpp
+++ b/packages/follow/src/topic_follower.cpp
@@ -40,7 +40,7 @@
   }
   if (Page.Status != store_status::Ok) {
     Away = true;
-    if (Settings.WholeAfterAway) {
+    if (Settings.OnlyNewest) {
       HasWhole = false;
       CaughtUp = false;
     }
@@ -53,8 +53,7 @@
   Listener.onAnswer();
   if (Whole)
     Listener.onWholeBegins();
-  for (const keyed_record &Record : Page.Records)
-    Listener.onRecord(Record);
+  pass(Page);
   HasWhole = true;
   Next = Whole || Page.Records.empty() ? std::max(Next, Page.End)
                                        : Page.Records.back().Offset + 1;
@@ -67,6 +66,33 @@
   if (CaughtUp)
     Listener.onCaughtUp(Page.End);
   NextRead = More || Settings.WaitMs > 0 ? Now : Now + Settings.PollMs;
+  if (!Whole && Settings.OnlyNewest && comesQuickly(Page, Now)) {
+    HasWhole = false;
+    CaughtUp = false;
+    NextRead = Now + Settings.PaceMs;
+  }
+}
+
+void topic_follower::pass(const keyed_page &Page) {
+  for (auto Item = Page.Records.begin(); Item != Page.Records.end(); ++Item) {
+    const bool Replaced =
+        Settings.OnlyNewest && std::any_of(Item + 1, Page.Records.end(),
+                                           [Item](const keyed_record &Later) {
+                                             return Later.Key == Item->Key;
+                                           });
+    if (!Replaced)
+      Listener.onRecord(*Item);
+  }
+}
+
+// Large versions, one after the other, read by all instances at once, would use
+// up what the store can read.
+bool topic_follower::comesQuickly(const keyed_page &Page, time_ms Now) {
+  if (Page.Records.empty())
+    return false;
+  const bool Quick = LastChange >= 0 && Now - LastChange < 2 * Settings.PaceMs;
+  LastChange = Now;
+  return Quick || Page.Records.size() > 1;
 }
 
 } // namespace tamarack::follow
--- a/tests/unit/follow_test.cpp
+++ b/tests/unit/follow_test.cpp
@@ -149,6 +149,28 @@
   CHECK(Fixture.Store.LastFrom == 90);
 }
 
+// The pattern: operators publish large versions several times a second.
+TEST_CASE("of versions that come quickly only the newest are read",
+          "[follow]") {
+  follower_fixture Fixture;
+  topic_follower Follower(store_topic::Configuration, Fixture.Store,
+                          Fixture.Clock, Fixture.Listener,
+                          {1'000, 500, 250, true, 700});
+  Follower.tick(0);
+  Follower.tick(0);
+  Fixture.Listener.Keys.clear();
+  Fixture.Store.ReadPage.End = 8;
+  Fixture.Store.ReadPage.Records = {
+      {5, "k", "v1", false}, {6, "n", "v", false}, {7, "k", "v2", false}};
+  Follower.tick(0);
+  CHECK(Fixture.Listener.Keys == std::vector<std::string>{"n", "k"});
+  Fixture.Store.NewestPage.End = 12;
+  CHECK(Follower.tick(699) == 700);
+  CHECK(Fixture.Store.Newest == 1);
+  Follower.tick(700);
+  CHECK(Fixture.Store.Newest == 2);
+}
+
 TEST_CASE("an endpoint that is gone is gone at once", "[follow]") {
   endpoint_directory Directory;
   Directory.onEntry(entryOf("e", 1));
