--- a/packages/daemon/src/model_call.cpp
+++ b/packages/daemon/src/model_call.cpp
@@ -8,7 +8,6 @@
 namespace {
 
 using calls::call_error;
-using calls::error_kind;
 
 constexpr int ConnectMs = 1000;
 constexpr int SilenceMs = 30'000; // Longest gap in an endpoint's answer.
