--- a/packages/grants/include/tamarack/grants.hpp
+++ b/packages/grants/include/tamarack/grants.hpp
@@ -225,6 +225,7 @@
   void onOwnRecord(const holder_record &Record);
   local_account &accountOf(std::string_view Name);
   const holder_record *own() const;
+  const account_line *told(std::string_view Name) const;
   std::int64_t prepaidOf(std::string_view Account) const;
   bool isOverGranted(std::string_view Name, const local_account &Local) const;
   std::int64_t wantedCeiling(std::string_view Name, const local_account &Local,
--- a/packages/grants/src/grant_holder.cpp
+++ b/packages/grants/src/grant_holder.cpp
@@ -355,11 +355,16 @@
   return prepaidOf(Name) - others(Name).Ceiling - Local.Limit < 0;
 }
 
+// What the own record says of an account, nullptr if it does not.
+const account_line *grant_holder::told(std::string_view Name) const {
+  const holder_record *Record = own();
+  return Record ? lineOf(*Record, Name) : nullptr;
+}
+
 // The record claims more than the budget covered, which is lost to others.
 bool grant_holder::asksTooMuch(std::string_view Name,
                                const local_account &Local) const {
-  const holder_record *Record = own();
-  const account_line *Told = Record ? lineOf(*Record, Name) : nullptr;
+  const account_line *Told = told(Name);
   return Told != nullptr && Told->Ceiling > Local.Granted &&
          waiting(Local) == 0;
 }
@@ -367,8 +372,7 @@
 // The record still asks others for money that no call waits for any more.
 bool grant_holder::wasWanting(std::string_view Name,
                               const local_account &Local) const {
-  const holder_record *Record = own();
-  const account_line *Told = Record ? lineOf(*Record, Name) : nullptr;
+  const account_line *Told = told(Name);
   return Told != nullptr && Told->Wanted && waiting(Local) == 0;
 }
 
@@ -378,8 +382,7 @@
                                     std::int64_t Target) const {
   if (Left > Target * HandBackAbove)
     return true;
-  const holder_record *Record = own();
-  const account_line *Told = Record ? lineOf(*Record, Name) : nullptr;
+  const account_line *Told = told(Name);
   if (Told == nullptr)
     return false;
   const std::int64_t ToldIdle = Told->Ceiling - Told->Used;
