Show where reads of the store spend their time

Logs and metrics could not tell four explanations of a late configuration apart: a read that waits behind others on its connection, a large answer that is given up and begun again, a busy event loop, and decoding.

- http_channel tells how long a request was queued and active and how often it was sent; platform_store reports each request to a listener.
- New lines: store_call_slow, peer_call_slow, loop_delayed.
The line configuration has offset, bytes, decode_ms and apply_ms; refused has the age of the last read of the configuration, call that of the endpoints.
- New metrics: tamarack_topic_age_ms, tamarack_store_queue_ms, tamarack_store_call_ms, tamarack_store_received_bytes_total, tamarack_store_calls_unanswered_total, tamarack_peer_calls_served_total, tamarack_peer_served_bytes_total, tamarack_loop_delay_ms.

No decision changes.

--- a/packages/daemon/src/router.cpp
+++ b/packages/daemon/src/router.cpp
@@ -40,8 +40,12 @@
   void onRecord(const keyed_record &Record) override {
     if (Record.Key != platform::ConfigurationKey || Record.Removed)
       return;
+    const time_ms ReceivedAt = Router.Clock.monotonic();
     try {
-      Router.activateConfiguration(platform::decodeConfiguration(Record.Value));
+      const std::shared_ptr<const relay::route_table> Table =
+          platform::decodeConfiguration(Record.Value);
+      Router.activateConfiguration(Table, Record, ReceivedAt,
+                                   Router.Clock.monotonic());
     } catch (const platform::document_error &Error) {
       Router.Metrics.counterOf("tamarack_unreadable_records_total").add();
       Router.Log.write("configuration_unreadable",
@@ -132,10 +136,10 @@
 router::router(const router_settings &Settings)
     : Settings(Settings),
       Log(Settings.Instance, Clock, Settings.MaxLogLinesPerSecond),
-      DirectStore(Context, {Settings.StoreAddress}),
+      DirectStore(Context, {Settings.StoreAddress}, *this),
       Store(Context, DirectStore, [this] { return peerAddresses(); }, Clock,
             Random, *this, {}),
-      PeerService(DirectStore, Store),
+      PeerService(DirectStore, Store, Clock, *this),
       LoadBalancer(Settings.Zone, Settings.RetryLimits, Random),
       Placement(LoadBalancer, Log, Metrics), Codec(LoadBalancer, Random),
       Grants(Settings.Instance, Random.next() | 1, Settings.PeerAddress,
@@ -192,6 +196,7 @@
 
 void router::tick() {
   const time_ms Now = Clock.monotonic();
+  recordLoopDelay(Now);
   ConfigurationFollower.tick(Now);
   EndpointFollower.tick(Now);
   GrantFollower.tick(Now);
@@ -208,6 +213,7 @@
 }
 
 void router::scheduleTick() {
+  TickDueAt = Clock.monotonic() + TickMs;
   TickTimer.expires_after(std::chrono::milliseconds(TickMs));
   TickTimer.async_wait([this](const edge::error_code &Error) {
     if (!Error)
@@ -233,12 +239,12 @@
 }
 
 void router::activateConfiguration(
-    std::shared_ptr<const relay::route_table> NewTable) {
+    std::shared_ptr<const relay::route_table> NewTable,
+    const keyed_record &Record, time_ms ReceivedAt, time_ms DecodedAt) {
   if (RouteTable && NewTable->Version <= RouteTable->Version)
     return;
-  Log.write("configuration",
-            {{"version", NewTable->Version},
-             {"before", RouteTable ? RouteTable->Version : std::int64_t(-1)}});
+  const std::int64_t PreviousVersion =
+      RouteTable ? RouteTable->Version : std::int64_t(-1);
   RouteTable = std::move(NewTable);
   Metrics.gaugeOf("tamarack_configuration_version")
       .set(static_cast<std::uint64_t>(RouteTable->Version));
@@ -246,6 +252,13 @@
   Codec.setRouteTable(RouteTable);
   Grants.setBudgets(RouteTable);
   Frontend.setLimits(RouteTable->Limits);
+  Log.write("configuration",
+            {{"version", RouteTable->Version},
+             {"before", PreviousVersion},
+             {"offset", static_cast<std::int64_t>(Record.Offset)},
+             {"bytes", static_cast<std::int64_t>(Record.Value.size())},
+             {"decode_ms", DecodedAt - ReceivedAt},
+             {"apply_ms", Clock.monotonic() - DecodedAt}});
 }
 
 void router::refreshEndpoints() {
--- a/packages/daemon/src/router.hpp
+++ b/packages/daemon/src/router.hpp
@@ -19,7 +19,9 @@
 
 class router final : private edge::frontend_observer,
                      private relay::token_budget,
-                     private peers::store_path_listener {
+                     private peers::store_path_listener,
+                     private peers::peer_service_listener,
+                     private platform::store_call_listener {
 public:
   explicit router(const router_settings &Settings);
   ~router() override;
@@ -53,15 +55,28 @@
   // peers::store_path_listener
   void onPathChanged(bool Direct) override;
 
+  // peers::peer_service_listener
+  void onPeerCallServed(const peers::served_call &Call) override;
+
+  // platform::store_call_listener
+  void onStoreCall(const platform::store_call_report &Report) override;
+
   void logBudgetRefusal(const relay::call &Call);
   // Instances that announced themselves and those that the settings name,
   // without this one.
   std::vector<std::string> peerAddresses() const;
-  void
-  activateConfiguration(std::shared_ptr<const relay::route_table> NewTable);
+  // ReceivedAt, DecodedAt: monotonic times before and after decoding.
+  void activateConfiguration(std::shared_ptr<const relay::route_table> NewTable,
+                             const keyed_record &Record, time_ms ReceivedAt,
+                             time_ms DecodedAt);
   void refreshEndpoints();
   void tick();
   void scheduleTick();
+  void recordLoopDelay(time_ms Now);
+  // Time since the last successful read of a topic, -1 before the first.
+  time_ms ageOf(const follow::topic_follower &Follower) const;
+  void setTopicAge(std::string_view Topic,
+                   const follow::topic_follower &Follower);
   void writeGrants();
   void fenceWatermarkWriter();
   void readPreviousWatermark(bool IsFenced);
@@ -105,6 +120,7 @@
   edge::simple_http_server MetricsServer;
   edge::net::signal_set SignalSet;
   edge::net::steady_timer TickTimer;
+  time_ms TickDueAt = -1; // Monotonic, -1 before the first tick.
   std::shared_ptr<const relay::route_table> RouteTable;
   store_writer WatermarkWriter;               // Writes under Settings.Instance.
   store_writer GrantWriter;                   // Writes under Settings.Instance.
--- a/packages/daemon/src/router_reports.cpp
+++ b/packages/daemon/src/router_reports.cpp
@@ -3,6 +3,95 @@
 
 namespace tamarack::daemon {
 
+namespace {
+
+// Slower store calls are logged. Long polls wait at the store for up to 1 s.
+constexpr int LoggedStoreCallMs = 1'500;
+// Slower calls for other instances are logged.
+constexpr int LoggedPeerCallMs = 500;
+// Longer delays of the event loop are logged.
+constexpr int LoggedLoopDelayMs = 500;
+
+std::string_view nameOf(store_topic Topic) {
+  switch (Topic) {
+  case store_topic::Configuration:
+    return "configuration";
+  case store_topic::Endpoints:
+    return "endpoints";
+  case store_topic::Grants:
+    return "grants";
+  case store_topic::Watermarks:
+    return "watermarks";
+  }
+  return "";
+}
+
+std::string topicLabel(store_topic Topic) {
+  return "{topic=\"" + std::string(nameOf(Topic)) + "\"}";
+}
+
+} // namespace
+
+void router::onStoreCall(const platform::store_call_report &Report) {
+  const std::string Label = topicLabel(Report.Topic);
+  const edge::channel_timing &Timing = Report.Timing;
+  Metrics.counterOf("tamarack_store_received_bytes_total" + Label)
+      .add(Report.Bytes);
+  if (Report.HttpStatus == 0)
+    Metrics.counterOf("tamarack_store_calls_unanswered_total" + Label).add();
+  Metrics.histogramOf("tamarack_store_queue_ms").observe(Timing.QueuedMs);
+  Metrics.histogramOf("tamarack_store_call_ms").observe(Timing.ActiveMs);
+  if (Timing.QueuedMs + Timing.ActiveMs < LoggedStoreCallMs &&
+      Timing.Attempts < 2 && Report.HttpStatus != 0)
+    return;
+  Log.write("store_call_slow",
+            {{"topic", nameOf(Report.Topic)},
+             {"call", Report.Call},
+             {"status", std::int64_t(Report.HttpStatus)},
+             {"queued_ms", std::int64_t(Timing.QueuedMs)},
+             {"ms", std::int64_t(Timing.ActiveMs)},
+             {"attempts", std::int64_t(Timing.Attempts)},
+             {"bytes", static_cast<std::int64_t>(Report.Bytes)}});
+}
+
+void router::onPeerCallServed(const peers::served_call &Call) {
+  Metrics.counterOf("tamarack_peer_calls_served_total" + topicLabel(Call.Topic))
+      .add();
+  Metrics.counterOf("tamarack_peer_served_bytes_total" + topicLabel(Call.Topic))
+      .add(Call.ResponseBytes);
+  if (Call.ElapsedMs < LoggedPeerCallMs)
+    return;
+  Log.write("peer_call_slow",
+            {{"topic", nameOf(Call.Topic)},
+             {"ok", std::int64_t(Call.Status == store_status::Ok)},
+             {"ms", Call.ElapsedMs},
+             {"bytes", static_cast<std::int64_t>(Call.ResponseBytes)}});
+}
+
+void router::recordLoopDelay(time_ms Now) {
+  if (TickDueAt < 0)
+    return;
+  const time_ms DelayMs = std::max<time_ms>(0, Now - TickDueAt);
+  Metrics.histogramOf("tamarack_loop_delay_ms")
+      .observe(static_cast<double>(DelayMs));
+  if (DelayMs >= LoggedLoopDelayMs)
+    Log.write("loop_delayed", {{"ms", DelayMs}});
+}
+
+time_ms router::ageOf(const follow::topic_follower &Follower) const {
+  const time_ms LastResponseAt = Follower.lastResponseAt();
+  return LastResponseAt < 0 ? -1 : Clock.monotonic() - LastResponseAt;
+}
+
+void router::setTopicAge(std::string_view Topic,
+                         const follow::topic_follower &Follower) {
+  const time_ms AgeMs = ageOf(Follower);
+  if (AgeMs >= 0)
+    Metrics
+        .gaugeOf("tamarack_topic_age_ms{topic=\"" + std::string(Topic) + "\"}")
+        .set(static_cast<std::uint64_t>(AgeMs));
+}
+
 void router::onCallAccepted(const relay::call &Call) {
   LoadBalancer.onRequest(Call.Service);
 }
@@ -17,26 +106,23 @@
             {{"id", std::string_view(Request.Id)},
              {"error", Row.Name},
              {"why", std::string_view(Request.Detail)},
-             {"version", RouteTable ? RouteTable->Version : std::int64_t(-1)}});
+             {"version", RouteTable ? RouteTable->Version : std::int64_t(-1)},
+             {"version_read_ms_ago", ageOf(ConfigurationFollower)}});
 }
 
 void router::logBudgetRefusal(const relay::call &Call) {
   const grants::account_status Status = Grants.statusOf(Call.Account);
-  const time_ms LastResponseAt = GrantFollower.lastResponseAt();
-  Log.write("budget_refused",
-            {{"id", std::string_view(Call.Id)},
-             {"account", std::string_view(Call.Account)},
-             {"bound", Call.maxTokens()},
-             {"prepaid", Status.Prepaid},
-             {"ceiling", Status.Ceiling},
-             {"used", Status.Used},
-             {"reserved", Status.Reserved},
-             {"others_ceiling", Status.OthersCeiling},
-             {"others_used", Status.OthersUsed},
-             {"free", Status.Free},
-             {"known_ms_ago", LastResponseAt < 0
-                                  ? std::int64_t(-1)
-                                  : Clock.monotonic() - LastResponseAt}});
+  Log.write("budget_refused", {{"id", std::string_view(Call.Id)},
+                               {"account", std::string_view(Call.Account)},
+                               {"bound", Call.maxTokens()},
+                               {"prepaid", Status.Prepaid},
+                               {"ceiling", Status.Ceiling},
+                               {"used", Status.Used},
+                               {"reserved", Status.Reserved},
+                               {"others_ceiling", Status.OthersCeiling},
+                               {"others_used", Status.OthersUsed},
+                               {"free", Status.Free},
+                               {"known_ms_ago", ageOf(GrantFollower)}});
 }
 
 void router::onCallDone(const relay::call &Call,
@@ -77,6 +163,7 @@
                                            : std::int64_t(-1)},
                      {"ms", Now - Call.ArrivedAt},
                      {"left_ms", Call.Deadline - Now},
+                     {"endpoints_read_ms_ago", ageOf(EndpointFollower)},
                      {"used", Report.TokensCharged},
                      {"bound", Call.maxTokens()}});
 }
@@ -94,6 +181,9 @@
       .set(ConnectionPool.idleCount());
   Metrics.counterOf("tamarack_endpoint_connections_total")
       .set(ConnectionPool.openedCount());
+  setTopicAge("configuration", ConfigurationFollower);
+  setTopicAge("endpoints", EndpointFollower);
+  setTopicAge("grants", GrantFollower);
   Metrics.counterOf("tamarack_store_calls_total").set(DirectStore.callCount());
   Metrics.counterOf("tamarack_store_calls_through_peers_total")
       .set(Store.peerCallCount());
--- a/packages/edge/include/tamarack/edge.hpp
+++ b/packages/edge/include/tamarack/edge.hpp
@@ -22,6 +22,7 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
+#include <chrono>
 #include <deque>
 #include <functional>
 #include <list>
@@ -220,7 +221,15 @@
 // Internal HTTP
 //---------------------------------------------------------------------------
 
-using response_handler = std::function<void(std::optional<response_message>)>;
+// How long a request on an http_channel took.
+struct channel_timing {
+  int QueuedMs = 0; // Until the first attempt, behind earlier requests.
+  int ActiveMs = 0; // From the start of the first attempt to the result.
+  int Attempts = 0; // 1, or 2 if the request was sent once more.
+};
+
+using response_handler = std::function<void(std::optional<response_message>,
+                                            const channel_timing &)>;
 
 struct channel_request {
   request_message Message;
@@ -246,6 +255,8 @@
   void close();
 
 private:
+  using steady_time = std::chrono::steady_clock::time_point;
+
   struct queued_request {
     // Shared with a write operation, which may outlast the request.
     std::shared_ptr<const request_message> Message;
@@ -253,6 +264,9 @@
     bool Repeatable = false;
     int RetrySilenceMs = 0;
     response_handler Handler;
+    steady_time QueuedAt;
+    steady_time StartedAt; // Of the first attempt.
+    int Attempts = 0;
   };
   // Each asynchronous operation shares ownership of its connection, so closing
   // or replacing Connection can't free a socket or buffer that is in use.
--- a/packages/edge/src/http_channel.cpp
+++ b/packages/edge/src/http_channel.cpp
@@ -7,6 +7,13 @@
 
 constexpr std::uint64_t MaxBodyBytes = 64u << 20;
 
+int millisecondsBetween(std::chrono::steady_clock::time_point Begin,
+                        std::chrono::steady_clock::time_point End) {
+  return static_cast<int>(
+      std::chrono::duration_cast<std::chrono::milliseconds>(End - Begin)
+          .count());
+}
+
 } // namespace
 
 struct http_channel::connection {
@@ -24,10 +31,15 @@
 void http_channel::request(channel_request Request, response_handler Handler) {
   Request.Message.set(http::field::host, Address);
   Request.Message.prepare_payload();
-  Queue.push_back(
-      {std::make_shared<const request_message>(std::move(Request.Message)),
-       Request.InactivityTimeoutMs, Request.Repeatable, Request.RetrySilenceMs,
-       std::move(Handler)});
+  queued_request Queued;
+  Queued.Message =
+      std::make_shared<const request_message>(std::move(Request.Message));
+  Queued.InactivityTimeoutMs = Request.InactivityTimeoutMs;
+  Queued.Repeatable = Request.Repeatable;
+  Queued.RetrySilenceMs = Request.RetrySilenceMs;
+  Queued.Handler = std::move(Handler);
+  Queued.QueuedAt = std::chrono::steady_clock::now();
+  Queue.push_back(std::move(Queued));
   if (!HasActive)
     startNextRequest();
 }
@@ -36,12 +48,14 @@
   if (Queue.empty())
     return;
   HasActive = true;
+  Queue.front().StartedAt = std::chrono::steady_clock::now();
   startAttempt();
 }
 
 void http_channel::startAttempt() {
   ++AttemptNumber;
-  const queued_request &Active = Queue.front();
+  queued_request &Active = Queue.front();
+  ++Active.Attempts;
   // A reused connection may have died unnoticed, so a repeatable request gets a
   // shorter timeout and is sent once more.
   const bool IsRetryable = Connection && Active.Repeatable;
@@ -145,10 +159,14 @@
       Response && Response->keep_alive() && Connection->Buffer.size() == 0;
   if (!CanReuse)
     close();
-  const response_handler Handler = std::move(Queue.front().Handler);
+  const queued_request Finished = std::move(Queue.front());
   Queue.pop_front();
+  const channel_timing Timing{
+      millisecondsBetween(Finished.QueuedAt, Finished.StartedAt),
+      millisecondsBetween(Finished.StartedAt, std::chrono::steady_clock::now()),
+      Finished.Attempts};
   const std::shared_ptr<http_channel> Self = shared_from_this();
-  Handler(std::move(Response));
+  Finished.Handler(std::move(Response), Timing);
   if (!HasActive)
     startNextRequest();
 }
--- a/packages/peers/include/tamarack/peers.hpp
+++ b/packages/peers/include/tamarack/peers.hpp
@@ -4,7 +4,8 @@
 //   messages      store_request, store_response, encode, decodeRequest,
 //                 decodeResponse
 //   caller side   failover_settings, store_path_listener, failover_store
-//   peer side     peer_store_service, performStoreCall
+//   peer side     served_call, peer_service_listener, peer_store_service,
+//                 performStoreCall
 //
 // An instance that can't reach the store lets a peer make the call. The peer
 // keeps no part of the response and decides nothing, so this adds no state to
@@ -132,19 +133,39 @@
 // Peer side
 //---------------------------------------------------------------------------
 
+// One finished call on behalf of another instance.
+struct served_call {
+  store_call Call = store_call::Snapshot;
+  store_topic Topic = store_topic::Configuration;
+  store_status Status = store_status::Unavailable;
+  time_ms ElapsedMs = 0;         // Since the request was received.
+  std::size_t ResponseBytes = 0; // Sent to the other instance.
+};
+
+// Receives a report of each call that was made for another instance.
+class peer_service_listener {
+public:
+  virtual ~peer_service_listener() = default;
+  virtual void onPeerCallServed(const served_call &Call) = 0;
+};
+
 // Makes store calls on behalf of other instances, if this instance reaches the
 // store directly; refuses them otherwise.
 class peer_store_service {
 public:
   // OwnStore provides the state of the direct path of this instance.
-  peer_store_service(keyed_store &DirectStore, const failover_store &OwnStore)
-      : DirectStore(DirectStore), OwnStore(OwnStore) {}
+  peer_store_service(keyed_store &DirectStore, const failover_store &OwnStore,
+                     const clock &Clock, peer_service_listener &Listener)
+      : DirectStore(DirectStore), OwnStore(OwnStore), Clock(Clock),
+        Listener(Listener) {}
   void serve(const edge::request_message &Request,
              const edge::respond_callback &Respond);
 
 private:
   keyed_store &DirectStore;
   const failover_store &OwnStore;
+  const clock &Clock;
+  peer_service_listener &Listener;
 };
 
 // Makes the call that Request describes. WaitMs is the long-poll time of Read.
--- a/packages/peers/src/failover_store.cpp
+++ b/packages/peers/src/failover_store.cpp
@@ -136,7 +136,8 @@
   Channel->request(
       {std::move(Message), Settings.PeerTimeoutMs, isRead(Request.Call)},
       [this, Request, Addresses, Address, MayBeStored,
-       Handler](const std::optional<edge::response_message> &Response) {
+       Handler](const std::optional<edge::response_message> &Response,
+                const edge::channel_timing &) {
         std::optional<store_response> StoreResponse;
         if (Response && Response->result() == edge::http::status::ok)
           StoreResponse = decodeResponse(Response->body());
@@ -205,10 +206,16 @@
     Message.body() = encode(store_response{store_status::Refused, {}});
     return Respond(std::move(Message));
   }
+  const time_ms ReceivedAt = Clock.monotonic();
   performStoreCall(DirectStore, *Call, 0,
-                   [Respond](const store_response &StoreResponse) {
+                   [this, Respond, ReceivedAt, Kind = Call->Call,
+                    Topic = Call->Topic](const store_response &StoreResponse) {
                      edge::response_message Message(edge::http::status::ok, 11);
                      Message.body() = encode(StoreResponse);
+                     Listener.onPeerCallServed({Kind, Topic,
+                                                StoreResponse.Status,
+                                                Clock.monotonic() - ReceivedAt,
+                                                Message.body().size()});
                      Respond(std::move(Message));
                    });
 }
--- a/tests/unit/edge_test.cpp
+++ b/tests/unit/edge_test.cpp
@@ -165,6 +165,12 @@
   int Changes = 0;
 };
 
+class served_call_counter final : public peers::peer_service_listener {
+public:
+  void onPeerCallServed(const peers::served_call &) override { ++Calls; }
+  int Calls = 0;
+};
+
 // An instance with one peer. Calls to the store get DirectStatus when made
 // directly, PeerStatus when made by the peer.
 struct peer_fixture {
@@ -173,7 +179,7 @@
         PeerStore(Context, PeerDirectStore,
                   [] { return std::vector<std::string>(); }, Clock, Random,
                   Listener, {}),
-        Service(PeerDirectStore, PeerStore),
+        Service(PeerDirectStore, PeerStore, Clock, ServiceListener),
         Server(Context,
                [this](const request_message &Request,
                       const respond_callback &Respond) {
@@ -209,6 +215,7 @@
   adapters::system_clock Clock;
   tests::seeded_random Random{1};
   path_change_counter Listener;
+  served_call_counter ServiceListener;
   std::string Address;
   fixed_status_store DirectStore;
   fixed_status_store PeerDirectStore;
@@ -228,7 +235,8 @@
       std::make_shared<http_channel>(Context, Server.address());
   int Responses = 0;
   const response_handler CountResponse =
-      [&Responses](const std::optional<response_message> &Response) {
+      [&Responses](const std::optional<response_message> &Response,
+                   const channel_timing &) {
         REQUIRE(Response);
         ++Responses;
       };
@@ -257,7 +265,8 @@
       Chunks * PauseMs * 3 / 4; // Less than the response takes.
   std::optional<std::size_t> Size;
   Channel->request(std::move(Request),
-                   [&Size](const std::optional<response_message> &Response) {
+                   [&Size](const std::optional<response_message> &Response,
+                           const channel_timing &) {
                      Size = Response ? Response->body().size() : 0;
                    });
   while (!Size)
@@ -295,7 +304,8 @@
     Request.InactivityTimeoutMs = TimeoutMs;
     bool Ended = false;
     Channel->request(std::move(Request),
-                     [&Ended](const std::optional<response_message> &Response) {
+                     [&Ended](const std::optional<response_message> &Response,
+                              const channel_timing &) {
                        CHECK_FALSE(Response);
                        Ended = true;
                      });
@@ -316,7 +326,8 @@
   Request.InactivityTimeoutMs = 50;
   bool Ended = false;
   Channel->request(std::move(Request),
-                   [&Ended](const std::optional<response_message> &Response) {
+                   [&Ended](const std::optional<response_message> &Response,
+                            const channel_timing &) {
                      CHECK_FALSE(Response);
                      Ended = true;
                    });
@@ -330,6 +341,7 @@
   CHECK(Fixture.read() == store_status::Ok);
   CHECK(Fixture.append() == store_status::Ok);
   CHECK(Fixture.Store.peerCallCount() == 2);
+  CHECK(Fixture.ServiceListener.Calls == 2);
   CHECK_FALSE(Fixture.Store.isDirectPathActive());
   CHECK(Fixture.Listener.Changes == 1);
 }
