--- a/stand_ins/keyed_store.cpp
+++ b/stand_ins/keyed_store.cpp
@@ -5,7 +5,9 @@
 //   GET  /-/log-read     topic, from, waitMs; 410 if the records are trimmed
 //   GET  /-/log-newest   topic; the newest record of each key, in one page
 //   POST /control        mode=ok|down|silent|lost; trim=1 removes the records
-//                        of all topics, but not the newest ones of their keys
+//                        of all topics, but not the newest ones of their keys;
+//                        kb_per_s=N sends responses at this rate on each
+//                        connection, 0 at full speed
 //   GET  /stats          number of calls, next offset of each topic
 //
 // An append with "at" gets 412 unless "at" is the next offset. An append with
@@ -28,7 +30,8 @@
 namespace {
 
 constexpr int HoldMs = 3'000; // Time that a call without a response takes.
-constexpr std::size_t SizeBytes = 4; // Of the size before each record.
+constexpr std::size_t SizeBytes = 4;          // Of the size before each record.
+constexpr std::size_t ChunkBytes = 16 * 1024; // Of a response with a rate.
 
 enum class mode { Ok, Down, Silent, Lost };
 
@@ -95,9 +98,11 @@
     if (Uri.getPath() == "/stats")
       return sendText(Response, 200, statsJson());
     mode Mode = mode::Ok;
+    std::int64_t Rate = 0;
     {
       const std::lock_guard Guard(Lock);
       ++Calls;
+      Rate = KbPerSecond;
       // Operators are served in every mode, which affects instances only.
       if (!Request.has("X-Operator"))
         Mode = ActiveMode;
@@ -109,6 +114,8 @@
     store_response StoreResponse = handleCall(Uri, Body);
     if (Mode == mode::Lost)
       return holdCall(Request);
+    if (Rate > 0 && StoreResponse.Text.size() > ChunkBytes)
+      return sendAtRate(Response, StoreResponse, Rate);
     sendText(Response, StoreResponse.Status, StoreResponse.Text,
              StoreResponse.Type);
   }
@@ -120,6 +127,23 @@
     std::string Type = "application/json";
   };
 
+  static void sendAtRate(Poco::Net::HTTPServerResponse &Response,
+                         const store_response &StoreResponse,
+                         std::int64_t KbPerSecond) {
+    Response.setStatus(
+        static_cast<Poco::Net::HTTPResponse::HTTPStatus>(StoreResponse.Status));
+    Response.setContentType(StoreResponse.Type);
+    Response.setContentLength(
+        static_cast<std::streamsize>(StoreResponse.Text.size()));
+    std::ostream &Out = Response.send();
+    const std::chrono::microseconds Pause(ChunkBytes * 1'000 / KbPerSecond);
+    for (std::size_t At = 0; At < StoreResponse.Text.size(); At += ChunkBytes) {
+      std::this_thread::sleep_for(Pause);
+      Out << std::string_view(StoreResponse.Text).substr(At, ChunkBytes)
+          << std::flush;
+    }
+  }
+
   // Returns without a response, so that the caller runs into its own timeout.
   void holdCall(Poco::Net::HTTPServerRequest &) {
     std::this_thread::sleep_for(std::chrono::milliseconds(HoldMs));
@@ -137,6 +161,7 @@
       ActiveMode = mode::Silent;
     if (NewMode == "lost")
       ActiveMode = mode::Lost;
+    KbPerSecond = queryNumber(Uri, "kb_per_s", KbPerSecond);
     if (queryNumber(Uri, "trim", 0) == 1)
       for (auto &[Name, Topic] : Topics) {
         Topic.FirstOffset = Topic.nextOffset();
@@ -265,7 +290,8 @@
   std::condition_variable Appended;
   std::map<std::string, topic> Topics; // By name.
   mode ActiveMode = mode::Ok;
-  std::uint64_t Calls = 0; // All but /control and /stats.
+  std::int64_t KbPerSecond = 0; // Rate of responses, 0: full speed.
+  std::uint64_t Calls = 0;      // All but /control and /stats.
 };
 
 int run(int ArgumentCount, char **Arguments) {
--- a/tests/process/platform_fleet.py
+++ b/tests/process/platform_fleet.py
@@ -19,6 +19,11 @@
     return struct.pack(">I", len(content)) + content
 
 
+def idle_path(number):
+    """Returns the path of one of the further routes that publish adds."""
+    return f"/idle-{number:x}/{number % 7}/"
+
+
 class PlatformFleet(contextlib.AbstractContextManager):
     """Routers, a store, and runners: the endpoints of two services.
 
@@ -26,17 +31,19 @@
     with streams, and of the plain service "desk".
     prepaid: prepaid tokens of the only account, "ring".
     grace_s: the setting grace-s of the routers.
+    cut_off: the last so many routers never reach the store themselves.
     """
 
     def __init__(self, routers=2, engines=2, desks=2, prepaid=1_000_000,
-                 grace_s=8):
+                 grace_s=8, cut_off=0):
         self.folder = pathlib.Path(tempfile.mkdtemp())
         self.processes = {}
         self.prepaid = prepaid
         self.version = 0
         self.grace_s = grace_s
-        ports = free_ports(1 + engines + desks + 4 * routers)
+        ports = free_ports(2 + engines + desks + 4 * routers)
         self.store_port = ports.pop()
+        self.closed_port = ports.pop()  # Nobody listens on it.
         self.store = f"http://127.0.0.1:{self.store_port}"
         self.runners = {}
         for service, count in (("engine", engines), ("desk", desks)):
@@ -44,6 +51,7 @@
                 self.runners[f"{service}-{number}"] = (service, ports.pop())
         self.routers = {f"router-{n}": [ports.pop() for _ in range(4)]
                         for n in range(routers)}
+        self.cut_off = set(list(self.routers)[routers - cut_off:])
 
     def __enter__(self):
         self.start("store", ["stand_ins/standin-keyed-store", "--port",
@@ -78,6 +86,8 @@
         front, ready, peer, metrics = self.routers[name]
         peers = ",".join(f"127.0.0.1:{ports[2]}"
                          for ports in self.routers.values())
+        store_port = (self.closed_port if name in self.cut_off
+                      else self.store_port)
         settings = self.folder / f"{name}.settings"
         settings.write_text(
             f"instance = {name}\nzone = zone-a\n"
@@ -85,7 +95,7 @@
             f"ready-address = 127.0.0.1:{ready}\n"
             f"peer-address = 127.0.0.1:{peer}\npeers = {peers}\n"
             f"metrics-address = 127.0.0.1:{metrics}\n"
-            f"store-address = 127.0.0.1:{self.store_port}\n"
+            f"store-address = 127.0.0.1:{store_port}\n"
             f"repeat-ratio = 0.2\nrepeat-slack = 50\nrepeat-window-s = 10\n"
             f"grace-s = {self.grace_s}\n")
         self.start(name, ["tamarackd", "router", "--settings-file",
@@ -146,11 +156,11 @@
         return [json.loads(line) for line in text.splitlines()
                 if line.startswith("{")]
 
-    def publish(self, keys=("key-ring",), **changes):
+    def publish(self, keys=("key-ring",), idle_routes=0, **changes):
         """Writes the next configuration to the store, as operators do.
 
-        keys: API keys of the account. changes: values that replace whole
-        sections.
+        keys: API keys of the account. idle_routes: number of further routes,
+        all of one host. changes: values that replace whole sections.
         """
         self.version += 3
 
@@ -168,7 +178,9 @@
                 route("once", STREAM_HOST, "/stream/once/", "streaming",
                       "engine", maxAttempts=1),
                 route("sale", DESK_HOST, "/sale/", "non_idempotent", "desk"),
-                route("lookup", DESK_HOST, "/lookup/", "idempotent", "desk")],
+                route("lookup", DESK_HOST, "/lookup/", "idempotent", "desk")]
+            + [route(f"idle-{n}", DESK_HOST, idle_path(n), "idempotent",
+                     "desk") for n in range(idle_routes)],
             "services": [
                 {"name": "engine", "healthPath": "/healthz",
                  "maxConnections": 100,
--- a/tests/process/platform_scenarios.py
+++ b/tests/process/platform_scenarios.py
@@ -5,9 +5,15 @@
 import concurrent.futures
 import http.client
 import signal
+import threading
+import time
 
 from harness import wait_until
-from platform_fleet import STREAM_HOST, PlatformFleet
+from platform_fleet import STREAM_HOST, PlatformFleet, idle_path
+
+CONFIGURATION_BOUND_S = 3  # From the acknowledgement until it is in force.
+DRAIN_BOUND_S = 3  # From the acknowledged mark until the last request.
+READINESS_PERIOD_S = 1  # Two checks in a row that fail take a router out.
 
 
 def events(count):
@@ -325,6 +331,83 @@
         assert call["status"] == 502 and call["attempts"] == 1, call
 
 
+class SlowestResponse(threading.Thread):
+    """Repeats a call until it is stopped and keeps the longest time it took."""
+
+    def __init__(self, call):
+        super().__init__()
+        self.call = call
+        self.slowest_s = 0
+        self.statuses = set()
+        self.stopped = threading.Event()
+
+    def run(self):
+        while not self.stopped.wait(0.02):
+            started = time.monotonic()
+            self.statuses.add(status_of(self.call))
+            self.slowest_s = max(self.slowest_s, time.monotonic() - started)
+
+    def stop(self):
+        self.stopped.set()
+        self.join()
+
+
+def a_large_configuration_holds_up_nothing_else():
+    """Versions with many routes are in force in time, and calls go on.
+
+    Guards against work that grows faster than the configuration and keeps the
+    event loop from all else: late versions, a leaving endpoint that still gets
+    requests, failing readiness checks. The size makes up for a fast processor.
+    """
+    with PlatformFleet(routers=1) as fleet:
+        numbers = iter(range(1_000_000))
+        lookups = SlowestResponse(lambda: fleet.call(
+            "router-0", "/lookup/x", f"p{next(numbers)}", method="GET",
+            body=None))
+        lookups.start()
+        try:
+            for routes in (10_000, 12_000):
+                fleet.publish(idle_routes=routes)
+                published = time.monotonic()
+                fleet.control(fleet.runner_url("desk-0"), leave=1)
+                left = time.monotonic()
+                wait_until(lambda: fleet.call(
+                    "router-0", idle_path(routes - 1), f"r{routes}",
+                    method="GET", body=None).status == 200, "the new route")
+                took = time.monotonic() - published
+                assert took <= CONFIGURATION_BOUND_S, took
+            time.sleep(max(0, left + DRAIN_BOUND_S - time.monotonic()))
+            before = fleet.received_requests("desk-0")
+            time.sleep(1)
+            assert fleet.received_requests("desk-0") == before
+        finally:
+            lookups.stop()
+        assert lookups.statuses == {200}, lookups.statuses
+        assert lookups.slowest_s < READINESS_PERIOD_S, lookups.slowest_s
+
+
+def calls_for_others_hold_up_no_own_read():
+    """A router that reads for cut-off routers gets each version in time.
+
+    The store sends so slowly that the cut-off routers give a large read up
+    before it is complete, and ask again. Guards against own reads that wait
+    behind reads for others, and against reads that are made although nobody
+    waits for them any more.
+    """
+    with PlatformFleet(routers=7, cut_off=6) as fleet:
+        fleet.control(fleet.store, kb_per_s=1_000)
+        for _ in range(4):
+            fleet.publish(idle_routes=2_500)
+            published = time.monotonic()
+            wait_until(lambda: fleet.metrics("router-0")[
+                "tamarack_configuration_version"] == fleet.version,
+                "the version")
+            took = time.monotonic() - published
+            assert took <= CONFIGURATION_BOUND_S, took
+            time.sleep(max(0, published + CONFIGURATION_BOUND_S
+                           - time.monotonic()))
+
+
 SCENARIOS = [
     every_kind_is_served_whole,
     a_budget_is_spent_to_its_end_and_no_further,
@@ -339,4 +422,6 @@
     a_store_that_is_away_stops_nothing_that_has_money,
     bad_input_gets_a_clear_error_and_reaches_nobody,
     a_failed_request_is_explained_by_its_id,
+    a_large_configuration_holds_up_nothing_else,
+    calls_for_others_hold_up_no_own_read,
 ]
