Build the route table in time that grows with its size

Callers got 404 for a route that had been acknowledged over 3 s before, requests were held past their time-out, and a leaving endpoint got requests after its 3 s.

Cause: route_table::add sorted all routes of the host after each one. 1,900 routes of one host took 288 ms of a full core, so 2 s and more on 0.12 cores, for each version, on the only thread. Until it ended nothing was read or sent: not the next version, not the list of endpoints, not the readiness check.

Change: routes are kept by length and text of their prefix. Adding one and finding one no longer goes through all others.

A property test compares the look-up with the rule of the longest prefix.

--- a/bench/engine.cpp
+++ b/bench/engine.cpp
@@ -1,7 +1,8 @@
-// Micro-benchmarks of the request engine (relay::exchange), the load balancer
-// and the planning of grants.
+// Micro-benchmarks of the request engine (relay::exchange), the load balancer,
+// the planning of grants, and the decoding and use of a configuration.
 #include "tamarack/dispatch.hpp"
 #include "tamarack/grants.hpp"
+#include "tamarack/platform.hpp"
 #include "tamarack/relay.hpp"
 
 #include <benchmark/benchmark.h>
@@ -181,6 +182,47 @@
     ->Args({370, 310})
     ->Unit(benchmark::kMicrosecond);
 
+std::string pathPrefixOf(int Route) {
+  return "/r" + std::to_string(Route) + "/" + std::to_string(Route % 7) + "/";
+}
+
+// A configuration document with Routes routes of one host.
+std::string makeConfiguration(int Routes) {
+  std::string Text = R"({"version":1,"services":[],"routes":[)";
+  for (int I = 0; I < Routes; ++I) {
+    Text += I == 0 ? "" : ",";
+    Text += R"({"name":"route-)" + std::to_string(I) +
+            R"(","host":"h.example","pathPrefix":")" + pathPrefixOf(I) +
+            R"(","kind":"idempotent","timeoutMs":1500,"targetLatencyMs":300,)"
+            R"("priority":2,"service":"desk","maxAttempts":2,"public":false})";
+  }
+  return Text + "]}";
+}
+
+// Time to decode a configuration. Argument: number of routes of one host.
+void decodeConfiguration(benchmark::State &State) {
+  const std::string Text = makeConfiguration(static_cast<int>(State.range(0)));
+  for (auto _ : State)
+    benchmark::DoNotOptimize(platform::decodeConfiguration(Text));
+  State.counters["bytes"] = static_cast<double>(Text.size());
+}
+BENCHMARK(decodeConfiguration)
+    ->Arg(240)
+    ->Arg(1'900)
+    ->Arg(12'000)
+    ->Unit(benchmark::kMillisecond);
+
+// Time to find the route of a request. Argument: number of routes of one host.
+void findRoute(benchmark::State &State) {
+  const int Routes = static_cast<int>(State.range(0));
+  const std::shared_ptr<const relay::route_table> Table =
+      platform::decodeConfiguration(makeConfiguration(Routes));
+  const std::string Path = pathPrefixOf(Routes / 2) + "x";
+  for (auto _ : State)
+    benchmark::DoNotOptimize(Table->findRoute("h.example", Path));
+}
+BENCHMARK(findRoute)->Arg(240)->Arg(1'900)->Arg(12'000);
+
 } // namespace
 
 BENCHMARK_MAIN();
--- a/packages/relay/include/tamarack/relay.hpp
+++ b/packages/relay/include/tamarack/relay.hpp
@@ -23,6 +23,7 @@
 #include "tamarack/ports.hpp"
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -102,6 +103,7 @@
   caller_limits Limits;
   bool NeedsKeys = false; // At least one client account is configured.
 
+  // Ignores a route whose host and path prefix another route has already.
   void add(route Route);
   void add(service Service);
   void add(account Account, std::span<const std::string> Keys);
@@ -119,8 +121,14 @@
   }
 
 private:
-  // By host, the routes with the longest path prefix first.
-  std::map<std::string, std::vector<route>, std::less<>> RoutesByHost;
+  // The routes of one host by the length of their path prefix, longest first,
+  // and by path prefix. Adding a route and finding one take time that hardly
+  // grows with the number of routes.
+  using host_routes =
+      std::map<std::size_t, std::map<std::string, route, std::less<>>,
+               std::greater<>>;
+
+  std::map<std::string, host_routes, std::less<>> RoutesByHost;
   std::map<std::string, service, std::less<>> Services;
   std::map<std::string, account, std::less<>> Accounts;
   std::map<std::string, std::string, std::less<>> AccountNameByKey;
--- a/packages/relay/src/route_table.cpp
+++ b/packages/relay/src/route_table.cpp
@@ -1,9 +1,6 @@
 // Lookups in one accepted configuration.
 #include "tamarack/relay.hpp"
 
-#include <algorithm>
-#include <cassert>
-
 namespace tamarack::relay {
 
 std::string_view toString(call_kind Kind) {
@@ -49,12 +46,11 @@
 }
 
 void route_table::add(route Route) {
-  std::vector<route> &HostRoutes = RoutesByHost[Route.Host];
-  HostRoutes.push_back(std::move(Route));
-  std::sort(HostRoutes.begin(), HostRoutes.end(),
-            [](const route &A, const route &B) {
-              return A.PathPrefix.size() > B.PathPrefix.size();
-            });
+  std::string Prefix = Route.PathPrefix;
+  host_routes &HostRoutes = RoutesByHost[Route.Host];
+  std::map<std::string, route, std::less<>> &SameLength =
+      HostRoutes[Prefix.size()];
+  SameLength.emplace(std::move(Prefix), std::move(Route));
 }
 
 void route_table::add(service Service) {
@@ -75,9 +71,14 @@
   const auto Found = RoutesByHost.find(Host);
   if (Found == RoutesByHost.end())
     return nullptr;
-  for (const route &Route : Found->second)
-    if (Path.starts_with(Route.PathPrefix))
-      return &Route;
+  const host_routes &HostRoutes = Found->second;
+  // Starts at the first length that is not greater than that of Path.
+  for (auto Length = HostRoutes.lower_bound(Path.size());
+       Length != HostRoutes.end(); ++Length) {
+    const auto Route = Length->second.find(Path.substr(0, Length->first));
+    if (Route != Length->second.end())
+      return &Route->second;
+  }
   return nullptr;
 }
 
--- a/tests/unit/relay_test.cpp
+++ b/tests/unit/relay_test.cpp
@@ -513,3 +513,32 @@
     }
   }));
 }
+
+// Guards against a look-up by length that differs from the rule: the route of
+// the host with the longest prefix that the path begins with.
+TEST_CASE("the route with the longest matching prefix is found",
+          "[relay][property]") {
+  CHECK(rc::check("longest prefix", [] {
+    const rc::Gen<std::string> Text =
+        rc::gen::container<std::string>(rc::gen::element('/', 'a', 'b'));
+    const std::vector<std::string> Prefixes =
+        *rc::gen::container<std::vector<std::string>>(Text);
+    const std::string Path = *Text;
+    route_table Table;
+    std::optional<std::string> Longest;
+    for (const std::string &Prefix : Prefixes) {
+      route Route;
+      Route.Host = "h";
+      Route.PathPrefix = Prefix;
+      Table.add(Route);
+      if (Path.starts_with(Prefix) &&
+          (!Longest || Prefix.size() > Longest->size()))
+        Longest = Prefix;
+    }
+    const route *Found = Table.findRoute("h", Path);
+    RC_ASSERT((Found != nullptr) == Longest.has_value());
+    if (Found != nullptr)
+      RC_ASSERT(Found->PathPrefix == *Longest);
+    RC_ASSERT(Table.findRoute("other", Path) == nullptr);
+  }));
+}
