Make calls for peers on connections of their own, and one read for many

Cause: an instance that reaches the store makes calls for those that don't, on the same connection for each topic as its own calls. An asker gives up after 500 ms of silence and asks again, but what it had asked for was still read, whole and in turn: 0.5 MB each over 10 Mbit/s. The instance's own next read waited behind all of them.

Change: - calls for peers have their own connections; - one that has waited 400 ms is not made any more: refused, as nothing was sent; - askers of the same records of the configuration and the endpoints share one read, or its result for 0.5 s, so that a large record arrives at the second try. Grants and watermarks are not shared: there a read has to begin after the asker's own last write.

Ruled out: reads that are begun again over a slow link (few were sent twice).

--- a/packages/daemon/src/router.cpp
+++ b/packages/daemon/src/router.cpp
@@ -19,6 +19,8 @@
 // The forced stop comes this long before the end of the grace period.
 constexpr int ForcedStopMarginMs = 500;
 constexpr int ConfigurationLongPollMs = 1'000; // Longest wait for a version.
+// Of calls for peers. A peer that has waited longer asks another instance.
+constexpr int MaxQueuedPeerCallMs = 400;
 
 // Pause between reads, long poll, pause after a failed read (all ms), and
 // whether only the newest version of a key matters.
@@ -136,10 +138,17 @@
 router::router(const router_settings &Settings)
     : Settings(Settings),
       Log(Settings.Instance, Clock, Settings.MaxLogLinesPerSecond),
-      DirectStore(Context, {Settings.StoreAddress}, *this),
+      DirectStore(Context,
+                  {.Address = Settings.StoreAddress, .CallsFor = "own"}, *this),
       Store(Context, DirectStore, [this] { return peerAddresses(); }, Clock,
             Random, *this, {}),
-      PeerService(DirectStore, Store, Clock, *this),
+      PeerCallStore(Context,
+                    {.Address = Settings.StoreAddress,
+                     .CallsFor = "peers",
+                     .MaxQueuedMs = MaxQueuedPeerCallMs},
+                    *this),
+      SharedReads(PeerCallStore, Clock),
+      PeerService(SharedReads, Store, Clock, *this),
       LoadBalancer(Settings.Zone, Settings.RetryLimits, Random),
       Placement(LoadBalancer, Log, Metrics), Codec(LoadBalancer, Random),
       Grants(Settings.Instance, Random.next() | 1, Settings.PeerAddress,
--- a/packages/daemon/src/router.hpp
+++ b/packages/daemon/src/router.hpp
@@ -101,7 +101,10 @@
   report::metrics_registry Metrics;
   platform::platform_store DirectStore;
   peers::failover_store Store; // DirectStore, or a peer if unavailable.
-  peers::peer_store_service PeerService; // Store calls made on behalf of peers.
+  // Store calls made on behalf of peers, on connections of their own.
+  platform::platform_store PeerCallStore;
+  peers::shared_read_store SharedReads;
+  peers::peer_store_service PeerService;
   dispatch::load_balancer LoadBalancer;
   logged_placement Placement;
   platform::platform_codec Codec;
--- a/packages/daemon/src/router_reports.cpp
+++ b/packages/daemon/src/router_reports.cpp
@@ -45,7 +45,8 @@
       Timing.Attempts < 2 && Report.HttpStatus != 0)
     return;
   Log.write("store_call_slow",
-            {{"topic", nameOf(Report.Topic)},
+            {{"calls_for", Report.CallsFor},
+             {"topic", nameOf(Report.Topic)},
              {"call", Report.Call},
              {"status", std::int64_t(Report.HttpStatus)},
              {"queued_ms", std::int64_t(Timing.QueuedMs)},
@@ -184,7 +185,8 @@
   setTopicAge("configuration", ConfigurationFollower);
   setTopicAge("endpoints", EndpointFollower);
   setTopicAge("grants", GrantFollower);
-  Metrics.counterOf("tamarack_store_calls_total").set(DirectStore.callCount());
+  Metrics.counterOf("tamarack_store_calls_total")
+      .set(DirectStore.callCount() + PeerCallStore.callCount());
   Metrics.counterOf("tamarack_store_calls_through_peers_total")
       .set(Store.peerCallCount());
   edge::response_message Response(edge::http::status::ok, 11);
--- a/packages/edge/include/tamarack/edge.hpp
+++ b/packages/edge/include/tamarack/edge.hpp
@@ -225,7 +225,7 @@
 struct channel_timing {
   int QueuedMs = 0; // Until the first attempt, behind earlier requests.
   int ActiveMs = 0; // From the start of the first attempt to the result.
-  int Attempts = 0; // 1, or 2 if the request was sent once more.
+  int Attempts = 0; // 2 if the request was sent once more, 0 if it never was.
 };
 
 using response_handler = std::function<void(std::optional<response_message>,
@@ -241,6 +241,8 @@
   // within InactivityTimeoutMs on a new one.
   bool Repeatable = false;
   int RetrySilenceMs = 400;
+  // A request that has waited longer behind others is not sent. 0: no limit.
+  int MaxQueuedMs = 0;
 };
 
 // Sends requests to one server, one at a time over one persistent connection.
@@ -263,6 +265,7 @@
     int InactivityTimeoutMs = 0;
     bool Repeatable = false;
     int RetrySilenceMs = 0;
+    int MaxQueuedMs = 0;
     response_handler Handler;
     steady_time QueuedAt;
     steady_time StartedAt; // Of the first attempt.
@@ -279,6 +282,9 @@
   void send();
   void readSome();
   void finishRequest(std::optional<response_message> Response);
+  // Removes the first request from the queue and passes on its result.
+  void completeFront(std::optional<response_message> Response);
+  static bool isOverdue(const queued_request &Request);
   void onTimeout();
 
   net::io_context &Context;
--- a/packages/edge/src/http_channel.cpp
+++ b/packages/edge/src/http_channel.cpp
@@ -37,6 +37,7 @@
   Queued.InactivityTimeoutMs = Request.InactivityTimeoutMs;
   Queued.Repeatable = Request.Repeatable;
   Queued.RetrySilenceMs = Request.RetrySilenceMs;
+  Queued.MaxQueuedMs = Request.MaxQueuedMs;
   Queued.Handler = std::move(Handler);
   Queued.QueuedAt = std::chrono::steady_clock::now();
   Queue.push_back(std::move(Queued));
@@ -44,8 +45,18 @@
     startNextRequest();
 }
 
+bool http_channel::isOverdue(const queued_request &Request) {
+  return Request.MaxQueuedMs > 0 &&
+         millisecondsBetween(Request.QueuedAt,
+                             std::chrono::steady_clock::now()) >
+             Request.MaxQueuedMs;
+}
+
 void http_channel::startNextRequest() {
-  if (Queue.empty())
+  // The handler of an overdue request may queue and start another request.
+  while (!HasActive && !Queue.empty() && isOverdue(Queue.front()))
+    completeFront(std::nullopt);
+  if (HasActive || Queue.empty())
     return;
   HasActive = true;
   Queue.front().StartedAt = std::chrono::steady_clock::now();
@@ -159,16 +170,22 @@
       Response && Response->keep_alive() && Connection->Buffer.size() == 0;
   if (!CanReuse)
     close();
-  const queued_request Finished = std::move(Queue.front());
-  Queue.pop_front();
-  const channel_timing Timing{
-      millisecondsBetween(Finished.QueuedAt, Finished.StartedAt),
-      millisecondsBetween(Finished.StartedAt, std::chrono::steady_clock::now()),
-      Finished.Attempts};
   const std::shared_ptr<http_channel> Self = shared_from_this();
-  Finished.Handler(std::move(Response), Timing);
+  completeFront(std::move(Response));
   if (!HasActive)
     startNextRequest();
 }
 
+void http_channel::completeFront(std::optional<response_message> Response) {
+  const queued_request Finished = std::move(Queue.front());
+  Queue.pop_front();
+  const steady_time Now = std::chrono::steady_clock::now();
+  const steady_time StartedAt =
+      Finished.Attempts > 0 ? Finished.StartedAt : Now;
+  const channel_timing Timing{millisecondsBetween(Finished.QueuedAt, StartedAt),
+                              millisecondsBetween(StartedAt, Now),
+                              Finished.Attempts};
+  Finished.Handler(std::move(Response), Timing);
+}
+
 } // namespace tamarack::edge
--- a/packages/peers/include/tamarack/peers.hpp
+++ b/packages/peers/include/tamarack/peers.hpp
@@ -4,8 +4,8 @@
 //   messages      store_request, store_response, encode, decodeRequest,
 //                 decodeResponse
 //   caller side   failover_settings, store_path_listener, failover_store
-//   peer side     served_call, peer_service_listener, peer_store_service,
-//                 performStoreCall
+//   peer side     shared_read_store, served_call, peer_service_listener,
+//                 peer_store_service, performStoreCall
 //
 // An instance that can't reach the store lets a peer make the call. The peer
 // keeps no part of the response and decides nothing, so this adds no state to
@@ -133,6 +133,58 @@
 // Peer side
 //---------------------------------------------------------------------------
 
+// Passes calls on to another store, but makes one read for all instances that
+// ask for the same records of a topic at about the same time.
+//
+// When a large record is slow to arrive, its askers give up and ask again. Each
+// of these reads would take as long as the first one and delay the others. The
+// second request of an asker joins the first read, or gets its result.
+//
+// A shared page is as of the beginning of the first read, so it may be older
+// than the request by the duration of a read and ReuseMs. Only the topics that
+// instances do not write are shared: grants and watermarks need a read that
+// begins after the instance's own last write.
+class shared_read_store final : public keyed_store {
+public:
+  static constexpr int ReuseMs = 500; // After the end of a read.
+
+  shared_read_store(keyed_store &Store, const clock &Clock)
+      : Store(Store), Clock(Clock) {}
+
+  void readSnapshot(store_topic Topic, page_handler Handler) override;
+  // A read with WaitMs above 0 is not shared.
+  void read(store_topic Topic, std::uint64_t From, int WaitMs,
+            page_handler Handler) override;
+  void appendAs(store_topic Topic, const store_writer &Writer,
+                std::string_view Key, std::string_view Value,
+                append_handler Handler) override;
+  void fence(store_topic Topic, const store_writer &Writer,
+             append_handler Handler) override;
+
+private:
+  struct read_key {
+    store_topic Topic = store_topic::Configuration;
+    std::optional<std::uint64_t> From; // Empty for a snapshot.
+    auto operator<=>(const read_key &) const = default;
+  };
+
+  struct shared_read {
+    std::vector<page_handler> Waiting; // Empty once the read has ended.
+    keyed_page Page;                   // Of the ended read.
+    time_ms EndedAt = 0;               // Monotonic.
+  };
+
+  // True if the caller has to start the read, false if Handler was called or
+  // waits for a read in progress.
+  bool joinRead(const read_key &Key, page_handler &Handler);
+  page_handler endOf(const read_key &Key);
+  void removeExpired();
+
+  keyed_store &Store;
+  const clock &Clock;
+  std::map<read_key, shared_read> Reads;
+};
+
 // One finished call on behalf of another instance.
 struct served_call {
   store_call Call = store_call::Snapshot;
@@ -153,7 +205,8 @@
 // store directly; refuses them otherwise.
 class peer_store_service {
 public:
-  // OwnStore provides the state of the direct path of this instance.
+  // OwnStore provides the state of the direct path of this instance. Calls
+  // through DirectStore must not delay this instance's own calls.
   peer_store_service(keyed_store &DirectStore, const failover_store &OwnStore,
                      const clock &Clock, peer_service_listener &Listener)
       : DirectStore(DirectStore), OwnStore(OwnStore), Clock(Clock),
--- /dev/null
+++ b/packages/peers/src/shared_read_store.cpp
@@ -0,0 +1,81 @@
+// One read of a topic for several instances.
+#include "tamarack/peers.hpp"
+
+#include <utility>
+
+namespace tamarack::peers {
+
+namespace {
+
+bool isShared(store_topic Topic) {
+  return Topic == store_topic::Configuration || Topic == store_topic::Endpoints;
+}
+
+} // namespace
+
+void shared_read_store::removeExpired() {
+  const time_ms Now = Clock.monotonic();
+  std::erase_if(Reads, [Now](const auto &Item) {
+    const shared_read &Read = Item.second;
+    return Read.Waiting.empty() && Now - Read.EndedAt > ReuseMs;
+  });
+}
+
+bool shared_read_store::joinRead(const read_key &Key, page_handler &Handler) {
+  removeExpired();
+  const auto [Found, IsNew] = Reads.try_emplace(Key);
+  shared_read &Read = Found->second;
+  if (!IsNew && Read.Waiting.empty()) {
+    const keyed_page Page = Read.Page;
+    Handler(Page);
+    return false;
+  }
+  Read.Waiting.push_back(std::move(Handler));
+  return IsNew;
+}
+
+page_handler shared_read_store::endOf(const read_key &Key) {
+  return [this, Key](keyed_page Page) {
+    shared_read &Read = Reads[Key];
+    const std::vector<page_handler> Waiting =
+        std::exchange(Read.Waiting, std::vector<page_handler>());
+    if (Page.Status == store_status::Ok) {
+      Read.Page = Page;
+      Read.EndedAt = Clock.monotonic();
+    } else {
+      Reads.erase(Key);
+    }
+    for (const page_handler &Handler : Waiting)
+      Handler(Page);
+  };
+}
+
+void shared_read_store::readSnapshot(store_topic Topic, page_handler Handler) {
+  if (!isShared(Topic))
+    return Store.readSnapshot(Topic, std::move(Handler));
+  const read_key Key{Topic, std::nullopt};
+  if (joinRead(Key, Handler))
+    Store.readSnapshot(Topic, endOf(Key));
+}
+
+void shared_read_store::read(store_topic Topic, std::uint64_t From, int WaitMs,
+                             page_handler Handler) {
+  if (!isShared(Topic) || WaitMs > 0)
+    return Store.read(Topic, From, WaitMs, std::move(Handler));
+  const read_key Key{Topic, From};
+  if (joinRead(Key, Handler))
+    Store.read(Topic, From, WaitMs, endOf(Key));
+}
+
+void shared_read_store::appendAs(store_topic Topic, const store_writer &Writer,
+                                 std::string_view Key, std::string_view Value,
+                                 append_handler Handler) {
+  Store.appendAs(Topic, Writer, Key, Value, std::move(Handler));
+}
+
+void shared_read_store::fence(store_topic Topic, const store_writer &Writer,
+                              append_handler Handler) {
+  Store.fence(Topic, Writer, std::move(Handler));
+}
+
+} // namespace tamarack::peers
--- a/tests/process/platform_scenarios.py
+++ b/tests/process/platform_scenarios.py
@@ -12,6 +12,7 @@
 from platform_fleet import STREAM_HOST, PlatformFleet, idle_path
 
 CONFIGURATION_BOUND_S = 3  # From the acknowledgement until it is in force.
+CUT_OFF_BOUND_S = 5  # The same at a router that reaches only other routers.
 DRAIN_BOUND_S = 3  # From the acknowledged mark until the last request.
 READINESS_PERIOD_S = 1  # Two checks in a row that fail take a router out.
 
@@ -406,6 +407,11 @@
             assert took <= CONFIGURATION_BOUND_S, took
             time.sleep(max(0, published + CONFIGURATION_BOUND_S
                            - time.monotonic()))
+        wait_until(lambda: all(
+            fleet.metrics(name)["tamarack_configuration_version"] ==
+            fleet.version for name in fleet.cut_off), "the last version")
+        took = time.monotonic() - published
+        assert took <= CUT_OFF_BOUND_S, took
 
 
 SCENARIOS = [
--- a/tests/unit/edge_test.cpp
+++ b/tests/unit/edge_test.cpp
@@ -159,6 +159,36 @@
   }
 };
 
+// Keeps the handlers of reads until complete() is called.
+class pending_store final : public keyed_store {
+public:
+  void readSnapshot(store_topic, page_handler Handler) override {
+    Handlers.push_back(std::move(Handler));
+  }
+  void read(store_topic, std::uint64_t, int, page_handler Handler) override {
+    Handlers.push_back(std::move(Handler));
+  }
+  void appendAs(store_topic, const store_writer &, std::string_view,
+                std::string_view, append_handler Handler) override {
+    Handler(store_status::Ok);
+  }
+  void fence(store_topic, const store_writer &,
+             append_handler Handler) override {
+    Handler(store_status::Ok);
+  }
+  // Ends the oldest read.
+  void complete(store_status Status) {
+    const page_handler Handler = std::move(Handlers.front());
+    Handlers.pop_front();
+    keyed_page Page;
+    Page.Status = Status;
+    Page.NextOffset = 9;
+    Handler(std::move(Page));
+  }
+
+  std::deque<page_handler> Handlers;
+};
+
 class path_change_counter final : public peers::store_path_listener {
 public:
   void onPathChanged(bool) override { ++Changes; }
@@ -336,6 +366,79 @@
   CHECK(Server.Connections == 1);
 }
 
+// Guards against calls for others that are made although their askers have
+// given up, so that all later calls are late too.
+TEST_CASE("a request that waited too long behind others is not sent",
+          "[edge]") {
+  net::io_context Context;
+  one_response_server Server(Context, 1); // The first connection is silent.
+  const std::shared_ptr<http_channel> Channel =
+      std::make_shared<http_channel>(Context, Server.address());
+  std::vector<int> Attempts;
+  const response_handler Record =
+      [&Attempts](const std::optional<response_message> &,
+                  const channel_timing &Timing) {
+        Attempts.push_back(Timing.Attempts);
+      };
+  channel_request Silent = makeRequest(false);
+  Silent.InactivityTimeoutMs = 100;
+  Channel->request(std::move(Silent), Record);
+  channel_request Overdue = makeRequest(false);
+  Overdue.MaxQueuedMs = 20;
+  Channel->request(std::move(Overdue), Record);
+  Channel->request(makeRequest(false), Record);
+  while (Attempts.size() < 3)
+    Context.run_one();
+  CHECK(Attempts == std::vector<int>{1, 0, 1});
+  CHECK(Server.Connections == 2);
+}
+
+TEST_CASE("instances that ask for the same records share one read", "[peers]") {
+  pending_store Store;
+  tests::manual_clock Clock;
+  peers::shared_read_store Shared(Store, Clock);
+  int Pages = 0;
+  const page_handler CountPage = [&Pages](const keyed_page &Page) {
+    CHECK(Page.NextOffset == 9);
+    ++Pages;
+  };
+  Shared.readSnapshot(store_topic::Configuration, CountPage);
+  Shared.readSnapshot(store_topic::Configuration, CountPage);
+  Shared.read(store_topic::Configuration, 7, 0, CountPage);
+  CHECK(Store.Handlers.size() == 2);
+  Store.complete(store_status::Ok);
+  CHECK(Pages == 2);
+  // Once the read has ended, its result is used for a short time only.
+  Shared.readSnapshot(store_topic::Configuration, CountPage);
+  CHECK(Pages == 3);
+  Clock.Time += peers::shared_read_store::ReuseMs + 1;
+  Shared.readSnapshot(store_topic::Configuration, CountPage);
+  CHECK(Pages == 3);
+  CHECK(Store.Handlers.size() == 2);
+}
+
+TEST_CASE("a failed read is not reused, and money is never shared", "[peers]") {
+  pending_store Store;
+  tests::manual_clock Clock;
+  peers::shared_read_store Shared(Store, Clock);
+  int Pages = 0;
+  const page_handler CountPage = [&Pages](const keyed_page &) { ++Pages; };
+  Shared.read(store_topic::Endpoints, 7, 0, CountPage);
+  Store.complete(store_status::Unavailable);
+  CHECK(Pages == 1);
+  Shared.read(store_topic::Endpoints, 7, 0, CountPage);
+  CHECK(Store.Handlers.size() == 1);
+  for (const store_topic Topic :
+       {store_topic::Grants, store_topic::Watermarks}) {
+    const std::size_t Before = Store.Handlers.size();
+    Shared.readSnapshot(Topic, CountPage);
+    Shared.readSnapshot(Topic, CountPage);
+    Shared.read(Topic, 7, 0, CountPage);
+    Shared.read(Topic, 7, 0, CountPage);
+    CHECK(Store.Handlers.size() == Before + 4);
+  }
+}
+
 TEST_CASE("an unreachable store is called through a peer", "[peers]") {
   peer_fixture Fixture(store_status::Refused, store_status::Ok);
   CHECK(Fixture.read() == store_status::Ok);
--- a/tests/unit/fakes.hpp
+++ b/tests/unit/fakes.hpp
@@ -7,6 +7,16 @@
 
 namespace tamarack::tests {
 
+// Clock whose time the test sets.
+class manual_clock final : public clock {
+public:
+  explicit manual_clock(time_ms Start = 1'000'000) : Time(Start) {}
+  time_ms now() const override { return Time; }
+  time_ms monotonic() const override { return Time; }
+  time_ms sinceBoot() const override { return Time; }
+  time_ms Time;
+};
+
 // Random numbers that are reproducible from a seed.
 class seeded_random final : public random_source {
 public:
--- a/tests/unit/follow_test.cpp
+++ b/tests/unit/follow_test.cpp
@@ -10,15 +10,9 @@
 using namespace tamarack;
 using namespace tamarack::follow;
 
-namespace {
+using tests::manual_clock;
 
-class fixed_clock final : public clock {
-public:
-  time_ms now() const override { return Time; }
-  time_ms monotonic() const override { return Time; }
-  time_ms sinceBoot() const override { return Time; }
-  time_ms Time = 0;
-};
+namespace {
 
 // Responds at once with the pages that the test has set.
 class scripted_store final : public keyed_store {
@@ -74,7 +68,7 @@
     Store.ReadPage.NextOffset = 5;
   }
 
-  fixed_clock Clock;
+  manual_clock Clock{0};
   scripted_store Store;
   recording_listener Listener;
   topic_follower Follower;
--- a/tests/unit/grants_test.cpp
+++ b/tests/unit/grants_test.cpp
@@ -10,18 +10,12 @@
 using namespace tamarack;
 using namespace tamarack::grants;
 
+using tests::manual_clock;
+
 namespace {
 
 constexpr std::int64_t Budget = 100'000;
 
-class manual_clock final : public clock {
-public:
-  time_ms now() const override { return Time; }
-  time_ms monotonic() const override { return Time; }
-  time_ms sinceBoot() const override { return Time; }
-  time_ms Time = 1'000'000;
-};
-
 // Clock of one machine: shared time, but a boot time of its own.
 class machine_clock final : public clock {
 public:
