Read what has arrived before a request to the store is given up

A leaving endpoint got requests after its 3 s, by a list of endpoints that was over 3 s old.

Cause: the time limit of a request counts while the process stands still, by a long step of its own or since the machine is frozen. Afterwards the timer is handled before the socket, so the request is given up although its answer is there. A timer whose handler was already due when a part of the response restarted it ended the request as well.

Change: a timer that is handled over 50 ms late gets 100 ms more, once for each part of a response; one that was restarted meanwhile does nothing.

A unit test stands still for 1 s while a response arrives: failed 5 of 5 times before, passes 5 of 5 times.

--- a/packages/edge/include/tamarack/edge.hpp
+++ b/packages/edge/include/tamarack/edge.hpp
@@ -285,6 +285,7 @@
   // Removes the first request from the queue and passes on its result.
   void completeFront(std::optional<response_message> Response);
   static bool isOverdue(const queued_request &Request);
+  void onTimer();
   void onTimeout();
 
   net::io_context &Context;
@@ -293,6 +294,9 @@
   std::shared_ptr<connection> Connection; // Null if there is none.
   std::deque<queued_request> Queue; // The first one is active if HasActive.
   bool HasActive = false;           // A request is being sent or answered.
+  // The timeout was extended because the process had stood still. Reset with
+  // every part of the response.
+  bool HasCaughtUp = false;
   // Changes at the start of every attempt and at the end of every request.
   // Handlers of operations with an older number do nothing.
   std::uint64_t AttemptNumber = 0;
--- a/packages/edge/src/http_channel.cpp
+++ b/packages/edge/src/http_channel.cpp
@@ -6,6 +6,10 @@
 namespace {
 
 constexpr std::uint64_t MaxBodyBytes = 64u << 20;
+// A timer that runs out later than this shows that the process stood still.
+constexpr int MaxTimerDelayMs = 50;
+// Time to read what has arrived while the process stood still.
+constexpr int CatchUpMs = 100;
 
 int millisecondsBetween(std::chrono::steady_clock::time_point Begin,
                         std::chrono::steady_clock::time_point End) {
@@ -67,6 +71,7 @@
   ++AttemptNumber;
   queued_request &Active = Queue.front();
   ++Active.Attempts;
+  HasCaughtUp = false;
   // A reused connection may have died unnoticed, so a repeatable request gets a
   // shorter timeout and is sent once more.
   const bool IsRetryable = Connection && Active.Repeatable;
@@ -84,10 +89,23 @@
   Timer.expires_after(std::chrono::milliseconds(TimeoutMs));
   Timer.async_wait([Self, OwnAttempt = AttemptNumber](const error_code &Error) {
     if (!Error && Self->HasActive && Self->AttemptNumber == OwnAttempt)
-      Self->onTimeout();
+      Self->onTimer();
   });
 }
 
+void http_channel::onTimer() {
+  const int DelayMs =
+      millisecondsBetween(Timer.expiry(), std::chrono::steady_clock::now());
+  // Restarted while the handler of the previous wait was already due.
+  if (DelayMs < 0)
+    return;
+  if (DelayMs > MaxTimerDelayMs && !HasCaughtUp) {
+    HasCaughtUp = true;
+    return startTimer(CatchUpMs);
+  }
+  onTimeout();
+}
+
 void http_channel::connect() {
   const std::shared_ptr<http_channel> Self = shared_from_this();
   const std::shared_ptr<connection> NewConnection =
@@ -138,6 +156,7 @@
           return Self->finishRequest(std::nullopt);
         if (UsedConnection->Parser->is_done())
           return Self->finishRequest(UsedConnection->Parser->release());
+        Self->HasCaughtUp = false;
         Self->startTimer(Self->Queue.front().InactivityTimeoutMs);
         Self->readSome();
       });
--- a/tests/unit/edge_test.cpp
+++ b/tests/unit/edge_test.cpp
@@ -7,6 +7,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <thread>
+
 using namespace tamarack;
 using namespace tamarack::edge;
 
@@ -366,6 +368,51 @@
   CHECK(Server.Connections == 1);
 }
 
+// Guards against a response that is dropped although it arrived in time: the
+// process stood still until the timeout was over, so the timeout is handled
+// before the response is read.
+TEST_CASE("a response that arrived while the process stood still is received",
+          "[edge]") {
+  constexpr std::size_t BodyBytes = 200'000; // Takes several reads.
+  constexpr int TimeoutMs = 200;
+  constexpr int ResponseDelayMs = 100; // Less than the timeout.
+  net::io_context ServerContext;
+  tcp::acceptor Acceptor(ServerContext,
+                         {net::ip::make_address("127.0.0.1"), 0});
+  const std::string Address =
+      "127.0.0.1:" + std::to_string(Acceptor.local_endpoint().port());
+  std::thread Server([&] {
+    tcp::socket Socket(ServerContext);
+    Acceptor.accept(Socket);
+    boost::beast::flat_buffer Buffer;
+    request_message Request;
+    http::read(Socket, Buffer, Request);
+    response_message Response(http::status::ok, 11);
+    Response.body().assign(BodyBytes, 'x');
+    Response.prepare_payload();
+    std::this_thread::sleep_for(std::chrono::milliseconds(ResponseDelayMs));
+    http::write(Socket, Response);
+  });
+  net::io_context Context;
+  const std::shared_ptr<http_channel> Channel =
+      std::make_shared<http_channel>(Context, Address);
+  channel_request Request = makeRequest(false);
+  Request.InactivityTimeoutMs = TimeoutMs;
+  std::optional<std::size_t> Size;
+  Channel->request(std::move(Request),
+                   [&Size](const std::optional<response_message> &Response,
+                           const channel_timing &) {
+                     Size = Response ? Response->body().size() : 0;
+                   });
+  Context.run_for(std::chrono::milliseconds(ResponseDelayMs / 2));
+  REQUIRE_FALSE(Size);
+  std::this_thread::sleep_for(std::chrono::milliseconds(5 * TimeoutMs));
+  while (!Size)
+    Context.run_one();
+  Server.join();
+  CHECK(*Size == BodyBytes);
+}
+
 // Guards against calls for others that are made although their askers have
 // given up, so that all later calls are late too.
 TEST_CASE("a request that waited too long behind others is not sent",
