Don't take the own lag for an outage of the store

After an outage of the store, entries of endpoints that disappear are kept for 2.5 s, since living endpoints need time to register again.

Change: once the instance has caught up, records tell. If three quarters of the endpoints have registered in the meantime, the store was available to them, and what is missing is removed at once.

The new unit test failed before (the endpoint stays listed) and passes; those of real outages are unchanged.

--- a/packages/daemon/src/router.cpp
+++ b/packages/daemon/src/router.cpp
@@ -101,7 +101,10 @@
   void onSnapshotEnd() override {
     Router.Directory.endSnapshot(Router.Clock.monotonic());
   }
-  void onCaughtUp(std::uint64_t) override { Router.refreshEndpoints(); }
+  void onCaughtUp(std::uint64_t) override {
+    Router.Directory.onCaughtUp();
+    Router.refreshEndpoints();
+  }
   void onStoreResponse() override {
     Router.Directory.onStoreResponse(Router.Clock.monotonic());
   }
--- a/packages/follow/include/tamarack/follow.hpp
+++ b/packages/follow/include/tamarack/follow.hpp
@@ -90,7 +90,8 @@
 //
 // Entries that disappeared during an outage of the store, or shortly after, are
 // kept until live endpoints have had time to register again. An outage that is
-// too short for entries to expire does not count.
+// too short for entries to expire does not count, nor does one in which most
+// endpoints kept registering: then only this instance could not read.
 class endpoint_directory {
 public:
   static constexpr int MinExpiryMs = 2'000; // Shorter outages expire no entry.
@@ -98,12 +99,17 @@
   static constexpr int ReregistrationMs = 2'500;
   // A report that an endpoint sent before its end may arrive this much later.
   static constexpr int LateReportMs = 60'000;
+  // Of the endpoints, that have registered during an outage: the store was
+  // available to them.
+  static constexpr double RegisteringShare = 0.75;
 
   // True if the entry contains something new.
   bool onEntry(const dispatch::endpoint_entry &Entry);
   void onRemoved(std::string_view Id, time_ms Now);
   void onStoreUnavailable() { StoreUnavailable = true; }
   void onStoreResponse(time_ms Now);
+  // All records up to now were passed on.
+  void onCaughtUp();
   // Called before and after the entries of a snapshot.
   void beginSnapshot();
   void endSnapshot(time_ms Now);
@@ -116,8 +122,9 @@
 private:
   struct listed_endpoint {
     dispatch::endpoint_entry Entry;
-    bool InSnapshot = false; // Seen since beginSnapshot.
-    time_ms RemoveAt = -1;   // End of the time to register again, -1 if listed.
+    bool InSnapshot = false;    // Seen since beginSnapshot.
+    bool HasRegistered = false; // Since the outage, as far as records tell.
+    time_ms RemoveAt = -1; // End of the time to register again, -1 if listed.
   };
 
   // The latest entry of an endpoint that has been removed.
@@ -128,6 +135,7 @@
 
   // True while endpoints may still have to register again after an outage.
   bool isReregistering(time_ms Now) const;
+  bool haveMostRegistered() const; // Since the outage.
   void erase(const std::string &Id, time_ms Now);
 
   std::map<std::string, listed_endpoint, std::less<>> Listed;
@@ -136,6 +144,8 @@
   bool StoreUnavailable = false;
   time_ms LastResponseAt = 0; // Of the store.
   time_ms OutageEndedAt = -1; // -1 if there was no outage that counts.
+  bool IsCatchingUp = false;  // Records of the time of the outage may follow.
+  bool IsReadingSnapshot = false;
 };
 
 } // namespace tamarack::follow
--- a/packages/follow/src/endpoint_directory.cpp
+++ b/packages/follow/src/endpoint_directory.cpp
@@ -1,6 +1,7 @@
 // The endpoints that the platform lists.
 #include "tamarack/follow.hpp"
 
+#include <algorithm>
 #include <utility>
 
 namespace tamarack::follow {
@@ -51,6 +52,7 @@
   Changed = Changed || IsNew;
   Item.Entry = Entry;
   Item.InSnapshot = true;
+  Item.HasRegistered = Item.HasRegistered || !IsReadingSnapshot;
   Item.RemoveAt = -1;
   return IsNew;
 }
@@ -66,18 +68,42 @@
 }
 
 void endpoint_directory::onStoreResponse(time_ms Now) {
-  if (StoreUnavailable && Now - LastResponseAt >= MinExpiryMs)
+  if (StoreUnavailable && Now - LastResponseAt >= MinExpiryMs) {
     OutageEndedAt = Now;
+    IsCatchingUp = true;
+    for (auto &[Id, Item] : Listed)
+      Item.HasRegistered = false;
+  }
   StoreUnavailable = false;
   LastResponseAt = Now;
 }
 
+bool endpoint_directory::haveMostRegistered() const {
+  const std::ptrdiff_t Registered =
+      std::count_if(Listed.begin(), Listed.end(),
+                    [](const auto &Item) { return Item.second.HasRegistered; });
+  return static_cast<double>(Registered) >=
+         RegisteringShare * static_cast<double>(Listed.size());
+}
+
+void endpoint_directory::onCaughtUp() {
+  if (!std::exchange(IsCatchingUp, false) || !haveMostRegistered())
+    return;
+  // The store was available to the endpoints. Whatever is missing has left.
+  OutageEndedAt = -1;
+  for (auto &[Id, Item] : Listed)
+    if (Item.RemoveAt >= 0)
+      Item.RemoveAt = LastResponseAt;
+}
+
 void endpoint_directory::beginSnapshot() {
+  IsReadingSnapshot = true;
   for (auto &[Id, Item] : Listed)
     Item.InSnapshot = false;
 }
 
 void endpoint_directory::endSnapshot(time_ms Now) {
+  IsReadingSnapshot = false;
   std::vector<std::string> Missing;
   for (const auto &[Id, Item] : Listed)
     if (!Item.InSnapshot)
--- a/tests/unit/follow_test.cpp
+++ b/tests/unit/follow_test.cpp
@@ -204,6 +204,46 @@
   }
 }
 
+// Guards against an instance that takes its own lag for an outage of the store
+// and goes on sending to endpoints that have left.
+TEST_CASE("entries removed while the others kept registering get no extra time",
+          "[follow]") {
+  endpoint_directory Directory;
+  Directory.onStoreResponse(0);
+  const std::vector<std::string> Living = {"a", "b", "c", "d"};
+  for (const std::string &Id : Living)
+    Directory.onEntry(entryOf(Id, 1));
+  Directory.onEntry(entryOf("gone", 1));
+  Directory.onStoreUnavailable();
+  Directory.onStoreResponse(5'000);
+  SECTION("the store went on accepting registrations") {
+    Directory.onRemoved("gone", 5'000);
+    for (const std::string &Id : Living)
+      Directory.onEntry(entryOf(Id, 4));
+    Directory.onCaughtUp();
+    Directory.update(5'000);
+    CHECK(Directory.entries().size() == Living.size());
+    Directory.onRemoved("a", 5'500);
+    CHECK(Directory.entries().size() == Living.size() - 1);
+  }
+  SECTION("the store was away, few have registered again") {
+    Directory.onRemoved("gone", 5'000);
+    Directory.onEntry(entryOf("a", 4));
+    Directory.onCaughtUp();
+    Directory.update(5'000);
+    CHECK(Directory.entries().size() == Living.size() + 1);
+  }
+  SECTION("a snapshot does not tell when its entries were written") {
+    Directory.beginSnapshot();
+    for (const std::string &Id : Living)
+      Directory.onEntry(entryOf(Id, 1));
+    Directory.endSnapshot(5'000);
+    Directory.onCaughtUp();
+    Directory.update(5'000);
+    CHECK(Directory.entries().size() == Living.size() + 1);
+  }
+}
+
 TEST_CASE("after a short outage removed entries get no extra time",
           "[follow]") {
   endpoint_directory Directory;
