Refuse unknown routes and keys as not ready while the configuration may be old

Callers got 404, a final answer, from an instance that had not read the configuration for seconds, for a route that had been acknowledged.

Cause: 404 and 401 were given by whatever version was in force, however long ago the topic had been read. No caller asks again after these.

Change: if the last successful read of the configuration is over 1.5 s ago, an unknown route or key is answered with 503 and when to come back; nothing has run. Known routes are served as before, also while the store is away.

Unit and process test (a_store_that_is_away_stops_nothing_that_has_money) got 404 before and pass.

--- a/packages/calls/src/errors.cpp
+++ b/packages/calls/src/errors.cpp
@@ -52,7 +52,7 @@
     {NoEndpoint, "no_endpoint", 503, ran_at_endpoint::No, Later, 2'000,
      "No endpoint of the pool takes requests now."},
     {NotReady, "not_ready", 503, ran_at_endpoint::No, Later, 1'000,
-     "The instance is starting or leaving."},
+     "The instance is starting, leaving or out of date."},
     {EndpointFailed, "endpoint_failed", 502, ran_at_endpoint::Unknown, SameKey,
      500, "The endpoint failed before its response began."},
     {AnswerIncomplete, "answer_incomplete", 502, ran_at_endpoint::Yes, SameKey,
--- a/packages/daemon/src/router.cpp
+++ b/packages/daemon/src/router.cpp
@@ -19,6 +19,9 @@
 // The forced stop comes this long before the end of the grace period.
 constexpr int ForcedStopMarginMs = 500;
 constexpr int ConfigurationLongPollMs = 1'000; // Longest wait for a version.
+// An older configuration may lack routes that callers have been told of. Longer
+// than a long poll, less than the time until a version must be in force.
+constexpr int MaxConfigurationAgeMs = 1'500;
 // Of calls for peers. A peer that has waited longer asks another instance.
 constexpr int MaxQueuedPeerCallMs = 400;
 
@@ -213,6 +216,8 @@
   EndpointFollower.tick(Now);
   GrantFollower.tick(Now);
   refreshEndpoints();
+  Codec.setConfigurationCurrent(ageOf(ConfigurationFollower) <=
+                                MaxConfigurationAgeMs);
   if (!IsPreviousWatermarkKnown)
     readPreviousWatermark(false);
   writeGrants();
--- a/tests/process/platform_scenarios.py
+++ b/tests/process/platform_scenarios.py
@@ -253,7 +253,8 @@
     The store first responds with 503 to everything, then not at all. At the
     end of the outage its log is trimmed. Guards against requests that fail or
     wait because of the store, and against a router that cannot continue to
-    read a trimmed log and so misses the next configuration.
+    read a trimmed log and so misses the next configuration, and against final
+    refusals of routes that only a version it could not read has.
     """
     with PlatformFleet() as fleet:
         assert fleet.stream("router-0", "w0").status == 200
@@ -265,6 +266,11 @@
                 assert fleet.call("router-0", "/sale/x",
                                   f"x{mode}{number}").status == 200
             assert fleet.responds(fleet.ready_url("router-0"))
+        # A newer version may have this route, so the caller may come back.
+        wait_until(lambda: fleet.call("router-0", "/none/x", "none").status ==
+                   503, "an unknown route is refused as not ready")
+        answer = fleet.call("router-0", "/none/x", "none")
+        assert float(answer.headers["Retry-After"]) > 0
         fleet.control(fleet.store, mode="ok", trim=1)
         fleet.publish(keys=("key-new",))
         wait_until(lambda: fleet.call("router-0", "/sale/x", "late").status ==
--- a/tests/unit/platform_test.cpp
+++ b/tests/unit/platform_test.cpp
@@ -181,6 +181,17 @@
     Fixture.Request.set("Key", "none");
     CHECK(Fixture.decode().Refusal == error_kind::Unauthorized);
   }
+  // Guards against final refusals of routes and keys that a newer version has.
+  SECTION("no route and unknown key while the configuration may be old") {
+    Fixture.Codec.setConfigurationCurrent(false);
+    CHECK(Fixture.decode().Call);
+    Fixture.Request.set("Key", "none");
+    CHECK(Fixture.decode().Refusal == error_kind::NotReady);
+    Fixture.Request.target("/none/");
+    CHECK(Fixture.decode().Refusal == error_kind::NotReady);
+    Fixture.Codec.setConfigurationCurrent(true);
+    CHECK(Fixture.decode().Refusal == error_kind::NotFound);
+  }
   SECTION("two keys") {
     Fixture.Request.insert("Key", "k1");
     CHECK(Fixture.decode().Refusal == error_kind::InvalidRequest);
