--- a/tests/unit/platform_test.cpp
+++ b/tests/unit/platform_test.cpp
@@ -275,3 +275,51 @@
   CHECK(Message["Retry-After"] == "0.350");
   CHECK(Message["Attempt-Id"] == "id1");
 }
+
+namespace {
+
+class discarding_listener final : public store_call_listener {
+public:
+  void onStoreCall(const store_call_report &) override {}
+};
+
+} // namespace
+
+// Guards against values that are cut or padded by the decoding, and against a
+// damaged value that makes the other records of its page unreadable.
+TEST_CASE("values of a snapshot are decoded, damaged ones are empty",
+          "[platform]") {
+  edge::net::io_context Context;
+  edge::tcp::acceptor PortFinder(Context,
+                                 {edge::net::ip::make_address("127.0.0.1"), 0});
+  const std::string Address =
+      "127.0.0.1:" + std::to_string(PortFinder.local_endpoint().port());
+  PortFinder.close();
+  edge::simple_http_server Server(
+      Context,
+      [](const edge::request_message &, const edge::respond_callback &Respond) {
+        edge::response_message Response(edge::http::status::ok, 11);
+        Response.body() = R"({"end": 9, "more": false, "items": [
+          {"key": "a", "offset": 1, "value": "YQ=="},
+          {"key": "b", "offset": 2, "value": "YWI="},
+          {"key": "c", "offset": 3, "value": "?"},
+          {"key": "d", "offset": 4, "value": "AGJj"}]})";
+        Respond(std::move(Response));
+      });
+  Server.listen(edge::parseAddress(Address));
+  discarding_listener Listener;
+  platform_store Store(Context, {.Address = Address, .CallsFor = "test"},
+                       Listener);
+  std::optional<keyed_page> Page;
+  Store.readSnapshot(store_topic::Endpoints,
+                     [&Page](keyed_page Read) { Page = std::move(Read); });
+  while (!Page)
+    Context.run_one();
+  REQUIRE(Page->Status == store_status::Ok);
+  REQUIRE(Page->Records.size() == 4);
+  CHECK(Page->NextOffset == 9);
+  CHECK(Page->Records[0].Value == "a");
+  CHECK(Page->Records[1].Value == "ab");
+  CHECK(Page->Records[2].Value.empty());
+  CHECK(Page->Records[3].Value == std::string("\0bc", 3));
+}
