Keep the topics apart on the way through a peer

An instance that does not reach the store asks a peer for all topics on one connection, one call at a time: while a large configuration is on its way, the list of endpoints, grants and watermarks wait, up to the 500 ms after which the call is given up.

Change: a connection for each peer and topic.

The new unit test (a read of the endpoints while the peer does not answer one of the configuration) failed before and passes.

--- a/packages/peers/include/tamarack/peers.hpp
+++ b/packages/peers/include/tamarack/peers.hpp
@@ -21,6 +21,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 namespace tamarack::peers {
@@ -126,7 +127,10 @@
   std::string LastGoodPeer; // Address of the peer that reached the store last.
   time_ms PreferPeersUntil = 0; // Monotonic.
   std::uint64_t PeerCalls = 0;
-  std::map<std::string, std::shared_ptr<edge::http_channel>> Channels;
+  // By address and topic, so that no topic waits for another.
+  std::map<std::pair<std::string, store_topic>,
+           std::shared_ptr<edge::http_channel>>
+      Channels;
 };
 
 //---------------------------------------------------------------------------
--- a/packages/peers/src/failover_store.cpp
+++ b/packages/peers/src/failover_store.cpp
@@ -128,7 +128,8 @@
         {MayBeStored ? store_status::Unavailable : store_status::Refused, {}});
   const std::string Address = Addresses.front();
   Addresses.erase(Addresses.begin());
-  std::shared_ptr<edge::http_channel> &Channel = Channels[Address];
+  std::shared_ptr<edge::http_channel> &Channel =
+      Channels[{Address, Request.Topic}];
   if (!Channel)
     Channel = std::make_shared<edge::http_channel>(Context, Address);
   edge::request_message Message(edge::http::verb::post, StorePath, 11);
--- a/tests/unit/edge_test.cpp
+++ b/tests/unit/edge_test.cpp
@@ -132,11 +132,12 @@
 class fixed_status_store final : public keyed_store {
 public:
   explicit fixed_status_store(store_status Status) : Status(Status) {}
-  void readSnapshot(store_topic, page_handler Handler) override {
-    page(Handler);
+  void readSnapshot(store_topic Topic, page_handler Handler) override {
+    page(Topic, Handler);
   }
-  void read(store_topic, std::uint64_t, int, page_handler Handler) override {
-    page(Handler);
+  void read(store_topic Topic, std::uint64_t, int,
+            page_handler Handler) override {
+    page(Topic, Handler);
   }
   void appendAs(store_topic, const store_writer &, std::string_view,
                 std::string_view, append_handler Handler) override {
@@ -151,10 +152,13 @@
 
   store_status Status;
   int Calls = 0;
+  std::optional<store_topic> SilentTopic; // Its reads never end.
 
 private:
-  void page(const page_handler &Handler) {
+  void page(store_topic Topic, const page_handler &Handler) {
     ++Calls;
+    if (Topic == SilentTopic)
+      return;
     keyed_page Page;
     Page.Status = Status;
     Handler(std::move(Page));
@@ -496,6 +500,22 @@
   CHECK(Fixture.Listener.Changes == 1);
 }
 
+// Guards against a large read of one topic that delays the reads of all others
+// through the same peer.
+TEST_CASE("topics do not wait for each other at a peer", "[peers]") {
+  peer_fixture Fixture(store_status::Refused, store_status::Ok);
+  REQUIRE(Fixture.read() == store_status::Ok); // The peer is known to be good.
+  Fixture.PeerDirectStore.SilentTopic = store_topic::Configuration;
+  bool ConfigurationEnded = false;
+  Fixture.Store.readSnapshot(
+      store_topic::Configuration,
+      [&ConfigurationEnded](const keyed_page &) { ConfigurationEnded = true; });
+  CHECK(Fixture.read() == store_status::Ok);
+  CHECK_FALSE(ConfigurationEnded);
+  while (!ConfigurationEnded)
+    Fixture.Context.run_one();
+}
+
 // After an attempt that may have been stored, the conflict may be with the
 // record of that attempt.
 TEST_CASE("a conflict after an attempt that may be stored is unavailable",
