--- a/packages/follow/include/tamarack/follow.hpp
+++ b/packages/follow/include/tamarack/follow.hpp
@@ -99,7 +99,7 @@
   static constexpr int ReregistrationMs = 2'500;
   // A report that an endpoint sent before its end may arrive this much later.
   static constexpr int LateReportMs = 60'000;
-  // Of the endpoints, that have registered during an outage: the store was
+  // If this share of the endpoints registered during an outage, the store was
   // available to them.
   static constexpr double RegisteringShare = 0.75;
 
@@ -123,7 +123,7 @@
   struct listed_endpoint {
     dispatch::endpoint_entry Entry;
     bool InSnapshot = false;    // Seen since beginSnapshot.
-    bool HasRegistered = false; // Since the outage, as far as records tell.
+    bool HasRegistered = false; // Since the beginning of the last outage.
     time_ms RemoveAt = -1; // End of the time to register again, -1 if listed.
   };
 
@@ -135,7 +135,7 @@
 
   // True while endpoints may still have to register again after an outage.
   bool isReregistering(time_ms Now) const;
-  bool haveMostRegistered() const; // Since the outage.
+  bool haveMostRegistered() const; // Since the beginning of the last outage.
   void erase(const std::string &Id, time_ms Now);
 
   std::map<std::string, listed_endpoint, std::less<>> Listed;
--- a/packages/follow/src/endpoint_directory.cpp
+++ b/packages/follow/src/endpoint_directory.cpp
@@ -52,6 +52,7 @@
   Changed = Changed || IsNew;
   Item.Entry = Entry;
   Item.InSnapshot = true;
+  // An entry of a snapshot may be from before the outage.
   Item.HasRegistered = Item.HasRegistered || !IsReadingSnapshot;
   Item.RemoveAt = -1;
   return IsNew;
@@ -89,7 +90,7 @@
 void endpoint_directory::onCaughtUp() {
   if (!std::exchange(IsCatchingUp, false) || !haveMostRegistered())
     return;
-  // The store was available to the endpoints. Whatever is missing has left.
+  // The store was available to the endpoints, so those that are gone have left.
   OutageEndedAt = -1;
   for (auto &[Id, Item] : Listed)
     if (Item.RemoveAt >= 0)
--- a/packages/peers/include/tamarack/peers.hpp
+++ b/packages/peers/include/tamarack/peers.hpp
@@ -8,8 +8,9 @@
 //                 peer_store_service, performStoreCall
 //
 // An instance that can't reach the store lets a peer make the call. The peer
-// keeps no part of the response and decides nothing, so this adds no state to
-// the system: an append is still accepted by the store alone.
+// decides nothing and keeps no part of a response, except for a page that other
+// instances may ask for within ReuseMs, so this adds no state to the system: an
+// append is still accepted by the store alone.
 #pragma once
 
 #include "tamarack/edge.hpp"
@@ -140,9 +141,10 @@
 // Passes calls on to another store, but makes one read for all instances that
 // ask for the same records of a topic at about the same time.
 //
-// When a large record is slow to arrive, its askers give up and ask again. Each
-// of these reads would take as long as the first one and delay the others. The
-// second request of an asker joins the first read, or gets its result.
+// When a large record is slow to arrive, the instances that asked for it give
+// up and ask again. Each of these reads would take as long as the first one and
+// delay the others. A second request joins the read in progress, or gets its
+// result.
 //
 // A shared page is as of the beginning of the first read, so it may be older
 // than the request by the duration of a read and ReuseMs. Only the topics that
