Satisfy the linter in shared_read_store

The key is a pair now, the page a const reference; nothing else changes. Unit tests pass, and clang-tidy of the sources that include the header.

--- a/packages/peers/include/tamarack/peers.hpp
+++ b/packages/peers/include/tamarack/peers.hpp
@@ -168,11 +168,8 @@
              append_handler Handler) override;
 
 private:
-  struct read_key {
-    store_topic Topic = store_topic::Configuration;
-    std::optional<std::uint64_t> From; // Empty for a snapshot.
-    auto operator<=>(const read_key &) const = default;
-  };
+  // Topic and first offset, which is empty for a snapshot.
+  using read_key = std::pair<store_topic, std::optional<std::uint64_t>>;
 
   struct shared_read {
     std::vector<page_handler> Waiting; // Empty once the read has ended.
--- a/packages/peers/src/shared_read_store.cpp
+++ b/packages/peers/src/shared_read_store.cpp
@@ -35,7 +35,7 @@
 }
 
 page_handler shared_read_store::endOf(const read_key &Key) {
-  return [this, Key](keyed_page Page) {
+  return [this, Key](const keyed_page &Page) {
     shared_read &Read = Reads[Key];
     const std::vector<page_handler> Waiting =
         std::exchange(Read.Waiting, std::vector<page_handler>());
