Log requests that are read while the process stops

The logs could not tell whether it came on a kept or a new connection, how old the stop was for the instance, or how much time it had left; a call that the forced stop cuts looks like one whose caller left.

request_while_stopping gives the age of the stop and of the connection, the requests before it, and the time to the forced stop; stop_accepts_no_more and stop_forced the phases; stop_begins the connections and the lag of the loop. No decision changes.

--- a/packages/daemon/src/router.cpp
+++ b/packages/daemon/src/router.cpp
@@ -16,8 +16,6 @@
 constexpr int TickMs = 100;
 // From the failing readiness check until no new connections arrive.
 constexpr int DrainBeforeCloseMs = 2'500;
-// The forced stop comes this long before the end of the grace period.
-constexpr int ForcedStopMarginMs = 500;
 constexpr int ConfigurationLongPollMs = 1'000; // Longest wait for a version.
 // An older configuration may lack routes that callers have been told of. Longer
 // than a long poll, less than the time until a version must be in force.
@@ -327,21 +325,33 @@
   StopRequestedAt = Clock.monotonic();
   Frontend.beginDrain();
   Log.write("stop_begins",
-            {{"busy", static_cast<std::int64_t>(Frontend.busySessionCount())}});
+            {{"busy", static_cast<std::int64_t>(Frontend.busySessionCount())},
+             {"open", static_cast<std::int64_t>(Frontend.sessionCount())},
+             {"tick_due_ms_ago", Clock.monotonic() - TickDueAt}});
 }
 
 void router::continueStop() {
   const time_ms ElapsedMs = Clock.monotonic() - StopRequestedAt;
   if (IsAccepting && ElapsedMs >= DrainBeforeCloseMs) {
     IsAccepting = false;
+    Log.write("stop_accepts_no_more",
+              {{"stop_age_ms", ElapsedMs},
+               {"busy", static_cast<std::int64_t>(Frontend.busySessionCount())},
+               {"open", static_cast<std::int64_t>(Frontend.sessionCount())}});
     Frontend.stopAccepting();
   }
   if (IsAccepting)
     return;
   const bool IsOverdue =
       ElapsedMs >= Settings.ShutdownGraceMs - ForcedStopMarginMs;
-  if (IsOverdue)
+  if (IsOverdue) {
+    Log.write("stop_forced",
+              {{"stop_age_ms", ElapsedMs},
+               {"cut", static_cast<std::int64_t>(Frontend.busySessionCount())},
+               {"open", static_cast<std::int64_t>(Frontend.sessionCount())},
+               {"grants_returned", std::int64_t(Grants.hasReturnedGrants())}});
     Frontend.abortAll();
+  }
   if (Frontend.busySessionCount() == 0)
     Grants.leave();
   const bool IsFinished =
--- a/packages/daemon/src/router.hpp
+++ b/packages/daemon/src/router.hpp
@@ -43,6 +43,7 @@
   void onRequestRefused(const edge::decoded_request &Request) override;
   void onCallDone(const relay::call &Call, const relay::exchange_report &Report,
                   time_ms Now) override;
+  void onRequestWhileDraining(const edge::drain_arrival &Request) override;
 
   // relay::token_budget: reserves from the grants of this instance. If those
   // are short, the watermark and the grant record are written without waiting
@@ -93,6 +94,9 @@
   edge::response_message readinessResponse() const;
   edge::response_message metricsResponse();
 
+  // The forced stop comes this long before the end of the grace period.
+  static constexpr int ForcedStopMarginMs = 500;
+
   router_settings Settings;
   adapters::system_clock Clock;
   adapters::system_random Random;
--- a/packages/daemon/src/router_reports.cpp
+++ b/packages/daemon/src/router_reports.cpp
@@ -169,6 +169,23 @@
                      {"bound", Call.maxTokens()}});
 }
 
+void router::onRequestWhileDraining(const edge::drain_arrival &Request) {
+  const bool IsNewConnection = Request.EarlierRequests == 0;
+  Metrics
+      .counterOf(
+          std::string("tamarack_requests_while_stopping_total") +
+          (IsNewConnection ? "{connection=\"new\"}" : "{connection=\"kept\"}"))
+      .add();
+  Log.write("request_while_stopping",
+            {{"id", Request.Id},
+             {"stop_age_ms", Request.DrainAgeMs},
+             {"connection", IsNewConnection ? "new" : "kept"},
+             {"connection_age_ms", Request.ConnectionAgeMs},
+             {"earlier_requests", std::int64_t(Request.EarlierRequests)},
+             {"until_cut_ms", Settings.ShutdownGraceMs - ForcedStopMarginMs -
+                                  Request.DrainAgeMs}});
+}
+
 edge::response_message router::readinessResponse() const {
   return edge::response_message(isReady()
                                     ? edge::http::status::ok
--- a/packages/edge/include/tamarack/edge.hpp
+++ b/packages/edge/include/tamarack/edge.hpp
@@ -160,6 +160,14 @@
   int DrainIdleTimeoutMs = 250; // Idle timeout once draining has begun.
 };
 
+// A request that was read after beginDrain(), for logs.
+struct drain_arrival {
+  std::string_view Id;         // Request id, may be empty.
+  time_ms DrainAgeMs = 0;      // Since beginDrain().
+  time_ms ConnectionAgeMs = 0; // Since the connection was accepted.
+  int EarlierRequests = 0;     // Read before on the same connection.
+};
+
 // Notified about calls, for logs, metrics and the load balancer.
 class frontend_observer {
 public:
@@ -170,6 +178,7 @@
   virtual void onCallDone(const relay::call &Call,
                           const relay::exchange_report &Report,
                           time_ms Now) = 0;
+  virtual void onRequestWhileDraining(const drain_arrival &Request) = 0;
 };
 
 class frontend_session;
@@ -196,6 +205,7 @@
   void onGrantsChanged();
 
   std::size_t sessionCount() const { return Sessions.size(); }
+  bool isDraining() const { return DrainBeganAt >= 0; }
   std::size_t busySessionCount() const; // Sessions that are not idle.
 
 private:
@@ -213,7 +223,7 @@
   relay::caller_limits Limits;
   tcp::acceptor Acceptor;
   net::steady_timer AcceptRetryTimer;
-  bool IsDraining = false;
+  time_ms DrainBeganAt = -1; // Monotonic, -1 before beginDrain().
   std::set<std::shared_ptr<frontend_session>> Sessions;
 };
 
--- a/packages/edge/src/frontend_session.cpp
+++ b/packages/edge/src/frontend_session.cpp
@@ -19,7 +19,8 @@
 } // namespace
 
 frontend_session::frontend_session(frontend_server &Server, tcp::socket Socket)
-    : Server(Server), Socket(std::move(Socket)), Timer(Server.Context) {}
+    : Server(Server), Socket(std::move(Socket)), Timer(Server.Context),
+      AcceptedAt(Server.Clock.monotonic()) {}
 
 time_ms frontend_session::now() const { return Server.Clock.monotonic(); }
 
@@ -34,8 +35,8 @@
 }
 
 void frontend_session::startIdleTimer() {
-  const int IdleMs = Server.IsDraining ? Server.Settings.DrainIdleTimeoutMs
-                                       : Server.Limits.IdleTimeoutMs;
+  const int IdleMs = Server.isDraining() ? Server.Settings.DrainIdleTimeoutMs
+                                         : Server.Limits.IdleTimeoutMs;
   Timer.expires_after(std::chrono::milliseconds(IdleMs));
   const std::shared_ptr<frontend_session> Self = shared_from_this();
   Timer.async_wait([Self](const error_code &Error) {
@@ -174,12 +175,17 @@
   Timer.cancel();
   request_message Request = Parser->release();
   Parser.reset();
-  KeepAlive = Request.keep_alive() && !Server.IsDraining;
+  KeepAlive = Request.keep_alive() && !Server.isDraining();
   IsHttp10 = Request.version() < 11;
   IsHeadRequest = Request.method() == http::verb::head;
   readAhead();
   decoded_request Decoded =
       Server.Codec.decodeRequest(std::move(Request), now());
+  if (Server.isDraining())
+    Server.Observer.onRequestWhileDraining({Decoded.Id,
+                                            now() - Server.DrainBeganAt,
+                                            now() - AcceptedAt, RequestCount});
+  ++RequestCount;
   if (!Decoded.Call) {
     Server.Observer.onRequestRefused(Decoded);
     writeResponse(Server.Codec.makeErrorResponse(
@@ -237,7 +243,7 @@
 }
 
 void frontend_session::beginResponse(const relay::response_head &Head) {
-  if (Server.IsDraining)
+  if (Server.isDraining())
     KeepAlive = false;
   if (IsHttp10) {
     // Chunks are sent although HTTP/1.0 does not define them. If the end of the
@@ -259,7 +265,7 @@
 
 void frontend_session::sendCompleteResponse(const relay::response_head &Head,
                                             std::string_view Body) {
-  if (Server.IsDraining)
+  if (Server.isDraining())
     KeepAlive = false;
   std::string Text = formatHead(Head, false, Body.size());
   if (!IsHeadRequest)
@@ -372,7 +378,7 @@
 }
 
 void frontend_session::writeResponse(response_message Message) {
-  if (Server.IsDraining)
+  if (Server.isDraining())
     KeepAlive = false;
   Message.keep_alive(KeepAlive);
   Message.prepare_payload();
--- a/packages/edge/src/frontend_session.hpp
+++ b/packages/edge/src/frontend_session.hpp
@@ -90,6 +90,8 @@
   bool IsHeadRequest = false;  // The response must have no body.
   bool LingerAfterWrite = false;
   time_ms ExchangeTimerDue = 0; // Monotonic time that Timer is set to.
+  time_ms AcceptedAt;           // Monotonic.
+  int RequestCount = 0;         // Requests read on this connection.
 
   // The call that is being served; Exchange is null if there is none.
   request_message ForwardRequest;
