--- a/stand_ins/runner.cpp
+++ b/stand_ins/runner.cpp
@@ -18,6 +18,7 @@
 //   cut        gets a stream that breaks off within the third event
 // Other values:
 //   delay_ms   duration of each execution
+//   event_ms   pause before each event of a stream
 //   leave      above 0: registers as draining
 #include "http_program.hpp"
 
@@ -97,6 +98,11 @@
     return true;
   }
 
+  std::int64_t controlValue(const std::string &Name) {
+    const std::lock_guard Guard(Lock);
+    return ControlValues[Name];
+  }
+
   std::string statsJson() {
     const std::lock_guard Guard(Lock);
     Poco::JSON::Object Top;
@@ -118,11 +124,10 @@
                   Poco::Net::HTTPServerResponse &Response) {
     const std::string AttemptId = Request.get("Attempt-Id", "");
     readBody(Request);
-    std::int64_t DelayMs = 0;
+    const std::int64_t DelayMs = controlValue("delay_ms");
     {
       const std::lock_guard Guard(Lock);
       ++RequestsSeen;
-      DelayMs = ControlValues["delay_ms"];
     }
     Response.set("Attempt-Id", AttemptId);
     if (Request.get("Expect-Instance", Settings.Id) != Settings.Id) {
@@ -175,6 +180,7 @@
     std::int64_t LastEvent = 0; // The caller has received events up to this.
     std::istringstream(Request.get("Last-Event-Id", "0")) >> LastEvent;
     const std::int64_t Events = MaxOutputTokens / Settings.TokensPerEvent;
+    const std::chrono::milliseconds EventPause(controlValue("event_ms"));
     const bool Cut = consumeFault("cut");
     Response.setContentType("text/event-stream");
     Response.setChunkedTransferEncoding(true);
@@ -184,6 +190,7 @@
         Out << "id: " << Event << "\nda" << std::flush;
         return closeConnection(Request);
       }
+      std::this_thread::sleep_for(EventPause);
       Out << "id: " << Event << "\ndata: piece " << Event << "\n\n"
           << std::flush;
       if (!Out.good())
