--- a/packages/daemon/src/logged_placement.cpp
+++ b/packages/daemon/src/logged_placement.cpp
@@ -6,23 +6,8 @@
 logged_placement::logged_placement(dispatch::load_balancer &LoadBalancer,
                                    adapters::event_log &Log,
                                    report::metrics_registry &Metrics)
-    : LoadBalancer(LoadBalancer), Log(Log), Metrics(Metrics) {}
-
-std::optional<relay::endpoint_choice>
-logged_placement::choose(const relay::call &Call,
-                         const std::set<std::string> &Tried, time_ms Now) {
-  return LoadBalancer.choose(Call, Tried, Now);
-}
-
-void logged_placement::onSent(const relay::call &Call,
-                              std::string_view Endpoint, time_ms Now) {
-  LoadBalancer.onSent(Call, Endpoint, Now);
-}
-
-void logged_placement::onFirstByte(const relay::call &Call,
-                                   std::string_view Endpoint, time_ms Now) {
-  LoadBalancer.onFirstByte(Call, Endpoint, Now);
-}
+    : placement_decorator(LoadBalancer), LoadBalancer(LoadBalancer), Log(Log),
+      Metrics(Metrics) {}
 
 void logged_placement::onEnded(const relay::call &Call,
                                std::string_view Endpoint,
@@ -41,11 +26,11 @@
                                  {"left_ms", Call.Deadline - Now},
                                  {"known", std::string_view(EndpointState)}});
   }
-  LoadBalancer.onEnded(Call, Endpoint, End, Now);
+  placement_decorator::onEnded(Call, Endpoint, End, Now);
 }
 
 bool logged_placement::tryRetry(std::string_view Service, time_ms Now) {
-  const bool Allowed = LoadBalancer.tryRetry(Service, Now);
+  const bool Allowed = placement_decorator::tryRetry(Service, Now);
   Metrics
       .counterOf(Allowed ? "tamarack_repeats_total"
                          : "tamarack_repeats_refused_total")
@@ -53,9 +38,4 @@
   return Allowed;
 }
 
-relay::placement_refusal
-logged_placement::refusal(const relay::call &Call) const {
-  return LoadBalancer.refusal(Call);
-}
-
 } // namespace tamarack::daemon
