Take no request late in a stop that it would cut

Cause: the only thing that kept work away from a stopping process was to ask callers to close, and to close connections that were idle at 2.5 s. A response whose head went out before SIGTERM can't ask, so its connection stays, and the next request on it was taken whatever time was left. Nothing compared a request with the end of the process; the same holds for retries and resumed streams.

Now the end of the process is known where a call begins: later than 2.5 s after SIGTERM a call is admitted only if its deadline is before the forced stop, which does not rest on any estimate.

--- a/packages/daemon/src/router.cpp
+++ b/packages/daemon/src/router.cpp
@@ -154,7 +154,8 @@
       SharedReads(PeerCallStore, Clock),
       PeerService(SharedReads, Store, Clock, *this),
       LoadBalancer(Settings.Zone, Settings.RetryLimits, Random),
-      Placement(LoadBalancer, Log, Metrics), Codec(LoadBalancer, Random),
+      Placement(LoadBalancer, Log, Metrics), ShutdownGate(Placement),
+      Codec(LoadBalancer, Random),
       Grants(Settings.Instance, Random.next() | 1, Settings.PeerAddress,
              adapters::readBootId(), {}, Clock),
       ConfigurationListener(std::make_unique<configuration_listener>(*this)),
@@ -167,8 +168,8 @@
       GrantFollower(store_topic::Grants, Store, Clock, *GrantListener,
                     GrantReads),
       ConnectionPool(Context, Clock, {}),
-      Frontend(Context, Clock, Codec, Placement, *this, *this, ConnectionPool,
-               {}),
+      Frontend(Context, Clock, Codec, ShutdownGate, *this, *this,
+               ConnectionPool, {}),
       ReadinessServer(Context,
                       [this](const edge::request_message &,
                              const edge::respond_callback &Respond) {
@@ -324,6 +325,9 @@
   IsStopping = true;
   StopRequestedAt = Clock.monotonic();
   Frontend.beginDrain();
+  ShutdownGate.beginShutdown(StopRequestedAt + DrainBeforeCloseMs,
+                             StopRequestedAt + Settings.ShutdownGraceMs -
+                                 ForcedStopMarginMs);
   Log.write("stop_begins",
             {{"busy", static_cast<std::int64_t>(Frontend.busySessionCount())},
              {"open", static_cast<std::int64_t>(Frontend.sessionCount())},
--- a/packages/daemon/src/router.hpp
+++ b/packages/daemon/src/router.hpp
@@ -111,6 +111,7 @@
   peers::peer_store_service PeerService;
   dispatch::load_balancer LoadBalancer;
   logged_placement Placement;
+  dispatch::shutdown_gate ShutdownGate;
   platform::platform_codec Codec;
   grants::grant_holder Grants;
   follow::endpoint_directory Directory;
--- a/packages/dispatch/include/tamarack/dispatch.hpp
+++ b/packages/dispatch/include/tamarack/dispatch.hpp
@@ -6,6 +6,7 @@
 //   retries          retry_limits, fleet_retry_budget
 //   load balancing   cost_weights, load_balancer, an implementation of
 //                    relay::placement
+//   shutdown         shutdown_schedule, shutdown_gate
 //
 // Nothing here is thread-safe or reads a clock; times are monotonic ms.
 #pragma once
@@ -217,4 +218,51 @@
       RetryBudgets; // By service.
 };
 
+//---------------------------------------------------------------------------
+// Shutdown
+//---------------------------------------------------------------------------
+
+// Which calls and attempts a process that stops may still begin, so that it
+// begins nothing that it would cut off.
+class shutdown_schedule {
+public:
+  // Calls that arrive until OpenUntil are taken, because callers are still sent
+  // here and may be sent from here to another instance that stops. At CutAt the
+  // process gives up the calls that have no final response.
+  void begin(time_ms OpenUntil, time_ms CutAt);
+  bool hasBegun() const { return CutAt >= 0; }
+  // True if the call may begin. After OpenUntil, only if its deadline is before
+  // the cut.
+  bool admitsCall(const relay::call &Call) const;
+  // True if one more attempt of a call that has begun is worthwhile.
+  bool admitsAttempt(const relay::call &Call, time_ms Now) const;
+
+private:
+  bool endsBeforeCut(const relay::call &Call) const;
+
+  time_ms OpenUntil = -1;
+  time_ms CutAt = -1; // -1 before begin().
+};
+
+// Decorates a placement: refuses what the schedule does not admit.
+class shutdown_gate final : public relay::placement_decorator {
+public:
+  explicit shutdown_gate(relay::placement &Inner)
+      : placement_decorator(Inner) {}
+
+  // See shutdown_schedule::begin.
+  void beginShutdown(time_ms OpenUntil, time_ms CutAt) {
+    Schedule.begin(OpenUntil, CutAt);
+  }
+
+  std::optional<relay::placement_refusal> admit(const relay::call &Call,
+                                                time_ms Now) override;
+  std::optional<relay::endpoint_choice>
+  choose(const relay::call &Call, const std::set<std::string> &Tried,
+         time_ms Now) override;
+
+private:
+  shutdown_schedule Schedule;
+};
+
 } // namespace tamarack::dispatch
