Answer the calls that a forced stop gives up

Callers whose call still ran 0.5 s before the end of the grace period got a closed connection without an answer, and the log said that the caller had left.

Cause: the forced stop closed every connection and told the exchange that the caller was gone. Now the exchange itself gives the call up: 504 if it may have run, 503 if it was never sent, an aborted stream if the response has begun. The process ends 0.25 s later, still 0.25 s before the platform would kill it.

--- a/packages/daemon/src/router.cpp
+++ b/packages/daemon/src/router.cpp
@@ -348,19 +348,22 @@
     return;
   const bool IsOverdue =
       ElapsedMs >= Settings.ShutdownGraceMs - ForcedStopMarginMs;
-  if (IsOverdue) {
+  if (IsOverdue && !HasGivenUp) {
+    HasGivenUp = true;
     Log.write("stop_forced",
               {{"stop_age_ms", ElapsedMs},
                {"cut", static_cast<std::int64_t>(Frontend.busySessionCount())},
                {"open", static_cast<std::int64_t>(Frontend.sessionCount())},
                {"grants_returned", std::int64_t(Grants.hasReturnedGrants())}});
-    Frontend.abortAll();
+    Frontend.giveUpCalls();
   }
   if (Frontend.busySessionCount() == 0)
     Grants.leave();
   const bool IsFinished =
       Frontend.sessionCount() == 0 && Grants.hasReturnedGrants();
-  if (IsFinished || IsOverdue)
+  const bool MustEnd = ElapsedMs >= Settings.ShutdownGraceMs -
+                                        ForcedStopMarginMs + LastResponsesMs;
+  if (IsFinished || MustEnd)
     Context.stop();
 }
 
--- a/packages/daemon/src/router.hpp
+++ b/packages/daemon/src/router.hpp
@@ -96,6 +96,8 @@
 
   // The forced stop comes this long before the end of the grace period.
   static constexpr int ForcedStopMarginMs = 500;
+  // Of that, for the last responses to reach their callers.
+  static constexpr int LastResponsesMs = 250;
 
   router_settings Settings;
   adapters::system_clock Clock;
@@ -141,6 +143,7 @@
   time_ms NextGrantWriteAt = 0; // Monotonic.
   bool IsStopping = false;
   bool IsAccepting = true;     // New connections of callers.
+  bool HasGivenUp = false;     // The forced stop has ended all calls.
   time_ms StopRequestedAt = 0; // Monotonic.
 };
 
--- a/packages/daemon/src/router_reports.cpp
+++ b/packages/daemon/src/router_reports.cpp
@@ -135,6 +135,7 @@
       .counterOf("tamarack_calls_total{kind=\"" +
                  std::string(relay::toString(Call.Kind)) + "\",outcome=\"" +
                  std::string(Report.CallerDisconnected ? "caller_gone"
+                             : Report.GivenUpAtStop    ? "given_up_at_stop"
                              : Error.empty()           ? "answered"
                                                        : Error) +
                  "\"}")
@@ -159,6 +160,7 @@
                      {"last_end", relay::toString(Report.LastOutcome)},
                      {"caller_gone", std::int64_t(Report.CallerDisconnected)},
                      {"broken_off", std::int64_t(Report.ResponseAborted)},
+                     {"given_up_at_stop", std::int64_t(Report.GivenUpAtStop)},
                      {"first_byte_ms", Report.FirstByteAt > 0
                                            ? Report.FirstByteAt - Call.ArrivedAt
                                            : std::int64_t(-1)},
--- a/packages/edge/include/tamarack/edge.hpp
+++ b/packages/edge/include/tamarack/edge.hpp
@@ -199,8 +199,9 @@
   void beginDrain();
   // Accepts no new connections and closes the idle ones.
   void stopAccepting();
-  // Closes all connections; calls in progress are broken off.
-  void abortAll();
+  // Ends all calls in progress, with a final response where none has begun, and
+  // closes all other connections.
+  void giveUpCalls();
   // Calls that wait for tokens try to reserve them again.
   void onGrantsChanged();
 
--- a/packages/edge/src/frontend_server.cpp
+++ b/packages/edge/src/frontend_server.cpp
@@ -62,10 +62,10 @@
     Session->closeIfIdle();
 }
 
-void frontend_server::abortAll() {
+void frontend_server::giveUpCalls() {
   const std::set<std::shared_ptr<frontend_session>> SessionsCopy = Sessions;
   for (const std::shared_ptr<frontend_session> &Session : SessionsCopy)
-    Session->abort();
+    Session->giveUp();
 }
 
 void frontend_server::onGrantsChanged() {
--- a/packages/edge/src/frontend_session.cpp
+++ b/packages/edge/src/frontend_session.cpp
@@ -278,7 +278,15 @@
 // one.
 void frontend_session::abortResponse() { KeepAlive = false; }
 
-void frontend_session::abort() { close(); }
+void frontend_session::giveUp() {
+  if (!Exchange) {
+    if (Phase != phase::Closing)
+      close();
+    return;
+  }
+  Exchange->onForcedStop(now());
+  afterExchangeEvent();
+}
 
 void frontend_session::refuse(relay::error_kind Kind, int RetryAfterMs) {
   writeResponse(Server.Codec.makeErrorResponse(Kind, RetryAfterMs,
--- a/packages/edge/src/frontend_session.hpp
+++ b/packages/edge/src/frontend_session.hpp
@@ -16,7 +16,8 @@
   void start();
   void onGrantsChanged();
   void closeIfIdle();
-  void abort(); // Closes the connection, also while a request is served.
+  // Ends the call in progress; closes the connection if there is none.
+  void giveUp();
   bool isBusy() const { return Phase != phase::Idle; }
 
 private:
--- a/packages/relay/include/tamarack/relay.hpp
+++ b/packages/relay/include/tamarack/relay.hpp
@@ -403,6 +403,7 @@
   int UnreachedEndpoints = 0;
   bool CallerDisconnected = false;
   bool ResponseAborted = false;
+  bool GivenUpAtStop = false; // The process ended before the call.
   std::int64_t TokensCharged = 0;
   time_ms FirstByteAt = 0;  // Of the endpoint's response, 0 if none.
   std::string LastEndpoint; // Of the last attempt.
@@ -427,6 +428,9 @@
   void onBroken(time_ms Now); // The connection broke after the send.
   void onCallerDisconnected(time_ms Now);
   void onTimer(time_ms Now); // At or after nextTimer().
+  // The process ends before the call can: gives the caller a final response, or
+  // aborts the stream if it has begun.
+  void onForcedStop(time_ms Now);
 
   // When onTimer is due next.
   time_ms nextTimer() const;
@@ -440,6 +444,7 @@
   void reserveTokens(time_ms Now);
   void startNextAttempt(time_ms Now);
   bool tryRetry(time_ms Now);
+  void cancelAttempt(time_ms Now); // If one is in flight.
   void endAttempt(attempt_outcome Outcome, time_ms Now);
   void processEvents(time_ms Now);
   void forwardEvents(std::string_view Events, time_ms Now);
--- a/packages/relay/src/exchange.cpp
+++ b/packages/relay/src/exchange.cpp
@@ -88,6 +88,14 @@
   Host.startAttempt(*Choice, Options);
 }
 
+void exchange::cancelAttempt(time_ms Now) {
+  if (!AttemptInFlight)
+    return;
+  MayHaveRun = true;
+  Host.cancelAttempt();
+  endAttempt(attempt_outcome::Cancelled, Now);
+}
+
 void exchange::endAttempt(attempt_outcome Outcome, time_ms Now) {
   assert(AttemptInFlight && "an attempt ends once");
   AttemptInFlight = false;
@@ -269,11 +277,7 @@
   if (State == state::Done)
     return;
   Report.CallerDisconnected = true;
-  if (AttemptInFlight) {
-    MayHaveRun = true;
-    Host.cancelAttempt();
-    endAttempt(attempt_outcome::Cancelled, Now);
-  }
+  cancelAttempt(Now);
   finish(delivery::CallerDisconnected);
 }
 
@@ -286,14 +290,20 @@
     return;
   if (State == state::WaitingForTokens)
     return refuseNotRun(error_kind::BudgetUnavailable, 0);
-  if (AttemptInFlight) {
-    MayHaveRun = true;
-    Host.cancelAttempt();
-    endAttempt(attempt_outcome::Cancelled, Now);
-  }
+  cancelAttempt(Now);
   failAfterSend(true);
 }
 
+void exchange::onForcedStop(time_ms Now) {
+  if (State == state::Done)
+    return;
+  Report.GivenUpAtStop = true;
+  cancelAttempt(Now);
+  if (MayHaveRun)
+    return failAfterSend(true);
+  refuseNotRun(error_kind::NotReady, 0);
+}
+
 // Ends a call that may have run: aborts the stream if it has begun, otherwise
 // sends an error response.
 void exchange::failAfterSend(bool TimedOut) {
--- a/tests/unit/relay_test.cpp
+++ b/tests/unit/relay_test.cpp
@@ -342,6 +342,32 @@
   CHECK(Late.Host.RefusedWith == error_kind::BudgetUnavailable);
 }
 
+// Guards against a connection that ends without a response when the process
+// gives a call up.
+TEST_CASE("a call that outlasts the process gets a final response",
+          "[relay][shutdown]") {
+  exchange_fixture Waiting(callOf(call_kind::NotRepeatable));
+  Waiting.Budget.Result = reserve_result::Pending;
+  Waiting.Exchange.start(Start);
+  Waiting.Exchange.onForcedStop(Start + 10);
+  CHECK(Waiting.Host.RefusedWith == error_kind::NotReady);
+
+  exchange_fixture Sent(callOf(call_kind::NotRepeatable));
+  Sent.Exchange.start(Start);
+  Sent.Exchange.onForcedStop(Start + 10);
+  CHECK(Sent.Host.RefusedWith == error_kind::OutcomeUnknown);
+  CHECK_FALSE(Sent.Host.InFlight);
+  CHECK(Sent.Exchange.report().GivenUpAtStop);
+
+  exchange_fixture Begun(callOf(call_kind::Stream));
+  Begun.Exchange.start(Start);
+  Begun.Exchange.onHead(headOf(200), Start + 5);
+  Begun.Exchange.onBody("id: 1\ndata: x\n\n", Start + 6);
+  Begun.Exchange.onForcedStop(Start + 10);
+  CHECK(Begun.Host.AbortedResponses == 1);
+  CHECK(Begun.Budget.Reserved == 0);
+}
+
 //---------------------------------------------------------------------------
 // Random event sequences
 //---------------------------------------------------------------------------
@@ -360,9 +386,10 @@
   CallerDisconnected,
   Timer,
   Unusable,
-  BudgetChanged
+  BudgetChanged,
+  ForcedStop
 };
-constexpr int StepCount = 12;
+constexpr int StepCount = 13;
 
 // What the endpoints did, tracked independently of the exchange.
 struct endpoint_model {
@@ -449,6 +476,11 @@
   case step::BudgetChanged:
     Exchange.onBudgetChanged(Now);
     break;
+  case step::ForcedStop:
+    if (InFlight && !Responding)
+      ++Model.MayHaveRun;
+    Exchange.onForcedStop(Now);
+    break;
   }
 }
 
