--- a/packages/daemon/src/router.cpp
+++ b/packages/daemon/src/router.cpp
@@ -16,8 +16,6 @@
 constexpr int TickMs = 100;
 // From the failing readiness check until no new connections arrive.
 constexpr int DrainBeforeCloseMs = 2'500;
-// The forced stop comes this long before the end of the grace period.
-constexpr int ForcedStopMarginMs = 500;
 constexpr int ConfigurationLongPollMs = 1'000; // Longest wait for a version.
 // An older configuration may lack routes that callers have been told of. Longer
 // than a long poll, less than the time until a version must be in force.
@@ -156,7 +154,8 @@
       SharedReads(PeerCallStore, Clock),
       PeerService(SharedReads, Store, Clock, *this),
       LoadBalancer(Settings.Zone, Settings.RetryLimits, Random),
-      Placement(LoadBalancer, Log, Metrics), Codec(LoadBalancer, Random),
+      Placement(LoadBalancer, Log, Metrics), ShutdownGate(Placement),
+      Codec(LoadBalancer, Random),
       Grants(Settings.Instance, Random.next() | 1, Settings.PeerAddress,
              adapters::readBootId(), {}, Clock),
       ConfigurationListener(std::make_unique<configuration_listener>(*this)),
@@ -169,8 +168,8 @@
       GrantFollower(store_topic::Grants, Store, Clock, *GrantListener,
                     GrantReads),
       ConnectionPool(Context, Clock, {}),
-      Frontend(Context, Clock, Codec, Placement, *this, *this, ConnectionPool,
-               {}),
+      Frontend(Context, Clock, Codec, ShutdownGate, *this, *this,
+               ConnectionPool, {}),
       ReadinessServer(Context,
                       [this](const edge::request_message &,
                              const edge::respond_callback &Respond) {
@@ -326,27 +325,45 @@
   IsStopping = true;
   StopRequestedAt = Clock.monotonic();
   Frontend.beginDrain();
+  ShutdownGate.beginShutdown(StopRequestedAt + DrainBeforeCloseMs,
+                             StopRequestedAt + Settings.ShutdownGraceMs -
+                                 ForcedStopMarginMs);
   Log.write("stop_begins",
-            {{"busy", static_cast<std::int64_t>(Frontend.busySessionCount())}});
+            {{"busy", static_cast<std::int64_t>(Frontend.busySessionCount())},
+             {"open", static_cast<std::int64_t>(Frontend.sessionCount())},
+             {"tick_due_ms_ago", Clock.monotonic() - TickDueAt}});
 }
 
 void router::continueStop() {
   const time_ms ElapsedMs = Clock.monotonic() - StopRequestedAt;
   if (IsAccepting && ElapsedMs >= DrainBeforeCloseMs) {
     IsAccepting = false;
+    Log.write("stop_accepts_no_more",
+              {{"stop_age_ms", ElapsedMs},
+               {"busy", static_cast<std::int64_t>(Frontend.busySessionCount())},
+               {"open", static_cast<std::int64_t>(Frontend.sessionCount())}});
     Frontend.stopAccepting();
   }
   if (IsAccepting)
     return;
   const bool IsOverdue =
       ElapsedMs >= Settings.ShutdownGraceMs - ForcedStopMarginMs;
-  if (IsOverdue)
-    Frontend.abortAll();
+  if (IsOverdue && !HasGivenUp) {
+    HasGivenUp = true;
+    Log.write("stop_forced",
+              {{"stop_age_ms", ElapsedMs},
+               {"cut", static_cast<std::int64_t>(Frontend.busySessionCount())},
+               {"open", static_cast<std::int64_t>(Frontend.sessionCount())},
+               {"grants_returned", std::int64_t(Grants.hasReturnedGrants())}});
+    Frontend.giveUpCalls();
+  }
   if (Frontend.busySessionCount() == 0)
     Grants.leave();
   const bool IsFinished =
       Frontend.sessionCount() == 0 && Grants.hasReturnedGrants();
-  if (IsFinished || IsOverdue)
+  const bool MustEnd = ElapsedMs >= Settings.ShutdownGraceMs -
+                                        ForcedStopMarginMs + LastResponsesMs;
+  if (IsFinished || MustEnd)
     Context.stop();
 }
 
--- a/packages/daemon/src/router.hpp
+++ b/packages/daemon/src/router.hpp
@@ -43,6 +43,7 @@
   void onRequestRefused(const edge::decoded_request &Request) override;
   void onCallDone(const relay::call &Call, const relay::exchange_report &Report,
                   time_ms Now) override;
+  void onRequestWhileDraining(const edge::drain_arrival &Request) override;
 
   // relay::token_budget: reserves from the grants of this instance. If those
   // are short, the watermark and the grant record are written without waiting
@@ -93,6 +94,11 @@
   edge::response_message readinessResponse() const;
   edge::response_message metricsResponse();
 
+  // The forced stop comes this long before the end of the grace period.
+  static constexpr int ForcedStopMarginMs = 500;
+  // Of that, for the last responses to reach their callers.
+  static constexpr int LastResponsesMs = 250;
+
   router_settings Settings;
   adapters::system_clock Clock;
   adapters::system_random Random;
@@ -107,6 +113,7 @@
   peers::peer_store_service PeerService;
   dispatch::load_balancer LoadBalancer;
   logged_placement Placement;
+  dispatch::shutdown_gate ShutdownGate;
   platform::platform_codec Codec;
   grants::grant_holder Grants;
   follow::endpoint_directory Directory;
@@ -136,6 +143,7 @@
   time_ms NextGrantWriteAt = 0; // Monotonic.
   bool IsStopping = false;
   bool IsAccepting = true;     // New connections of callers.
+  bool HasGivenUp = false;     // The forced stop has ended all calls.
   time_ms StopRequestedAt = 0; // Monotonic.
 };
 
--- a/packages/daemon/src/router_reports.cpp
+++ b/packages/daemon/src/router_reports.cpp
@@ -135,6 +135,7 @@
       .counterOf("tamarack_calls_total{kind=\"" +
                  std::string(relay::toString(Call.Kind)) + "\",outcome=\"" +
                  std::string(Report.CallerDisconnected ? "caller_gone"
+                             : Report.GivenUpAtStop    ? "given_up_at_stop"
                              : Error.empty()           ? "answered"
                                                        : Error) +
                  "\"}")
@@ -159,6 +160,7 @@
                      {"last_end", relay::toString(Report.LastOutcome)},
                      {"caller_gone", std::int64_t(Report.CallerDisconnected)},
                      {"broken_off", std::int64_t(Report.ResponseAborted)},
+                     {"given_up_at_stop", std::int64_t(Report.GivenUpAtStop)},
                      {"first_byte_ms", Report.FirstByteAt > 0
                                            ? Report.FirstByteAt - Call.ArrivedAt
                                            : std::int64_t(-1)},
@@ -169,6 +171,23 @@
                      {"bound", Call.maxTokens()}});
 }
 
+void router::onRequestWhileDraining(const edge::drain_arrival &Request) {
+  const bool IsNewConnection = Request.EarlierRequests == 0;
+  Metrics
+      .counterOf(
+          std::string("tamarack_requests_while_stopping_total") +
+          (IsNewConnection ? "{connection=\"new\"}" : "{connection=\"kept\"}"))
+      .add();
+  Log.write("request_while_stopping",
+            {{"id", Request.Id},
+             {"stop_age_ms", Request.DrainAgeMs},
+             {"connection", IsNewConnection ? "new" : "kept"},
+             {"connection_age_ms", Request.ConnectionAgeMs},
+             {"earlier_requests", std::int64_t(Request.EarlierRequests)},
+             {"until_cut_ms", Settings.ShutdownGraceMs - ForcedStopMarginMs -
+                                  Request.DrainAgeMs}});
+}
+
 edge::response_message router::readinessResponse() const {
   return edge::response_message(isReady()
                                     ? edge::http::status::ok
--- a/packages/edge/src/frontend_session.hpp
+++ b/packages/edge/src/frontend_session.hpp
@@ -16,7 +16,8 @@
   void start();
   void onGrantsChanged();
   void closeIfIdle();
-  void abort(); // Closes the connection, also while a request is served.
+  // Ends the call in progress; closes the connection if there is none.
+  void giveUp();
   bool isBusy() const { return Phase != phase::Idle; }
 
 private:
@@ -90,6 +91,8 @@
   bool IsHeadRequest = false;  // The response must have no body.
   bool LingerAfterWrite = false;
   time_ms ExchangeTimerDue = 0; // Monotonic time that Timer is set to.
+  time_ms AcceptedAt;           // Monotonic.
+  int RequestCount = 0;         // Requests read on this connection.
 
   // The call that is being served; Exchange is null if there is none.
   request_message ForwardRequest;
--- a/packages/relay/include/tamarack/relay.hpp
+++ b/packages/relay/include/tamarack/relay.hpp
@@ -197,6 +197,11 @@
 class placement {
 public:
   virtual ~placement() = default;
+  // Called once, before tokens are reserved. Returns a refusal if it is already
+  // known that no endpoint may get the call.
+  virtual std::optional<placement_refusal> admit(const call &, time_ms) {
+    return std::nullopt;
+  }
   // Returns nothing if no endpoint outside Tried can take the call now.
   virtual std::optional<endpoint_choice>
   choose(const call &Call, const std::set<std::string> &Tried, time_ms Now) = 0;
@@ -212,6 +217,30 @@
   virtual placement_refusal refusal(const call &Call) const = 0;
 };
 
+// Passes everything on to another placement. Base of classes that change or
+// observe some of it.
+class placement_decorator : public placement {
+public:
+  explicit placement_decorator(placement &Inner) : Inner(Inner) {}
+
+  std::optional<placement_refusal> admit(const call &Call,
+                                         time_ms Now) override;
+  std::optional<endpoint_choice> choose(const call &Call,
+                                        const std::set<std::string> &Tried,
+                                        time_ms Now) override;
+  void onSent(const call &Call, std::string_view Endpoint,
+              time_ms Now) override;
+  void onFirstByte(const call &Call, std::string_view Endpoint,
+                   time_ms Now) override;
+  void onEnded(const call &Call, std::string_view Endpoint,
+               attempt_outcome Outcome, time_ms Now) override;
+  bool tryRetry(std::string_view Service, time_ms Now) override;
+  placement_refusal refusal(const call &Call) const override;
+
+private:
+  placement &Inner;
+};
+
 enum class reserve_result {
   Reserved,
   Pending,     // More tokens may be granted within moments.
@@ -374,6 +403,7 @@
   int UnreachedEndpoints = 0;
   bool CallerDisconnected = false;
   bool ResponseAborted = false;
+  bool GivenUpAtStop = false; // The process ended before the call.
   std::int64_t TokensCharged = 0;
   time_ms FirstByteAt = 0;  // Of the endpoint's response, 0 if none.
   std::string LastEndpoint; // Of the last attempt.
@@ -398,6 +428,9 @@
   void onBroken(time_ms Now); // The connection broke after the send.
   void onCallerDisconnected(time_ms Now);
   void onTimer(time_ms Now); // At or after nextTimer().
+  // The process ends before the call can: gives the caller a final response, or
+  // aborts the stream if it has begun.
+  void onForcedStop(time_ms Now);
 
   // When onTimer is due next.
   time_ms nextTimer() const;
@@ -411,6 +444,7 @@
   void reserveTokens(time_ms Now);
   void startNextAttempt(time_ms Now);
   bool tryRetry(time_ms Now);
+  void cancelAttempt(time_ms Now); // If one is in flight.
   void endAttempt(attempt_outcome Outcome, time_ms Now);
   void processEvents(time_ms Now);
   void forwardEvents(std::string_view Events, time_ms Now);
