Count a stop from the signal, not from its handling

On an instance whose event loop stands still when SIGTERM comes, all limits of the stop were late by that time: it took a stream 3.2 s after the signal and ended after the platform had killed it, which cut everything in flight.

Cause: the stop began when the signal was handled. It begins now at the earliest time the signal can have come: when the last tick that ran late, or one that has not run yet, was due. stop_begins logs the difference as handled_late_ms; its tick_due_ms_ago could not show it, as the late tick runs before the signal.

--- a/packages/daemon/src/router.cpp
+++ b/packages/daemon/src/router.cpp
@@ -319,11 +319,20 @@
   }
 }
 
+// The event loop handles a signal after everything else that became ready while
+// it stood still, also after a tick that was due in that time.
+time_ms router::earliestSignalTime(time_ms Now) const {
+  const bool WasTickJustLate = LastTickAt >= 0 && Now - LastTickAt < TickMs;
+  const time_ms IdleSince = WasTickJustLate ? LastTickDueAt : TickDueAt;
+  return IdleSince < 0 ? Now : std::min(Now, IdleSince);
+}
+
 void router::beginStop() {
   if (IsStopping)
     return;
   IsStopping = true;
-  StopRequestedAt = Clock.monotonic();
+  const time_ms Now = Clock.monotonic();
+  StopRequestedAt = earliestSignalTime(Now);
   Frontend.beginDrain();
   ShutdownGate.beginShutdown(StopRequestedAt + DrainBeforeCloseMs,
                              StopRequestedAt + Settings.ShutdownGraceMs -
@@ -331,7 +340,7 @@
   Log.write("stop_begins",
             {{"busy", static_cast<std::int64_t>(Frontend.busySessionCount())},
              {"open", static_cast<std::int64_t>(Frontend.sessionCount())},
-             {"tick_due_ms_ago", Clock.monotonic() - TickDueAt}});
+             {"handled_late_ms", Now - StopRequestedAt}});
 }
 
 void router::continueStop() {
--- a/packages/daemon/src/router.hpp
+++ b/packages/daemon/src/router.hpp
@@ -89,6 +89,8 @@
   void waitForSignals();
   void reloadSettings();
   void beginStop();
+  // The earliest time at which a signal that is handled now can have come.
+  time_ms earliestSignalTime(time_ms Now) const;
   void continueStop();
   bool isReady() const { return RouteTable && !IsStopping; }
   edge::response_message readinessResponse() const;
@@ -131,6 +133,9 @@
   edge::net::signal_set SignalSet;
   edge::net::steady_timer TickTimer;
   time_ms TickDueAt = -1; // Monotonic, -1 before the first tick.
+  // Of the last tick, monotonic: when it was due and when it ran.
+  time_ms LastTickDueAt = -1;
+  time_ms LastTickAt = -1;
   std::shared_ptr<const relay::route_table> RouteTable;
   store_writer WatermarkWriter;               // Writes under Settings.Instance.
   store_writer GrantWriter;                   // Writes under Settings.Instance.
@@ -144,7 +149,7 @@
   bool IsStopping = false;
   bool IsAccepting = true;     // New connections of callers.
   bool HasGivenUp = false;     // The forced stop has ended all calls.
-  time_ms StopRequestedAt = 0; // Monotonic.
+  time_ms StopRequestedAt = 0; // Monotonic, when the signal came.
 };
 
 } // namespace tamarack::daemon
--- a/packages/daemon/src/router_reports.cpp
+++ b/packages/daemon/src/router_reports.cpp
@@ -72,6 +72,8 @@
 void router::recordLoopDelay(time_ms Now) {
   if (TickDueAt < 0)
     return;
+  LastTickDueAt = TickDueAt;
+  LastTickAt = Now;
   const time_ms DelayMs = std::max<time_ms>(0, Now - TickDueAt);
   Metrics.histogramOf("tamarack_loop_delay_ms")
       .observe(static_cast<double>(DelayMs));
@@ -180,12 +182,12 @@
       .add();
   Log.write("request_while_stopping",
             {{"id", Request.Id},
-             {"stop_age_ms", Request.DrainAgeMs},
+             {"stop_age_ms", Clock.monotonic() - StopRequestedAt},
              {"connection", IsNewConnection ? "new" : "kept"},
              {"connection_age_ms", Request.ConnectionAgeMs},
              {"earlier_requests", std::int64_t(Request.EarlierRequests)},
-             {"until_cut_ms", Settings.ShutdownGraceMs - ForcedStopMarginMs -
-                                  Request.DrainAgeMs}});
+             {"until_cut_ms", StopRequestedAt + Settings.ShutdownGraceMs -
+                                  ForcedStopMarginMs - Clock.monotonic()}});
 }
 
 edge::response_message router::readinessResponse() const {
--- a/packages/edge/include/tamarack/edge.hpp
+++ b/packages/edge/include/tamarack/edge.hpp
@@ -163,7 +163,6 @@
 // A request that was read after beginDrain(), for logs.
 struct drain_arrival {
   std::string_view Id;         // Request id, may be empty.
-  time_ms DrainAgeMs = 0;      // Since beginDrain().
   time_ms ConnectionAgeMs = 0; // Since the connection was accepted.
   int EarlierRequests = 0;     // Read before on the same connection.
 };
@@ -206,7 +205,7 @@
   void onGrantsChanged();
 
   std::size_t sessionCount() const { return Sessions.size(); }
-  bool isDraining() const { return DrainBeganAt >= 0; }
+  bool isDraining() const { return IsDraining; }
   std::size_t busySessionCount() const; // Sessions that are not idle.
 
 private:
@@ -224,7 +223,7 @@
   relay::caller_limits Limits;
   tcp::acceptor Acceptor;
   net::steady_timer AcceptRetryTimer;
-  time_ms DrainBeganAt = -1; // Monotonic, -1 before beginDrain().
+  bool IsDraining = false;
   std::set<std::shared_ptr<frontend_session>> Sessions;
 };
 
--- a/packages/edge/src/frontend_server.cpp
+++ b/packages/edge/src/frontend_server.cpp
@@ -51,7 +51,7 @@
   });
 }
 
-void frontend_server::beginDrain() { DrainBeganAt = Clock.monotonic(); }
+void frontend_server::beginDrain() { IsDraining = true; }
 
 void frontend_server::stopAccepting() {
   error_code Ignored;
--- a/packages/edge/src/frontend_session.cpp
+++ b/packages/edge/src/frontend_session.cpp
@@ -182,9 +182,8 @@
   decoded_request Decoded =
       Server.Codec.decodeRequest(std::move(Request), now());
   if (Server.isDraining())
-    Server.Observer.onRequestWhileDraining({Decoded.Id,
-                                            now() - Server.DrainBeganAt,
-                                            now() - AcceptedAt, RequestCount});
+    Server.Observer.onRequestWhileDraining(
+        {Decoded.Id, now() - AcceptedAt, RequestCount});
   ++RequestCount;
   if (!Decoded.Call) {
     Server.Observer.onRequestRefused(Decoded);
