Keep the limits of a stop when settings change during it

A SIGHUP during a stop moved the forced stop to the new grace period while calls were admitted by the former one, so a stream that was taken got cut; a longer grace would have moved the forced stop beyond the platform's kill. The time of the forced stop is fixed when the stop begins.

Measured: new_settings_do_not_move_a_stop_that_has_begun failed before (IncompleteRead after 350 bytes), holds now.

--- a/packages/daemon/src/router.cpp
+++ b/packages/daemon/src/router.cpp
@@ -334,9 +334,9 @@
   const time_ms Now = Clock.monotonic();
   StopRequestedAt = earliestSignalTime(Now);
   Frontend.beginDrain();
-  ShutdownGate.beginShutdown(StopRequestedAt + DrainBeforeCloseMs,
-                             StopRequestedAt + Settings.ShutdownGraceMs -
-                                 ForcedStopMarginMs);
+  // Settings that are read later don't move the limits of this stop.
+  CutAt = StopRequestedAt + Settings.ShutdownGraceMs - ForcedStopMarginMs;
+  ShutdownGate.beginShutdown(StopRequestedAt + DrainBeforeCloseMs, CutAt);
   Log.write("stop_begins",
             {{"busy", static_cast<std::int64_t>(Frontend.busySessionCount())},
              {"open", static_cast<std::int64_t>(Frontend.sessionCount())},
@@ -344,7 +344,8 @@
 }
 
 void router::continueStop() {
-  const time_ms ElapsedMs = Clock.monotonic() - StopRequestedAt;
+  const time_ms Now = Clock.monotonic();
+  const time_ms ElapsedMs = Now - StopRequestedAt;
   if (IsAccepting && ElapsedMs >= DrainBeforeCloseMs) {
     IsAccepting = false;
     Log.write("stop_accepts_no_more",
@@ -355,8 +356,7 @@
   }
   if (IsAccepting)
     return;
-  const bool IsOverdue =
-      ElapsedMs >= Settings.ShutdownGraceMs - ForcedStopMarginMs;
+  const bool IsOverdue = Now >= CutAt;
   if (IsOverdue && !HasGivenUp) {
     HasGivenUp = true;
     Log.write("stop_forced",
@@ -370,8 +370,7 @@
     Grants.leave();
   const bool IsFinished =
       Frontend.sessionCount() == 0 && Grants.hasReturnedGrants();
-  const bool MustEnd = ElapsedMs >= Settings.ShutdownGraceMs -
-                                        ForcedStopMarginMs + LastResponsesMs;
+  const bool MustEnd = Now >= CutAt + LastResponsesMs;
   if (IsFinished || MustEnd)
     Context.stop();
 }
--- a/packages/daemon/src/router.hpp
+++ b/packages/daemon/src/router.hpp
@@ -150,6 +150,7 @@
   bool IsAccepting = true;     // New connections of callers.
   bool HasGivenUp = false;     // The forced stop has ended all calls.
   time_ms StopRequestedAt = 0; // Monotonic, when the signal came.
+  time_ms CutAt = 0;           // Monotonic, of the forced stop.
 };
 
 } // namespace tamarack::daemon
--- a/packages/daemon/src/router_reports.cpp
+++ b/packages/daemon/src/router_reports.cpp
@@ -186,8 +186,7 @@
              {"connection", IsNewConnection ? "new" : "kept"},
              {"connection_age_ms", Request.ConnectionAgeMs},
              {"earlier_requests", std::int64_t(Request.EarlierRequests)},
-             {"until_cut_ms", StopRequestedAt + Settings.ShutdownGraceMs -
-                                  ForcedStopMarginMs - Clock.monotonic()}});
+             {"until_cut_ms", CutAt - Clock.monotonic()}});
 }
 
 edge::response_message router::readinessResponse() const {
