Hand tokens back only when no caller can send any more

During a stop a stream on a kept connection got 503 budget_unavailable after 250 ms, though its account had money: the instance had handed its tokens back as soon as no call was in progress, while idle connections were still open. It does so now when the last connection has closed.

Measured: a_call_that_is_taken_late_in_a_stop_has_money failed before (503), holds now.

--- a/packages/daemon/src/router.cpp
+++ b/packages/daemon/src/router.cpp
@@ -366,7 +366,8 @@
                {"grants_returned", std::int64_t(Grants.hasReturnedGrants())}});
     Frontend.giveUpCalls();
   }
-  if (Frontend.busySessionCount() == 0)
+  // A caller may still send a request while its connection is open.
+  if (Frontend.sessionCount() == 0)
     Grants.leave();
   const bool IsFinished =
       Frontend.sessionCount() == 0 && Grants.hasReturnedGrants();
