Admit every call of the open time of a stop

A route whose objective for the first byte is over half of the time to the forced stop was refused from SIGTERM on, although callers are still sent to the instance (4 s objective: 503 at 0.11 s). Admission asks only for the arrival now; the limit on attempts stays for retries. Refusals during a stop, also of calls that the forced stop finds waiting, have one advice: another instance at once.

--- a/packages/dispatch/include/tamarack/dispatch.hpp
+++ b/packages/dispatch/include/tamarack/dispatch.hpp
@@ -260,6 +260,8 @@
   std::optional<relay::endpoint_choice>
   choose(const relay::call &Call, const std::set<std::string> &Tried,
          time_ms Now) override;
+  // Once the shutdown has begun, another instance is the better choice.
+  relay::placement_refusal refusal(const relay::call &Call) const override;
 
 private:
   shutdown_schedule Schedule;
--- a/packages/dispatch/src/shutdown_gate.cpp
+++ b/packages/dispatch/src/shutdown_gate.cpp
@@ -5,8 +5,6 @@
 
 namespace {
 
-// Another instance takes the call at once.
-constexpr int ShutdownRetryAfterMs = 20;
 // An attempt needs at least this many times the objective for the first byte.
 constexpr int MinAttemptObjectives = 2;
 
@@ -33,9 +31,8 @@
 
 std::optional<relay::placement_refusal>
 shutdown_gate::admit(const relay::call &Call, time_ms Now) {
-  if (!Schedule.admitsCall(Call) || !Schedule.admitsAttempt(Call, Now))
-    return relay::placement_refusal{relay::error_kind::NotReady,
-                                    ShutdownRetryAfterMs};
+  if (!Schedule.admitsCall(Call))
+    return refusal(Call);
   return placement_decorator::admit(Call, Now);
 }
 
@@ -47,4 +44,10 @@
   return placement_decorator::choose(Call, Tried, Now);
 }
 
+relay::placement_refusal shutdown_gate::refusal(const relay::call &Call) const {
+  if (!Schedule.hasBegun())
+    return placement_decorator::refusal(Call);
+  return {relay::error_kind::NotReady, relay::OtherInstanceRetryAfterMs};
+}
+
 } // namespace tamarack::dispatch
--- a/packages/relay/include/tamarack/relay.hpp
+++ b/packages/relay/include/tamarack/relay.hpp
@@ -187,6 +187,9 @@
 
 std::string_view toString(attempt_outcome Outcome);
 
+// Advice to a caller whose call another instance can take at once.
+inline constexpr int OtherInstanceRetryAfterMs = 20;
+
 // Why no endpoint can take a call.
 struct placement_refusal {
   error_kind Kind = error_kind::NoEndpoint;
--- a/packages/relay/src/exchange.cpp
+++ b/packages/relay/src/exchange.cpp
@@ -301,7 +301,7 @@
   cancelAttempt(Now);
   if (MayHaveRun)
     return failAfterSend(true);
-  refuseNotRun(error_kind::NotReady, 0);
+  refuseNotRun(error_kind::NotReady, OtherInstanceRetryAfterMs);
 }
 
 // Ends a call that may have run: aborts the stream if it has begun, otherwise
