Bound the unparsed bytes of an endpoint's response

Callers saw nothing until the instance ran out of memory: a chunk extension or trailer without end was buffered until the call's deadline. Beast limits the head of a message, not the lines of its chunks and trailers, and the buffer of an endpoint connection had no maximum. Besides, an idle connection kept the buffer of the largest head it had received.

The buffer now holds 128 KiB at most; more counts as a broken attempt. A connection that goes idle frees its buffer.

Tests of endpoint attempts against scripted servers. Before the change, the attempts at a chunk extension and a trailer without end had not ended after 2 s, and an idle connection kept 96,256 bytes; these two tests failed. Sound before and after: heads without end, and responses without length or chunks that are closed (complete) or reset (broken).

--- a/packages/edge/src/connection_pool.cpp
+++ b/packages/edge/src/connection_pool.cpp
@@ -3,10 +3,19 @@
 
 namespace tamarack::edge {
 
+namespace {
+
+// Bytes that were received and not parsed yet. The parser needs a whole head,
+// line of a chunk or trailer at once, and sets no limit for the last two.
+constexpr std::size_t MaxUnparsedBytes = 128 * 1024;
+
+} // namespace
+
 endpoint_connection::endpoint_connection(net::io_context &Context,
                                          connection_pool &Pool,
                                          std::string Address)
-    : Socket(Context), Pool(Pool), Address(std::move(Address)) {}
+    : Socket(Context), Buffer(MaxUnparsedBytes), Pool(Pool),
+      Address(std::move(Address)) {}
 
 void endpoint_connection::watchWhileIdle() {
   const std::weak_ptr<endpoint_connection> Weak = weak_from_this();
@@ -69,6 +78,7 @@
       IdleConnections[Connection->Address];
   if (Connections.size() >= Settings.MaxIdlePerEndpoint)
     return Connection->close();
+  Connection->Buffer.shrink_to_fit();
   Connection->LastUsed = Clock.monotonic();
   Connection->ExpiresAt = ExpiresAt;
   Connection->IsIdle = true;
--- /dev/null
+++ b/tests/unit/endpoint_attempt_test.cpp
@@ -0,0 +1,208 @@
+// Responses of faulty endpoints, over loopback.
+#include "endpoint_attempt.hpp"
+
+#include "tamarack/adapters.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace tamarack;
+using namespace tamarack::edge;
+
+namespace {
+
+// Bytes after which a server that sends without end stops and stays silent.
+constexpr std::size_t MaxServedBytes = 32u << 20;
+// Longest run of a test. An attempt that has not ended by then waits forever.
+constexpr std::chrono::seconds MaxRun(2);
+
+enum class server_end { Silence, Close, Reset };
+
+// Sends Begin and then Repeated without end, or ends as Last says if there is
+// nothing to repeat.
+struct response_script {
+  std::string Begin;
+  std::string Repeated;
+  server_end Last = server_end::Silence;
+};
+
+// Sends one scripted response to the first bytes of a request.
+class scripted_server {
+public:
+  scripted_server(net::io_context &Context, response_script Script)
+      : Acceptor(Context, {net::ip::make_address("127.0.0.1"), 0}),
+        Socket(Context), Script(std::move(Script)) {
+    Acceptor.async_accept(Socket, [this](const error_code &Error) {
+      if (!Error)
+        readRequest();
+    });
+  }
+  std::string address() const {
+    return "127.0.0.1:" + std::to_string(Acceptor.local_endpoint().port());
+  }
+
+private:
+  void readRequest() {
+    Socket.async_read_some(net::buffer(RequestBytes),
+                           [this](const error_code &Error, std::size_t) {
+                             if (!Error)
+                               write(Script.Begin);
+                           });
+  }
+  void write(const std::string &Bytes) {
+    net::async_write(Socket, net::buffer(Bytes),
+                     [this](const error_code &Error, std::size_t Count) {
+                       ServedBytes += Count;
+                       if (!Error)
+                         continueResponse();
+                     });
+  }
+  void continueResponse() {
+    if (!Script.Repeated.empty() && ServedBytes < MaxServedBytes)
+      return write(Script.Repeated);
+    if (Script.Last == server_end::Silence)
+      return;
+    if (Script.Last == server_end::Reset)
+      Socket.set_option(net::socket_base::linger(true, 0));
+    Socket.close();
+  }
+
+  tcp::acceptor Acceptor;
+  tcp::socket Socket;
+  response_script Script;
+  std::array<char, 4096> RequestBytes;
+  std::size_t ServedBytes = 0;
+};
+
+// Attempt-Id tells which request a response belongs to.
+class attempt_id_codec final : public exchange_codec {
+public:
+  decoded_request decodeRequest(request_message, time_ms) override {
+    return {};
+  }
+  void prepareAttempt(const relay::call &, const relay::endpoint_choice &,
+                      const relay::send_options &, time_ms,
+                      request_message &) override {}
+  bool isResponseTo(const relay::call &Call,
+                    const response_fields &Fields) override {
+    return Fields["Attempt-Id"] == Call.Id;
+  }
+  relay::response_head
+  decodeResponseHead(const response_fields &Fields) override {
+    relay::response_head Head;
+    Head.Status = static_cast<int>(Fields.result_int());
+    return Head;
+  }
+  void recordLoadReport(const relay::endpoint_choice &, const response_fields &,
+                        time_ms) override {}
+  response_message makeErrorResponse(relay::error_kind, int,
+                                     std::string_view) override {
+    return {};
+  }
+};
+
+enum class attempt_end { None, Unreached, Complete, Broken };
+
+class recording_listener final : public attempt_listener {
+public:
+  void onUnreached(const endpoint_attempt *) override {
+    End = attempt_end::Unreached;
+  }
+  void onHead(const endpoint_attempt *, relay::response_head Head) override {
+    Status = Head.Status;
+  }
+  void onBody(const endpoint_attempt *, std::string_view Bytes) override {
+    Body.append(Bytes);
+  }
+  void onEnd(const endpoint_attempt *) override { End = attempt_end::Complete; }
+  void onBroken(const endpoint_attempt *) override {
+    End = attempt_end::Broken;
+  }
+  bool canAcceptBody() override { return true; }
+
+  attempt_end End = attempt_end::None;
+  int Status = 0;
+  std::string Body;
+};
+
+// One attempt of the call "a" at a scripted_server.
+struct attempt_fixture {
+  explicit attempt_fixture(response_script Script)
+      : Server(Context, std::move(Script)), Pool(Context, Clock, {}) {
+    relay::call Call;
+    Call.Id = "a";
+    request_message Request(http::verb::get, "/x", 11);
+    Request.set(http::field::host, "h");
+    Attempt = std::make_shared<endpoint_attempt>(
+        Context, Clock, Pool, Codec, Listener, Call,
+        relay::endpoint_choice{"e", Server.address()}, std::move(Request));
+    Attempt->start(false);
+  }
+
+  attempt_end run() {
+    const std::chrono::steady_clock::time_point Until =
+        std::chrono::steady_clock::now() + MaxRun;
+    while (Listener.End == attempt_end::None &&
+           std::chrono::steady_clock::now() < Until)
+      Context.run_one_for(std::chrono::milliseconds(50));
+    return Listener.End;
+  }
+
+  net::io_context Context;
+  adapters::system_clock Clock;
+  scripted_server Server;
+  connection_pool Pool;
+  attempt_id_codec Codec;
+  recording_listener Listener;
+  std::shared_ptr<endpoint_attempt> Attempt;
+};
+
+const std::string ChunkedHead = "HTTP/1.1 200 OK\r\nAttempt-Id: a\r\n"
+                                "Transfer-Encoding: chunked\r\n\r\n";
+const std::string UnframedHead = "HTTP/1.1 200 OK\r\nAttempt-Id: a\r\n\r\n";
+
+} // namespace
+
+// Guards against a head that an attempt buffers without limit.
+TEST_CASE("a head without end breaks the attempt", "[edge]") {
+  const std::string Padding(64 * 1024, 'x');
+  CHECK(attempt_fixture({"HTTP/1.1 200 OK\r\nX: ", Padding}).run() ==
+        attempt_end::Broken);
+  CHECK(attempt_fixture({"", Padding}).run() == attempt_end::Broken);
+}
+
+// Guards against a chunk extension or trailer that an attempt buffers without
+// limit.
+TEST_CASE("a chunk extension or a trailer without end breaks the attempt",
+          "[edge]") {
+  const std::string Padding(64 * 1024, 'x');
+  CHECK(attempt_fixture({ChunkedHead + "1;", Padding}).run() ==
+        attempt_end::Broken);
+  CHECK(attempt_fixture({ChunkedHead + "0\r\nX: ", Padding}).run() ==
+        attempt_end::Broken);
+}
+
+// Guards against a response that ends early and looks complete.
+TEST_CASE("a response without length or chunks ends with its connection",
+          "[edge]") {
+  attempt_fixture Closed({UnframedHead + "id: 1\n\n", "", server_end::Close});
+  CHECK(Closed.run() == attempt_end::Complete);
+  CHECK(Closed.Listener.Body == "id: 1\n\n");
+  CHECK(attempt_fixture({UnframedHead + "id: 1\n\n", "", server_end::Reset})
+            .run() == attempt_end::Broken);
+  CHECK(attempt_fixture(
+            {ChunkedHead + "7\r\nid: 1\n\n\r\n", "", server_end::Close})
+            .run() == attempt_end::Broken);
+}
+
+// Guards against idle connections that keep the buffer of a large head.
+TEST_CASE("an idle connection keeps no buffer", "[edge]") {
+  attempt_fixture Fixture(
+      {"HTTP/1.1 200 OK\r\nAttempt-Id: a\r\nX: " + std::string(60'000, 'x') +
+           "\r\nContent-Length: 0\r\n\r\n",
+       ""});
+  REQUIRE(Fixture.run() == attempt_end::Complete);
+  const std::shared_ptr<endpoint_connection> Idle =
+      Fixture.Pool.acquireIdle(Fixture.Server.address(), false);
+  REQUIRE(Idle);
+  CHECK(Idle->Buffer.capacity() == 0);
+}
