Bound the interim and extra responses of an endpoint

Callers waited until their deadline, and repeatable calls went nowhere else, if an endpoint sent 1xx responses without end, or an extra response to another request whose chunks never ended. Neither had a limit other than the deadline.

More than 100 interim responses, or more than 8 MiB in the bodies of extra responses, now count as a broken attempt.

Before the change, both tests failed: the attempts had not ended after 2 s. Sound before and after: 20 interim responses, and an extra response of 1 MiB, in front of the response.

--- a/packages/edge/src/endpoint_attempt.cpp
+++ b/packages/edge/src/endpoint_attempt.cpp
@@ -10,6 +10,10 @@
 
 // Responses to other requests that are skipped on one connection.
 constexpr int MaxDiscardedResponses = 3;
+constexpr std::size_t MaxDiscardedBytes = 8u << 20; // Of their bodies.
+// Interim (1xx) responses before a response. An endpoint may report progress
+// for as long as the call takes.
+constexpr int MaxInterimResponses = 100;
 constexpr std::uint32_t MaxHeadBytes = 64 * 1024;
 // Idle connections are closed this long before the endpoint closes them, so
 // that no request is sent on a connection that the endpoint is closing.
@@ -121,9 +125,12 @@
     return failBroken();
   const response_fields &Fields = Parser->get().base();
   if (Fields.result_int() < 200)
-    return readHead(); // Interim (1xx) response.
-  if (!Codec.isResponseTo(Call, Fields))
-    return discardResponse();
+    return ++InterimResponses > MaxInterimResponses ? failBroken() : readHead();
+  if (!Codec.isResponseTo(Call, Fields)) {
+    if (++DiscardedResponses > MaxDiscardedResponses || Parser->need_eof())
+      return failBroken();
+    return discardBody();
+  }
   const time_ms Now = Clock.monotonic();
   Codec.recordLoadReport(Target, Fields, Now);
   const boost::beast::string_view KeepAlive = Fields["Keep-Alive"];
@@ -134,30 +141,28 @@
   readBody();
 }
 
-// Skips a complete response to another request that arrived first on this
+// Skips the rest of a response to another request that arrived first on this
 // connection.
-void endpoint_attempt::discardResponse() {
-  if (++DiscardedResponses > MaxDiscardedResponses || Parser->need_eof())
-    return failBroken();
+void endpoint_attempt::discardBody() {
+  if (Parser->is_done())
+    return readHead();
   const std::shared_ptr<endpoint_attempt> Self = shared_from_this();
   Parser->get().body().data = BodyBuffer.data();
   Parser->get().body().size = BodyBuffer.size();
   Parser->get().body().more = true;
-  if (Parser->is_done())
-    return readHead();
-  http::async_read_some(Connection->Socket, Connection->Buffer, *Parser,
-                        [Self](error_code Error, std::size_t) {
-                          if (Self->Listener == nullptr)
-                            return;
-                          if (Error == http::error::need_buffer)
-                            Error = {};
-                          if (Error)
-                            return Self->failBroken();
-                          if (Self->Parser->is_done())
-                            return Self->readHead();
-                          --Self->DiscardedResponses;
-                          Self->discardResponse();
-                        });
+  http::async_read_some(
+      Connection->Socket, Connection->Buffer, *Parser,
+      [Self](const error_code &Error, std::size_t) { Self->onDiscard(Error); });
+}
+
+void endpoint_attempt::onDiscard(const error_code &Error) {
+  if (Listener == nullptr)
+    return;
+  DiscardedBytes += BodyBuffer.size() - Parser->get().body().size;
+  const bool IsReadable = !Error || Error == http::error::need_buffer;
+  if (!IsReadable || DiscardedBytes > MaxDiscardedBytes)
+    return failBroken();
+  discardBody();
 }
 
 void endpoint_attempt::readBody() {
--- a/packages/edge/src/endpoint_attempt.hpp
+++ b/packages/edge/src/endpoint_attempt.hpp
@@ -71,7 +71,8 @@
   void onHead(const error_code &Error);
   void readBody();
   void onBody(const error_code &Error);
-  void discardResponse();
+  void discardBody();
+  void onDiscard(const error_code &Error);
   void complete();
   void failBroken();
   time_ms idleExpiry(time_ms Now) const;
@@ -88,10 +89,12 @@
   net::steady_timer ConnectTimer;
   std::optional<http::response_parser<http::buffer_body>> Parser;
   std::array<char, 4096> BodyBuffer;
+  int InterimResponses = 0;
   int DiscardedResponses = 0; // To other requests.
-  int ServerKeepAliveS = 0;   // From the Keep-Alive field, 0 if absent.
-  bool IsWriting = false;     // The request is not written completely.
-  bool IsReadPaused = false;  // Until resume().
+  std::size_t DiscardedBytes = 0;
+  int ServerKeepAliveS = 0;  // From the Keep-Alive field, 0 if absent.
+  bool IsWriting = false;    // The request is not written completely.
+  bool IsReadPaused = false; // Until resume().
   bool IsResponseComplete = false;
 };
 
--- a/tests/unit/endpoint_attempt_test.cpp
+++ b/tests/unit/endpoint_attempt_test.cpp
@@ -181,6 +181,44 @@
         attempt_end::Broken);
 }
 
+// Guards against interim responses that are read until the call's deadline.
+TEST_CASE("interim responses without end break the attempt", "[edge]") {
+  CHECK(attempt_fixture({"", "HTTP/1.1 102 Processing\r\n\r\n"}).run() ==
+        attempt_end::Broken);
+}
+
+// Guards against a limit that breaks off an endpoint that reports progress.
+TEST_CASE("a few interim responses precede a response", "[edge]") {
+  std::string Begin;
+  for (int Count = 0; Count < 20; ++Count)
+    Begin += "HTTP/1.1 102 Processing\r\n\r\n";
+  attempt_fixture Fixture(
+      {Begin + UnframedHead + "body", "", server_end::Close});
+  CHECK(Fixture.run() == attempt_end::Complete);
+  CHECK(Fixture.Listener.Body == "body");
+}
+
+// Guards against an extra response that is skipped until the call's deadline.
+TEST_CASE("an extra response without end breaks the attempt", "[edge]") {
+  const std::string Chunk = "1000\r\n" + std::string(4096, 'x') + "\r\n";
+  CHECK(attempt_fixture({"HTTP/1.1 200 OK\r\nAttempt-Id: b\r\n"
+                         "Transfer-Encoding: chunked\r\n\r\n",
+                         Chunk})
+            .run() == attempt_end::Broken);
+}
+
+// Guards against a limit that breaks the response behind a large extra one.
+TEST_CASE("a large extra response is skipped", "[edge]") {
+  const std::string Extra(1u << 20, 'x');
+  attempt_fixture Fixture(
+      {"HTTP/1.1 200 OK\r\nAttempt-Id: b\r\nContent-Length: " +
+           std::to_string(Extra.size()) + "\r\n\r\n" + Extra +
+           "HTTP/1.1 200 OK\r\nAttempt-Id: a\r\nContent-Length: 4\r\n\r\nbody",
+       ""});
+  CHECK(Fixture.run() == attempt_end::Complete);
+  CHECK(Fixture.Listener.Body == "body");
+}
+
 // Guards against a response that ends early and looks complete.
 TEST_CASE("a response without length or chunks ends with its connection",
           "[edge]") {
