Recognize bytes that are no response as they arrive

Callers waited until their deadline, and repeatable calls went nowhere else, if an endpoint sent a few bytes that are no response and then stayed silent or sent more of them slowly: the parser looks at a head only once it is complete or larger than 64 KiB.

An attempt whose first bytes differ from "HTTP/1." counts as broken at once.

--- a/packages/edge/src/endpoint_attempt.cpp
+++ b/packages/edge/src/endpoint_attempt.cpp
@@ -15,6 +15,8 @@
 // for as long as the call takes.
 constexpr int MaxInterimResponses = 100;
 constexpr std::uint32_t MaxHeadBytes = 64 * 1024;
+constexpr std::string_view HeadPrefix = "HTTP/1."; // Of every response.
+constexpr std::size_t FirstReadBytes = 512;
 // Idle connections are closed this long before the endpoint closes them, so
 // that no request is sent on a connection that the endpoint is closing.
 constexpr int KeepAliveMarginMs = 1'000;
@@ -112,7 +114,31 @@
   Parser->body_limit(std::numeric_limits<std::uint64_t>::max());
   if (Request.method() == http::verb::head)
     Parser->skip(true);
+  readHeadPrefix();
+}
+
+// The parser looks at a head only when it is complete. Bytes that begin no
+// response are recognized here, instead of waiting for the end of a head.
+void endpoint_attempt::readHeadPrefix() {
+  const net::const_buffer Received = Connection->Buffer.cdata();
+  const std::string_view Begin(static_cast<const char *>(Received.data()),
+                               std::min(Received.size(), HeadPrefix.size()));
+  if (!HeadPrefix.starts_with(Begin))
+    return failBroken();
   const std::shared_ptr<endpoint_attempt> Self = shared_from_this();
+  if (Begin.size() < HeadPrefix.size()) {
+    Connection->Socket.async_read_some(
+        Connection->Buffer.prepare(FirstReadBytes),
+        [Self](const error_code &Error, std::size_t Count) {
+          if (Self->Listener == nullptr)
+            return;
+          if (Error)
+            return Self->failBroken();
+          Self->Connection->Buffer.commit(Count);
+          Self->readHeadPrefix();
+        });
+    return;
+  }
   http::async_read_header(
       Connection->Socket, Connection->Buffer, *Parser,
       [Self](const error_code &Error, std::size_t) { Self->onHead(Error); });
--- a/packages/edge/src/endpoint_attempt.hpp
+++ b/packages/edge/src/endpoint_attempt.hpp
@@ -68,6 +68,7 @@
   void connect();
   void send();
   void readHead();
+  void readHeadPrefix();
   void onHead(const error_code &Error);
   void readBody();
   void onBody(const error_code &Error);
--- a/tests/unit/endpoint_attempt_test.cpp
+++ b/tests/unit/endpoint_attempt_test.cpp
@@ -244,3 +244,9 @@
   REQUIRE(Idle);
   CHECK(Idle->Buffer.capacity() == 0);
 }
+
+// Guards against waiting for the end of a head that can't be one.
+TEST_CASE("bytes that are no response break the attempt at once", "[edge]") {
+  CHECK(attempt_fixture({"garbage", ""}).run() == attempt_end::Broken);
+  CHECK(attempt_fixture({"HTTQ", ""}).run() == attempt_end::Broken);
+}
