Search every byte of an event stream once

An endpoint that sent a long event in many small chunks occupied the only thread of an instance: every chunk searched the whole incomplete event again for its end, so all callers of the instance waited.

The parser keeps the place up to which it has searched. It also looks for CRLF ends only in front of the first LF end, so many events in one read are not searched over and over.

Before the change, an event of 512 KiB in parts of one byte took 4.14 s of processor time and the test (at most 1 s) failed; it took less than 0.1 s after it. That events are split at the same places however their bytes arrive passed before and after.

--- a/packages/relay/include/tamarack/relay.hpp
+++ b/packages/relay/include/tamarack/relay.hpp
@@ -293,12 +293,18 @@
   // Returns the next complete event, if there is one.
   std::optional<stream_event> next();
   // Discards an incomplete event, before another connection continues.
-  void clear() { Buffer.clear(); }
+  void clear() {
+    Buffer.clear();
+    SearchFrom = 0;
+  }
   // Bytes that next() has not returned yet.
   std::size_t pending() const { return Buffer.size(); }
 
 private:
+  std::optional<std::size_t> findEventEnd();
+
   std::string Buffer;
+  std::size_t SearchFrom = 0; // No end of an event begins before it.
 };
 
 //---------------------------------------------------------------------------
--- a/packages/relay/src/event_stream_parser.cpp
+++ b/packages/relay/src/event_stream_parser.cpp
@@ -36,17 +36,31 @@
 
 } // namespace
 
+// Size of the first event, nothing if it is incomplete. Bytes that were
+// searched before are not searched again.
+std::optional<std::size_t> event_stream_parser::findEventEnd() {
+  const std::size_t LfPosition = Buffer.find(LfEventEnd, SearchFrom);
+  const bool HasLfEnd = LfPosition != std::string::npos;
+  const std::string_view BeforeLfEnd = std::string_view(Buffer).substr(
+      0, HasLfEnd ? LfPosition + 1 : LfPosition);
+  const std::size_t CrLfPosition = BeforeLfEnd.find(CrLfEventEnd, SearchFrom);
+  if (CrLfPosition != std::string_view::npos)
+    return CrLfPosition + CrLfEventEnd.size();
+  if (HasLfEnd)
+    return LfPosition + LfEventEnd.size();
+  // The last bytes may begin the end of the event.
+  SearchFrom = Buffer.size() - std::min(Buffer.size(), CrLfEventEnd.size() - 1);
+  return std::nullopt;
+}
+
 std::optional<stream_event> event_stream_parser::next() {
-  const std::size_t LfPosition = Buffer.find(LfEventEnd);
-  const std::size_t CrLfPosition = Buffer.find(CrLfEventEnd);
-  if (LfPosition == std::string::npos && CrLfPosition == std::string::npos)
+  const std::optional<std::size_t> End = findEventEnd();
+  if (!End)
     return std::nullopt;
-  const std::size_t End = std::min(LfPosition, CrLfPosition) == LfPosition
-                              ? LfPosition + LfEventEnd.size()
-                              : CrLfPosition + CrLfEventEnd.size();
   stream_event Event;
-  Event.Raw = Buffer.substr(0, End);
-  Buffer.erase(0, End);
+  Event.Raw = Buffer.substr(0, *End);
+  Buffer.erase(0, *End);
+  SearchFrom = 0;
   std::string_view Remaining(Event.Raw);
   while (!Remaining.empty()) {
     const std::size_t LineEnd = Remaining.find('\n');
--- a/tests/unit/endpoint_attempt_test.cpp
+++ b/tests/unit/endpoint_attempt_test.cpp
@@ -5,6 +5,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <ctime>
+
 using namespace tamarack;
 using namespace tamarack::edge;
 
@@ -250,3 +252,42 @@
   CHECK(attempt_fixture({"garbage", ""}).run() == attempt_end::Broken);
   CHECK(attempt_fixture({"HTTQ", ""}).run() == attempt_end::Broken);
 }
+
+// Guards against a search of the whole incomplete event for every byte of it,
+// which would occupy the thread of the instance for many seconds.
+TEST_CASE("the cost of an event grows linearly with its length", "[relay]") {
+  constexpr int EventBytes = 512 * 1024;
+  constexpr std::clock_t MaxSeconds = 1;
+  relay::event_stream_parser Parser;
+  const std::clock_t Begin = std::clock();
+  for (int Count = 0; Count < EventBytes; ++Count) {
+    Parser.push("x");
+    REQUIRE_FALSE(Parser.next());
+  }
+  CHECK(std::clock() - Begin < MaxSeconds * CLOCKS_PER_SEC);
+  Parser.push("\n\n");
+  CHECK(Parser.next()->Raw.size() == EventBytes + 2);
+}
+
+// Guards against events that are split at other places if they arrive in parts.
+TEST_CASE("events are the same however their bytes arrive", "[relay]") {
+  const std::string Stream = "id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\n"
+                             "\n\ndata: c\n\r\n\ndata: d\r\n\n\r\n\r\nid: 3";
+  const std::vector<std::string> Expected = {"id: 1\ndata: a\n\n",
+                                             "id: 2\r\ndata: b\r\n\r\n",
+                                             "\n\n",
+                                             "data: c\n\r\n\n",
+                                             "data: d\r\n\n",
+                                             "\r\n\r\n"};
+  for (std::size_t PartBytes = 1; PartBytes <= Stream.size(); ++PartBytes) {
+    relay::event_stream_parser Parser;
+    std::vector<std::string> Events;
+    for (std::size_t At = 0; At < Stream.size(); At += PartBytes) {
+      Parser.push(std::string_view(Stream).substr(At, PartBytes));
+      while (std::optional<relay::stream_event> Event = Parser.next())
+        Events.push_back(Event->Raw);
+    }
+    CHECK(Events == Expected);
+    CHECK(Parser.pending() == 5);
+  }
+}
