Bound what fetches and internal HTTP keep of a message

The load poller and the clients of the platform fetched a body of any length into memory, and the timeout of a read restarts with every part. The channels to the store and to peers, and the server for peers, limited bodies but buffered a chunk extension or trailer without end.

A fetched body may have 16 MiB; more breaks the fetch like a lost connection. The buffers of http_channel and simple_http_server hold 128 KiB at most.

The server's buffer has no test.

--- a/packages/adapters/src/http_client.cpp
+++ b/packages/adapters/src/http_client.cpp
@@ -17,6 +17,7 @@
 // connection while the client sends a request.
 constexpr int KeepAliveSeconds = 8;
 constexpr std::size_t ReadBufferBytes = 16 * 1024;
+constexpr std::size_t MaxFetchedBytes = 16u << 20; // Of a body.
 
 Poco::Timespan toTimespan(int Ms) {
   return Poco::Timespan(0, 0, 0, Ms / 1000, Ms % 1000 * 1000);
@@ -196,8 +197,11 @@
   http_response Response;
   Response.Status = Source->status();
   std::vector<char> Buffer(ReadBufferBytes);
-  while (const std::size_t Count = Source->read(Buffer))
+  while (const std::size_t Count = Source->read(Buffer)) {
+    if (Response.Body.size() + Count > MaxFetchedBytes)
+      throw endpoint_disconnected("the body is too large");
     Response.Body.append(Buffer.data(), Count);
+  }
   return Response;
 }
 
--- a/packages/edge/src/http_channel.cpp
+++ b/packages/edge/src/http_channel.cpp
@@ -6,6 +6,8 @@
 namespace {
 
 constexpr std::uint64_t MaxBodyBytes = 64u << 20;
+// Bytes that were received and not parsed yet, such as a chunk extension.
+constexpr std::size_t MaxUnparsedBytes = 128 * 1024;
 // A timer that runs out later than this shows that the process stood still.
 constexpr int MaxTimerDelayMs = 50;
 // Time to read what has arrived while the process stood still.
@@ -21,7 +23,8 @@
 } // namespace
 
 struct http_channel::connection {
-  explicit connection(net::io_context &Context) : Socket(Context) {}
+  explicit connection(net::io_context &Context)
+      : Socket(Context), Buffer(MaxUnparsedBytes) {}
 
   tcp::socket Socket;
   boost::beast::flat_buffer Buffer;
--- a/packages/edge/src/simple_http_server.cpp
+++ b/packages/edge/src/simple_http_server.cpp
@@ -6,6 +6,8 @@
 namespace {
 
 constexpr std::uint64_t MaxBodyBytes = 8u << 20;
+// Bytes that were received and not parsed yet, such as a chunk extension.
+constexpr std::size_t MaxUnparsedBytes = 128 * 1024;
 // Longest time from the start of waiting for a request to its last byte.
 constexpr int ReadTimeoutMs = 30'000;
 
@@ -16,7 +18,8 @@
     : public std::enable_shared_from_this<simple_http_session> {
 public:
   simple_http_session(simple_http_server &Server, tcp::socket Socket)
-      : Server(Server), Socket(std::move(Socket)), Timer(Server.Context) {}
+      : Server(Server), Socket(std::move(Socket)), Timer(Server.Context),
+        Buffer(MaxUnparsedBytes) {}
 
   void readRequest() {
     Parser.emplace();
--- a/tests/unit/endpoint_attempt_test.cpp
+++ b/tests/unit/endpoint_attempt_test.cpp
@@ -6,6 +6,7 @@
 #include <catch2/catch.hpp>
 
 #include <ctime>
+#include <thread>
 
 using namespace tamarack;
 using namespace tamarack::edge;
@@ -291,3 +292,50 @@
     CHECK(Parser.pending() == 5);
   }
 }
+
+// Guards against a chunk extension that a channel buffers without limit.
+TEST_CASE("a chunk extension without end breaks a request on a channel",
+          "[edge]") {
+  net::io_context Context;
+  scripted_server Server(Context,
+                         {ChunkedHead + "1;", std::string(64 * 1024, 'x')});
+  const std::shared_ptr<http_channel> Channel =
+      std::make_shared<http_channel>(Context, Server.address());
+  channel_request Request;
+  Request.Message = request_message(http::verb::get, "/x", 11);
+  Request.InactivityTimeoutMs = 10'000;
+  bool IsFinished = false;
+  Channel->request(
+      std::move(Request),
+      [&IsFinished](const std::optional<response_message> &Response,
+                    const channel_timing &) {
+        IsFinished = true;
+        CHECK_FALSE(Response);
+      });
+  const std::chrono::steady_clock::time_point Until =
+      std::chrono::steady_clock::now() + MaxRun;
+  while (!IsFinished && std::chrono::steady_clock::now() < Until)
+    Context.run_one_for(std::chrono::milliseconds(50));
+  CHECK(IsFinished);
+}
+
+// Guards against a response that fills the memory of the instance.
+TEST_CASE("a fetched body without end breaks the fetch", "[edge]") {
+  net::io_context Context;
+  scripted_server Server(
+      Context, {ChunkedHead, "1000\r\n" + std::string(4096, 'x') + "\r\n"});
+  std::thread ServerThread([&Context] { Context.run(); });
+  adapters::http_client Client;
+  endpoint_request Request;
+  Request.Method = "GET";
+  Request.ReadTimeoutMs = 1'000;
+  std::string Failure;
+  try {
+    adapters::fetch(Client, "http://" + Server.address(), Request);
+  } catch (const endpoint_disconnected &Error) {
+    Failure = Error.what();
+  }
+  Context.stop();
+  ServerThread.join();
+  CHECK(Failure == "the body is too large");
+}
