Test that an exchange breaks off responses without end

Event streams without the end of an event, and bodies of streams' failures and of other calls, were already limited to 1 MiB and 8 MiB; the attempt counts as broken and a repeatable call goes to another endpoint. No test showed it.

--- a/tests/unit/relay_test.cpp
+++ b/tests/unit/relay_test.cpp
@@ -257,6 +257,31 @@
   CHECK(Fixture.Host.Body == "id: 1\ndata: a\n\n");
 }
 
+// Guards against an event or a body that an exchange keeps without limit, and
+// against a repeatable call that then goes nowhere else.
+TEST_CASE("a response without end counts as broken", "[relay]") {
+  constexpr int MaxParts = 16 * 256; // 16 MiB
+  const std::string Part(4096, 'x');
+  struct kind_and_status {
+    call_kind Kind;
+    int Status;
+  };
+  for (const kind_and_status &Case :
+       {kind_and_status{call_kind::ResumableStream, 200},
+        kind_and_status{call_kind::ResumableStream, 404},
+        kind_and_status{call_kind::Idempotent, 200}}) {
+    exchange_fixture Fixture(callOf(Case.Kind));
+    Fixture.Exchange.start(Start);
+    Fixture.Exchange.onHead(headOf(Case.Status), Start + 10);
+    for (int Count = 0; Count < MaxParts; ++Count)
+      Fixture.Exchange.onBody(Part, Start + 11);
+    REQUIRE(Fixture.Placement.Outcomes.size() == 1);
+    CHECK(Fixture.Placement.Outcomes[0] == attempt_outcome::Broken);
+    CHECK(Fixture.Host.AttemptedEndpoints.size() == 2);
+    CHECK(Fixture.Host.FinalResponses == 0);
+  }
+}
+
 TEST_CASE("a response whose bill can't be stored does not end as complete",
           "[relay]") {
   exchange_fixture Stream(callOf(call_kind::Stream));
