--- /dev/null
+++ b/tests/unit/endpoint_attempt_test.cpp
@@ -0,0 +1,341 @@
+// Responses of faulty endpoints, over loopback.
+#include "endpoint_attempt.hpp"
+
+#include "tamarack/adapters.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <ctime>
+#include <thread>
+
+using namespace tamarack;
+using namespace tamarack::edge;
+
+namespace {
+
+// Bytes after which a server that sends without end stops and stays silent.
+constexpr std::size_t MaxServedBytes = 32u << 20;
+// Longest run of a test. An attempt that has not ended by then waits forever.
+constexpr std::chrono::seconds MaxRun(2);
+
+enum class server_end { Silence, Close, Reset };
+
+// Sends Begin and then Repeated without end, or ends as Last says if there is
+// nothing to repeat.
+struct response_script {
+  std::string Begin;
+  std::string Repeated;
+  server_end Last = server_end::Silence;
+};
+
+// Sends one scripted response to the first bytes of a request.
+class scripted_server {
+public:
+  scripted_server(net::io_context &Context, response_script Script)
+      : Acceptor(Context, {net::ip::make_address("127.0.0.1"), 0}),
+        Socket(Context), Script(std::move(Script)) {
+    Acceptor.async_accept(Socket, [this](const error_code &Error) {
+      if (!Error)
+        readRequest();
+    });
+  }
+  std::string address() const {
+    return "127.0.0.1:" + std::to_string(Acceptor.local_endpoint().port());
+  }
+
+private:
+  void readRequest() {
+    Socket.async_read_some(net::buffer(RequestBytes),
+                           [this](const error_code &Error, std::size_t) {
+                             if (!Error)
+                               write(Script.Begin);
+                           });
+  }
+  void write(const std::string &Bytes) {
+    net::async_write(Socket, net::buffer(Bytes),
+                     [this](const error_code &Error, std::size_t Count) {
+                       ServedBytes += Count;
+                       if (!Error)
+                         continueResponse();
+                     });
+  }
+  void continueResponse() {
+    if (!Script.Repeated.empty() && ServedBytes < MaxServedBytes)
+      return write(Script.Repeated);
+    if (Script.Last == server_end::Silence)
+      return;
+    if (Script.Last == server_end::Reset)
+      Socket.set_option(net::socket_base::linger(true, 0));
+    Socket.close();
+  }
+
+  tcp::acceptor Acceptor;
+  tcp::socket Socket;
+  response_script Script;
+  std::array<char, 4096> RequestBytes;
+  std::size_t ServedBytes = 0;
+};
+
+// Attempt-Id tells which request a response belongs to.
+class attempt_id_codec final : public exchange_codec {
+public:
+  decoded_request decodeRequest(request_message, time_ms) override {
+    return {};
+  }
+  void prepareAttempt(const relay::call &, const relay::endpoint_choice &,
+                      const relay::send_options &, time_ms,
+                      request_message &) override {}
+  bool isResponseTo(const relay::call &Call,
+                    const response_fields &Fields) override {
+    return Fields["Attempt-Id"] == Call.Id;
+  }
+  relay::response_head
+  decodeResponseHead(const response_fields &Fields) override {
+    relay::response_head Head;
+    Head.Status = static_cast<int>(Fields.result_int());
+    return Head;
+  }
+  void recordLoadReport(const relay::endpoint_choice &, const response_fields &,
+                        time_ms) override {}
+  response_message makeErrorResponse(relay::error_kind, int,
+                                     std::string_view) override {
+    return {};
+  }
+};
+
+enum class attempt_end { None, Unreached, Complete, Broken };
+
+class recording_listener final : public attempt_listener {
+public:
+  void onUnreached(const endpoint_attempt *) override {
+    End = attempt_end::Unreached;
+  }
+  void onHead(const endpoint_attempt *, relay::response_head Head) override {
+    Status = Head.Status;
+  }
+  void onBody(const endpoint_attempt *, std::string_view Bytes) override {
+    Body.append(Bytes);
+  }
+  void onEnd(const endpoint_attempt *) override { End = attempt_end::Complete; }
+  void onBroken(const endpoint_attempt *) override {
+    End = attempt_end::Broken;
+  }
+  bool canAcceptBody() override { return true; }
+
+  attempt_end End = attempt_end::None;
+  int Status = 0;
+  std::string Body;
+};
+
+// One attempt of the call "a" at a scripted_server.
+struct attempt_fixture {
+  explicit attempt_fixture(response_script Script)
+      : Server(Context, std::move(Script)), Pool(Context, Clock, {}) {
+    relay::call Call;
+    Call.Id = "a";
+    request_message Request(http::verb::get, "/x", 11);
+    Request.set(http::field::host, "h");
+    Attempt = std::make_shared<endpoint_attempt>(
+        Context, Clock, Pool, Codec, Listener, Call,
+        relay::endpoint_choice{"e", Server.address()}, std::move(Request));
+    Attempt->start(false);
+  }
+
+  attempt_end run() {
+    const std::chrono::steady_clock::time_point Until =
+        std::chrono::steady_clock::now() + MaxRun;
+    while (Listener.End == attempt_end::None &&
+           std::chrono::steady_clock::now() < Until)
+      Context.run_one_for(std::chrono::milliseconds(50));
+    return Listener.End;
+  }
+
+  net::io_context Context;
+  adapters::system_clock Clock;
+  scripted_server Server;
+  connection_pool Pool;
+  attempt_id_codec Codec;
+  recording_listener Listener;
+  std::shared_ptr<endpoint_attempt> Attempt;
+};
+
+const std::string ChunkedHead = "HTTP/1.1 200 OK\r\nAttempt-Id: a\r\n"
+                                "Transfer-Encoding: chunked\r\n\r\n";
+const std::string UnframedHead = "HTTP/1.1 200 OK\r\nAttempt-Id: a\r\n\r\n";
+
+} // namespace
+
+// Guards against a head that an attempt buffers without limit.
+TEST_CASE("a head without end breaks the attempt", "[edge]") {
+  const std::string Padding(64 * 1024, 'x');
+  CHECK(attempt_fixture({"HTTP/1.1 200 OK\r\nX: ", Padding}).run() ==
+        attempt_end::Broken);
+  CHECK(attempt_fixture({"", Padding}).run() == attempt_end::Broken);
+}
+
+// Guards against a chunk extension or trailer that an attempt buffers without
+// limit.
+TEST_CASE("a chunk extension or a trailer without end breaks the attempt",
+          "[edge]") {
+  const std::string Padding(64 * 1024, 'x');
+  CHECK(attempt_fixture({ChunkedHead + "1;", Padding}).run() ==
+        attempt_end::Broken);
+  CHECK(attempt_fixture({ChunkedHead + "0\r\nX: ", Padding}).run() ==
+        attempt_end::Broken);
+}
+
+// Guards against interim responses that are read until the call's deadline.
+TEST_CASE("interim responses without end break the attempt", "[edge]") {
+  CHECK(attempt_fixture({"", "HTTP/1.1 102 Processing\r\n\r\n"}).run() ==
+        attempt_end::Broken);
+}
+
+// Guards against a limit that breaks off an endpoint that reports progress.
+TEST_CASE("a few interim responses precede a response", "[edge]") {
+  std::string Begin;
+  for (int Count = 0; Count < 20; ++Count)
+    Begin += "HTTP/1.1 102 Processing\r\n\r\n";
+  attempt_fixture Fixture(
+      {Begin + UnframedHead + "body", "", server_end::Close});
+  CHECK(Fixture.run() == attempt_end::Complete);
+  CHECK(Fixture.Listener.Body == "body");
+}
+
+// Guards against an extra response that is skipped until the call's deadline.
+TEST_CASE("an extra response without end breaks the attempt", "[edge]") {
+  const std::string Chunk = "1000\r\n" + std::string(4096, 'x') + "\r\n";
+  CHECK(attempt_fixture({"HTTP/1.1 200 OK\r\nAttempt-Id: b\r\n"
+                         "Transfer-Encoding: chunked\r\n\r\n",
+                         Chunk})
+            .run() == attempt_end::Broken);
+}
+
+// Guards against a limit that breaks the response behind a large extra one.
+TEST_CASE("a large extra response is skipped", "[edge]") {
+  const std::string Extra(1u << 20, 'x');
+  attempt_fixture Fixture(
+      {"HTTP/1.1 200 OK\r\nAttempt-Id: b\r\nContent-Length: " +
+           std::to_string(Extra.size()) + "\r\n\r\n" + Extra +
+           "HTTP/1.1 200 OK\r\nAttempt-Id: a\r\nContent-Length: 4\r\n\r\nbody",
+       ""});
+  CHECK(Fixture.run() == attempt_end::Complete);
+  CHECK(Fixture.Listener.Body == "body");
+}
+
+// Guards against a response that ends early and looks complete.
+TEST_CASE("a response without length or chunks ends with its connection",
+          "[edge]") {
+  attempt_fixture Closed({UnframedHead + "id: 1\n\n", "", server_end::Close});
+  CHECK(Closed.run() == attempt_end::Complete);
+  CHECK(Closed.Listener.Body == "id: 1\n\n");
+  CHECK(attempt_fixture({UnframedHead + "id: 1\n\n", "", server_end::Reset})
+            .run() == attempt_end::Broken);
+  CHECK(attempt_fixture(
+            {ChunkedHead + "7\r\nid: 1\n\n\r\n", "", server_end::Close})
+            .run() == attempt_end::Broken);
+}
+
+// Guards against idle connections that keep the buffer of a large head.
+TEST_CASE("an idle connection keeps no buffer", "[edge]") {
+  attempt_fixture Fixture(
+      {"HTTP/1.1 200 OK\r\nAttempt-Id: a\r\nX: " + std::string(60'000, 'x') +
+           "\r\nContent-Length: 0\r\n\r\n",
+       ""});
+  REQUIRE(Fixture.run() == attempt_end::Complete);
+  const std::shared_ptr<endpoint_connection> Idle =
+      Fixture.Pool.acquireIdle(Fixture.Server.address(), false);
+  REQUIRE(Idle);
+  CHECK(Idle->Buffer.capacity() == 0);
+}
+
+// Guards against waiting for the end of a head that can't be one.
+TEST_CASE("bytes that are no response break the attempt at once", "[edge]") {
+  CHECK(attempt_fixture({"garbage", ""}).run() == attempt_end::Broken);
+  CHECK(attempt_fixture({"HTTQ", ""}).run() == attempt_end::Broken);
+}
+
+// Guards against a search of the whole incomplete event for every byte of it,
+// which would occupy the thread of the instance for many seconds.
+TEST_CASE("the cost of an event grows linearly with its length", "[relay]") {
+  constexpr int EventBytes = 512 * 1024;
+  constexpr std::clock_t MaxSeconds = 1;
+  relay::event_stream_parser Parser;
+  const std::clock_t Begin = std::clock();
+  for (int Count = 0; Count < EventBytes; ++Count) {
+    Parser.push("x");
+    REQUIRE_FALSE(Parser.next());
+  }
+  CHECK(std::clock() - Begin < MaxSeconds * CLOCKS_PER_SEC);
+  Parser.push("\n\n");
+  CHECK(Parser.next()->Raw.size() == EventBytes + 2);
+}
+
+// Guards against events that are split at other places if they arrive in parts.
+TEST_CASE("events are the same however their bytes arrive", "[relay]") {
+  const std::string Stream = "id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\n"
+                             "\n\ndata: c\n\r\n\ndata: d\r\n\n\r\n\r\nid: 3";
+  const std::vector<std::string> Expected = {"id: 1\ndata: a\n\n",
+                                             "id: 2\r\ndata: b\r\n\r\n",
+                                             "\n\n",
+                                             "data: c\n\r\n\n",
+                                             "data: d\r\n\n",
+                                             "\r\n\r\n"};
+  for (std::size_t PartBytes = 1; PartBytes <= Stream.size(); ++PartBytes) {
+    relay::event_stream_parser Parser;
+    std::vector<std::string> Events;
+    for (std::size_t At = 0; At < Stream.size(); At += PartBytes) {
+      Parser.push(std::string_view(Stream).substr(At, PartBytes));
+      while (std::optional<relay::stream_event> Event = Parser.next())
+        Events.push_back(Event->Raw);
+    }
+    CHECK(Events == Expected);
+    CHECK(Parser.pending() == 5);
+  }
+}
+
+// Guards against a chunk extension that a channel buffers without limit.
+TEST_CASE("a chunk extension without end breaks a request on a channel",
+          "[edge]") {
+  net::io_context Context;
+  scripted_server Server(Context,
+                         {ChunkedHead + "1;", std::string(64 * 1024, 'x')});
+  const std::shared_ptr<http_channel> Channel =
+      std::make_shared<http_channel>(Context, Server.address());
+  channel_request Request;
+  Request.Message = request_message(http::verb::get, "/x", 11);
+  Request.InactivityTimeoutMs = 10'000;
+  bool IsFinished = false;
+  Channel->request(
+      std::move(Request),
+      [&IsFinished](const std::optional<response_message> &Response,
+                    const channel_timing &) {
+        IsFinished = true;
+        CHECK_FALSE(Response);
+      });
+  const std::chrono::steady_clock::time_point Until =
+      std::chrono::steady_clock::now() + MaxRun;
+  while (!IsFinished && std::chrono::steady_clock::now() < Until)
+    Context.run_one_for(std::chrono::milliseconds(50));
+  CHECK(IsFinished);
+}
+
+// Guards against a response that fills the memory of the instance.
+TEST_CASE("a fetched body without end breaks the fetch", "[edge]") {
+  net::io_context Context;
+  scripted_server Server(
+      Context, {ChunkedHead, "1000\r\n" + std::string(4096, 'x') + "\r\n"});
+  std::thread ServerThread([&Context] { Context.run(); });
+  adapters::http_client Client;
+  endpoint_request Request;
+  Request.Method = "GET";
+  Request.ReadTimeoutMs = 1'000;
+  std::string Failure;
+  try {
+    adapters::fetch(Client, "http://" + Server.address(), Request);
+  } catch (const endpoint_disconnected &Error) {
+    Failure = Error.what();
+  }
+  Context.stop();
+  ServerThread.join();
+  CHECK(Failure == "the body is too large");
+}
