Let a stand-in endpoint crash on a part of the prompt

Callers saw that requests with one certain prompt part crashed each endpoint that began to answer them, 44 times. The tests could not play that.

The control value crash_part makes a runner send the head of its response and end its process when the part is in Prompt-Prefix, anywhere but last. Its exit status tells such an end from others. The fleet can start a runner again with its id and port. /stats of a runner also shows what is left of control values, so that a test can tell how many faults have happened.

Checked on a runner of its own: with the part last the stream is served, with the part first the response is the head only and the exit status 86. every_kind_is_served_whole passes with the changed stand-in.

--- a/stand_ins/runner.cpp
+++ b/stand_ins/runner.cpp
@@ -7,7 +7,8 @@
 //
 //   POST /control   sets a value, see below
 //   GET  /stats     seen: requests received; each: executions by Attempt-Id;
-//                   tokens: tokens by client account
+//                   tokens: tokens by client account; control: the values of
+//                   /control, of which requests have used up some
 //
 // Values of /control that give the number of requests affected next:
 //   shed       gets 503 with Not-Executed, without an execution
@@ -20,6 +21,9 @@
 //   delay_ms   duration of each execution
 //   event_ms   pause before each event of a stream
 //   leave      above 0: registers as draining
+//   crash_part id of a prompt part, in decimal; 0 for none. On a request with
+//              this part in Prompt-Prefix, anywhere but last, the process sends
+//              the head of the response and ends with CrashExitStatus.
 #include "http_program.hpp"
 
 #include <Poco/JSON/Object.h>
@@ -30,6 +34,8 @@
 #include <Poco/StreamCopier.h>
 
 #include <atomic>
+#include <charconv>
+#include <cstdlib>
 #include <sstream>
 #include <thread>
 
@@ -37,7 +43,8 @@
 
 namespace {
 
-constexpr int HeartbeatMs = 400; // Between two registrations.
+constexpr int HeartbeatMs = 400;    // Between two registrations.
+constexpr int CrashExitStatus = 86; // Of a crash by crash_part; tests know it.
 
 struct runner_settings {
   std::string Id;
@@ -58,6 +65,23 @@
   return Text;
 }
 
+// Returns true if the part with this id is in a Prompt-Prefix header
+// (HEX_ID:TOKENS,...) and is not the last part.
+bool hasPartBeforeLast(const std::string &PromptPrefix, std::int64_t Part) {
+  std::size_t Begin = 0;
+  for (std::size_t Comma = PromptPrefix.find(','); Comma != std::string::npos;
+       Comma = PromptPrefix.find(',', Begin)) {
+    std::uint64_t Id = 0;
+    const auto [End, Error] = std::from_chars(
+        PromptPrefix.data() + Begin, PromptPrefix.data() + Comma, Id, 16);
+    if (Error == std::errc() && *End == ':' &&
+        Id == static_cast<std::uint64_t>(Part))
+      return true;
+    Begin = Comma + 1;
+  }
+  return false;
+}
+
 class runner_service final : public http_service {
 public:
   explicit runner_service(runner_settings Settings)
@@ -115,6 +139,10 @@
     for (const auto &[Account, Count] : TokensByAccount)
       Tokens->set(Account, Count);
     Top.set("tokens", Tokens);
+    Poco::JSON::Object::Ptr Control = new Poco::JSON::Object;
+    for (const auto &[Name, Value] : ControlValues)
+      Control->set(Name, Value);
+    Top.set("control", Control);
     std::ostringstream Out;
     Top.stringify(Out);
     return Out.str();
@@ -145,6 +173,7 @@
     Response.set("Server-Load", "1,0," + std::to_string(Settings.Slots));
     if (!consumeFault("unsigned"))
       Response.set("Server-Stamp", Settings.Id + "." + AttemptId);
+    crashOnPart(Request, Response);
     if (consumeFault("alien"))
       Response.set("Attempt-Id", "of-another");
     if (consumeFault("fail"))
@@ -154,6 +183,19 @@
     sendEvents(Request, Response);
   }
 
+  // Ends the process in the middle of a response if crash_part says so. The
+  // connections of all other requests in flight end with it.
+  void crashOnPart(Poco::Net::HTTPServerRequest &Request,
+                   Poco::Net::HTTPServerResponse &Response) {
+    const std::int64_t Part = controlValue("crash_part");
+    if (Part == 0 || !hasPartBeforeLast(Request.get("Prompt-Prefix", ""), Part))
+      return;
+    Response.setContentType("text/event-stream");
+    Response.setChunkedTransferEncoding(true);
+    Response.send() << std::flush;
+    std::_Exit(CrashExitStatus);
+  }
+
   void countExecution(Poco::Net::HTTPServerRequest &Request,
                       const std::string &AttemptId) {
     const std::lock_guard Guard(Lock);
--- a/tests/process/platform_fleet.py
+++ b/tests/process/platform_fleet.py
@@ -6,8 +6,9 @@
 import struct
 import subprocess
 import tempfile
+import time
 
-from harness import BIN, free_ports, http, wait_until
+from harness import BIN, MAX_WAIT_S, free_ports, http, wait_until
 
 STREAM_HOST = "models.example"  # Host of the routes to the engine service.
 DESK_HOST = "desk.example"  # Host of the routes to the plain service "desk".
@@ -59,10 +60,8 @@
                              str(self.store_port)])
         wait_until(lambda: self.responds(self.store + "/stats"), "the store")
         self.publish()
-        for name, (service, port) in self.runners.items():
-            self.start(name, ["stand_ins/standin-runner", "--id", name,
-                              "--service", service, "--port", str(port),
-                              "--store-port", str(self.store_port)])
+        for name in self.runners:
+            self.start_runner(name)
         for name in self.routers:
             self.start_router(name)
         for name in self.routers:
@@ -82,6 +81,28 @@
         self.processes[name] = subprocess.Popen(
             [BIN / command[0]] + command[1:], stdout=log, stderr=log)
 
+    def start_runner(self, name):
+        service, port = self.runners[name]
+        self.start(name, ["stand_ins/standin-runner", "--id", name,
+                          "--service", service, "--port", str(port),
+                          "--store-port", str(self.store_port)])
+
+    def restart_runner(self, name):
+        """Starts a runner that has ended again, with its id and port.
+
+        Its entry in the store gets another time of start ("born"). If another
+        process has got the port in the meantime, the runner gets a new one.
+        """
+        self.processes[name].wait()
+        self.start_runner(name)
+        end = time.monotonic() + MAX_WAIT_S
+        while not self.responds(self.runner_url(name) + "/stats"):
+            assert time.monotonic() < end, name + " does not start"
+            if self.processes[name].poll() is not None:
+                self.runners[name] = (self.runners[name][0], free_ports(1)[0])
+                self.start_runner(name)
+            time.sleep(0.01)
+
     def start_router(self, name):
         """Starts a router with the settings that it had before, if any."""
         front, ready, peer, metrics = self.routers[name]
@@ -152,6 +173,11 @@
         """Returns the number of requests that a runner has received."""
         return http("GET", self.runner_url(name) + "/stats").json()["seen"]
 
+    def control_value(self, name, setting):
+        """Returns what is left of a setting that control gave a runner."""
+        stats = http("GET", self.runner_url(name) + "/stats").json()
+        return stats["control"].get(setting, 0)
+
     def log_lines(self, name):
         """Returns the log lines of a process that are JSON objects."""
         text = (self.folder / f"{name}.log").read_text()
