--- a/tests/process/scenarios.py
+++ b/tests/process/scenarios.py
@@ -13,6 +13,7 @@
 from http.client import HTTPConnection
 
 import platform_scenarios
+import prompt_scenarios
 import shutdown_scenarios
 from harness import (Fleet, client_tls_context, create_certificates, http,
                      new_request_key, wait_until)
@@ -636,7 +637,8 @@
     a_limit_answers_at_once_with_when_to_come_back,
     callers_that_leave_settle_their_reservation,
     links_are_encrypted_when_keys_are_set,
-] + platform_scenarios.SCENARIOS + shutdown_scenarios.SCENARIOS
+] + platform_scenarios.SCENARIOS + shutdown_scenarios.SCENARIOS + (
+    prompt_scenarios.SCENARIOS)
 
 
 def read_known_red():
