--- a/tests/process/scenarios.py
+++ b/tests/process/scenarios.py
@@ -14,6 +14,7 @@
 
 import delayed_stop_scenarios
 import platform_scenarios
+import prompt_scenarios
 import shutdown_scenarios
 from harness import (Fleet, client_tls_context, create_certificates, http,
                      new_request_key, wait_until)
@@ -638,7 +639,7 @@
     callers_that_leave_settle_their_reservation,
     links_are_encrypted_when_keys_are_set,
 ] + (platform_scenarios.SCENARIOS + shutdown_scenarios.SCENARIOS
-     + delayed_stop_scenarios.SCENARIOS)
+     + delayed_stop_scenarios.SCENARIOS + prompt_scenarios.SCENARIOS)
 
 
 def read_known_red():
