--- a/packages/daemon/src/logged_placement.cpp
+++ b/packages/daemon/src/logged_placement.cpp
@@ -1,8 +1,26 @@
 // Logs failed attempts and counts failures and retries.
 #include "logged_placement.hpp"
 
+#include <cstdio>
+
 namespace tamarack::daemon {
 
+namespace {
+
+// Ids of the prompt parts that other calls may share, all but the last one.
+std::string sharedPartsOf(const relay::call &Call) {
+  std::string Text;
+  for (std::size_t I = 0; I + 1 < Call.Prompt.size(); ++I) {
+    char Id[20];
+    std::snprintf(Id, sizeof Id, "%s%llx", Text.empty() ? "" : ",",
+                  static_cast<unsigned long long>(Call.Prompt[I].Id));
+    Text += Id;
+  }
+  return Text;
+}
+
+} // namespace
+
 logged_placement::logged_placement(dispatch::load_balancer &LoadBalancer,
                                    adapters::event_log &Log,
                                    report::metrics_registry &Metrics)
@@ -14,6 +32,7 @@
                                relay::attempt_outcome End, time_ms Now) {
   if (End != relay::attempt_outcome::Good) {
     const std::string EndpointState = LoadBalancer.describe(Endpoint, Now);
+    const std::string Parts = sharedPartsOf(Call);
     Metrics
         .counterOf("tamarack_attempts_failed_total{end=\"" +
                    std::string(relay::toString(End)) + "\"}")
@@ -24,6 +43,7 @@
                                  {"end", relay::toString(End)},
                                  {"ms", Now - Call.ArrivedAt},
                                  {"left_ms", Call.Deadline - Now},
+                                 {"parts", std::string_view(Parts)},
                                  {"known", std::string_view(EndpointState)}});
   }
   placement_decorator::onEnded(Call, Endpoint, End, Now);
