--- a/packages/relay/include/tamarack/relay.hpp
+++ b/packages/relay/include/tamarack/relay.hpp
@@ -197,6 +197,11 @@
 class placement {
 public:
   virtual ~placement() = default;
+  // Called once, before tokens are reserved. Returns a refusal if it is already
+  // known that no endpoint may get the call.
+  virtual std::optional<placement_refusal> admit(const call &, time_ms) {
+    return std::nullopt;
+  }
   // Returns nothing if no endpoint outside Tried can take the call now.
   virtual std::optional<endpoint_choice>
   choose(const call &Call, const std::set<std::string> &Tried, time_ms Now) = 0;
@@ -212,6 +217,30 @@
   virtual placement_refusal refusal(const call &Call) const = 0;
 };
 
+// Passes everything on to another placement. Base of classes that change or
+// observe some of it.
+class placement_decorator : public placement {
+public:
+  explicit placement_decorator(placement &Inner) : Inner(Inner) {}
+
+  std::optional<placement_refusal> admit(const call &Call,
+                                         time_ms Now) override;
+  std::optional<endpoint_choice> choose(const call &Call,
+                                        const std::set<std::string> &Tried,
+                                        time_ms Now) override;
+  void onSent(const call &Call, std::string_view Endpoint,
+              time_ms Now) override;
+  void onFirstByte(const call &Call, std::string_view Endpoint,
+                   time_ms Now) override;
+  void onEnded(const call &Call, std::string_view Endpoint,
+               attempt_outcome Outcome, time_ms Now) override;
+  bool tryRetry(std::string_view Service, time_ms Now) override;
+  placement_refusal refusal(const call &Call) const override;
+
+private:
+  placement &Inner;
+};
+
 enum class reserve_result {
   Reserved,
   Pending,     // More tokens may be granted within moments.
--- a/packages/relay/src/exchange.cpp
+++ b/packages/relay/src/exchange.cpp
@@ -26,6 +26,9 @@
 
 void exchange::start(time_ms Now) {
   assert(State == state::New && "an exchange starts once");
+  if (const std::optional<placement_refusal> Refusal =
+          Placement.admit(Call, Now))
+    return refuseNotRun(Refusal->Kind, Refusal->RetryAfterMs);
   ReservationDeadline = std::min(Now + MaxReservationWaitMs, Call.Deadline);
   reserveTokens(Now);
 }
