--- a/packages/calls/include/tamarack/calls.hpp
+++ b/packages/calls/include/tamarack/calls.hpp
@@ -46,6 +46,7 @@
   RateLimited,
   Overloaded,
   DeadlineTooShort,
+  PromptQuarantined,
   NoEndpoint,
   NotReady,
   EndpointFailed,
--- a/packages/calls/src/errors.cpp
+++ b/packages/calls/src/errors.cpp
@@ -49,6 +49,10 @@
      "All endpoints are busy and the queue is full."},
     {DeadlineTooShort, "deadline_too_short", 503, ran_at_endpoint::No, Later,
      1'000, "The request can't be served before its deadline."},
+    {PromptQuarantined, "prompt_quarantined", 503, ran_at_endpoint::No, Later,
+     600'000,
+     "A part of the prompt has crashed endpoints; it is not sent to any for "
+     "now."},
     {NoEndpoint, "no_endpoint", 503, ran_at_endpoint::No, Later, 2'000,
      "No endpoint of the pool takes requests now."},
     {NotReady, "not_ready", 503, ran_at_endpoint::No, Later, 1'000,
