Add packages/quarantine: keep parts that crash endpoints away from them

Change: crash_guard attributes crashes to the shared parts of the calls that broke, part_quarantine combines the reports of all instances.

--- /dev/null
+++ b/packages/quarantine/src/crash_guard.cpp
@@ -0,0 +1,123 @@
+// Observes the calls and refuses those with a part in quarantine.
+#include "tamarack/quarantine.hpp"
+
+#include <algorithm>
+
+namespace tamarack::quarantine {
+
+crash_guard::crash_guard(relay::placement &Inner, part_quarantine &Quarantine,
+                         endpoint_prober &Prober, const endpoint_lookup &Lookup,
+                         crash_guard_listener &Listener)
+    : placement_decorator(Inner), Quarantine(Quarantine), Prober(Prober),
+      Lookup(Lookup), Listener(Listener) {}
+
+std::optional<relay::placement_refusal>
+crash_guard::admit(const relay::call &Call, time_ms Now) {
+  if (const std::optional<part_refusal> Refusal =
+          Quarantine.refusal(Call.Prompt, Now)) {
+    Listener.onPartRefused(Call, *Refusal);
+    return relay::placement_refusal{relay::error_kind::PromptQuarantined,
+                                    Refusal->RetryAfterMs};
+  }
+  return placement_decorator::admit(Call, Now);
+}
+
+std::optional<relay::endpoint_choice>
+crash_guard::choose(const relay::call &Call, const std::set<std::string> &Tried,
+                    time_ms Now) {
+  LastChoiceAt = Now;
+  if (Quarantine.refusal(Call.Prompt, Now))
+    return std::nullopt;
+  if (!Tried.empty() && !Quarantine.mayRetry(Call.Prompt, Now))
+    return std::nullopt;
+  return placement_decorator::choose(Call, Tried, Now);
+}
+
+relay::placement_refusal crash_guard::refusal(const relay::call &Call) const {
+  if (const std::optional<part_refusal> Refusal =
+          Quarantine.refusal(Call.Prompt, LastChoiceAt))
+    return {relay::error_kind::PromptQuarantined, Refusal->RetryAfterMs};
+  return placement_decorator::refusal(Call);
+}
+
+void crash_guard::onSent(const relay::call &Call, std::string_view Endpoint,
+                         time_ms Now) {
+  attempt Attempt;
+  Attempt.Endpoint = Endpoint;
+  Attempt.Info = Lookup.find(Endpoint).value_or(endpoint_info{});
+  Attempt.Trials = Quarantine.beginTrials(Call.Prompt, Now);
+  Attempts.insert_or_assign(&Call, std::move(Attempt));
+  placement_decorator::onSent(Call, Endpoint, Now);
+}
+
+void crash_guard::onFirstByte(const relay::call &Call,
+                              std::string_view Endpoint, time_ms Now) {
+  const auto Found = Attempts.find(&Call);
+  if (Found != Attempts.end())
+    Found->second.FirstByteAt = Now;
+  placement_decorator::onFirstByte(Call, Endpoint, Now);
+}
+
+void crash_guard::onEnded(const relay::call &Call, std::string_view Endpoint,
+                          relay::attempt_outcome Outcome, time_ms Now) {
+  placement_decorator::onEnded(Call, Endpoint, Outcome, Now);
+  if (Outcome == relay::attempt_outcome::Good)
+    Quarantine.onResponseCompleted(Call.Prompt, Now);
+  const auto Found = Attempts.find(&Call);
+  if (Found == Attempts.end())
+    return;
+  const attempt Attempt = std::move(Found->second);
+  Attempts.erase(Found);
+  if (Outcome == relay::attempt_outcome::Broken && mayBeCause(Attempt, Now))
+    return suspect(Call, Attempt);
+  Quarantine.endTrials(Attempt.Trials);
+}
+
+bool crash_guard::mayBeCause(const attempt &Attempt, time_ms Now) {
+  return !Attempt.Info.Address.empty() &&
+         (Attempt.FirstByteAt < 0 ||
+          Now - Attempt.FirstByteAt <= BeginWindowMs);
+}
+
+// The parts on trial remain so until the probe has ended: no other call may
+// contain them before its result is known.
+void crash_guard::suspect(const relay::call &Call, const attempt &Attempt) {
+  const endpoint_start Endpoint{Attempt.Endpoint, Attempt.Info.StartedAt};
+  const auto [Found, IsNew] = Suspicions.try_emplace(Endpoint);
+  suspicion &Suspicion = Found->second;
+  ++Suspicion.BrokenCalls;
+  for (std::size_t I = 0; I + 1 < Call.Prompt.size(); ++I)
+    Suspicion.Parts.insert(Call.Prompt[I].Id);
+  Suspicion.Trials.insert(Suspicion.Trials.end(), Attempt.Trials.begin(),
+                          Attempt.Trials.end());
+  if (IsNew)
+    Prober.probe(Attempt.Info.Address,
+                 [this, Endpoint](bool IsDead, time_ms Now) {
+                   onProbed(Endpoint, IsDead, Now);
+                 });
+}
+
+// An endpoint that leaves without an announcement is removed from the list
+// before it ends; one that crashes remains listed for some time.
+bool crash_guard::isLeaving(const endpoint_start &Endpoint) const {
+  const std::optional<endpoint_info> Info = Lookup.find(Endpoint.Endpoint);
+  return !Info || (Info->StartedAt == Endpoint.StartedAt && Info->Leaving);
+}
+
+void crash_guard::onProbed(const endpoint_start &Endpoint, bool IsDead,
+                           time_ms Now) {
+  const auto Found = Suspicions.find(Endpoint);
+  if (Found == Suspicions.end())
+    return;
+  const suspicion Suspicion = std::move(Found->second);
+  Suspicions.erase(Found);
+  if (IsDead && !isLeaving(Endpoint)) {
+    const std::vector<std::uint64_t> Parts(Suspicion.Parts.begin(),
+                                           Suspicion.Parts.end());
+    Listener.onEndpointDied(Endpoint, Suspicion.BrokenCalls, Parts.size());
+    Quarantine.onEndpointDied(Endpoint, Parts, Now);
+  }
+  Quarantine.endTrials(Suspicion.Trials);
+}
+
+} // namespace tamarack::quarantine
