Simulate a fleet for the quarantine

Change: three simulations without I/O: a bad part, other failures, a mended part; the same with 200 runs under the tag [quarantine-runs].

--- a/tests/unit/quarantine_test.cpp
+++ b/tests/unit/quarantine_test.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <catch2/catch.hpp>
+#include <cmath>
 #include <iostream>
 #include <queue>
 #include <rapidcheck.h>
@@ -475,3 +476,555 @@
   CHECK_FALSE(Fixture.Guard.admit(Call, Released + 10));
   CHECK(Fixture.Quarantine.quarantinedParts().empty());
 }
+
+//---------------------------------------------------------------------------
+// Simulation of a fleet
+//---------------------------------------------------------------------------
+
+namespace {
+
+struct fleet_settings {
+  int Instances = 8;
+  int Endpoints = 20;
+  double SoundPerSecond = 30;
+  double BadPerSecond = 1;
+  time_ms BadFrom = 90'000; // First request with BadPart.
+  time_ms MendedAt = -1;    // -1: never.
+  time_ms EndAt = 700'000;
+  bool Disturbed = true; // Rack deaths, releases, resets and slow endpoints.
+};
+
+// What a run has measured.
+struct fleet_result {
+  std::vector<time_ms> BadSentAt;      // Requests with BadPart.
+  std::vector<time_ms> BadCrashAt;     // Caused by BadPart.
+  std::vector<time_ms> BadCompletedAt; // After the fault is mended.
+  std::vector<time_ms> BadRefusedAt;
+  std::vector<time_ms> SoundAt;
+  std::vector<time_ms> SoundRefusedAt;
+  int OtherDeaths = 0;         // Of racks and at the end of releases.
+  time_ms LongestAfterUse = 0; // Longest quarantine of a sound part after a
+                               // request with it was completed.
+  int SoundQuarantines = 0;    // Sound parts, summed over instances.
+
+  static int countFrom(const std::vector<time_ms> &Times, time_ms From,
+                       time_ms Until = 1'000'000'000) {
+    return static_cast<int>(std::ranges::count_if(
+        Times, [=](time_ms At) { return At >= From && At < Until; }));
+  }
+  time_ms fifthCrashAt() const {
+    return BadCrashAt.size() < 5 ? -1 : BadCrashAt[4];
+  }
+};
+
+// Instances, endpoints and callers, driven by a queue of events.
+class fleet_simulation {
+public:
+  fleet_simulation(const fleet_settings &Settings, std::uint64_t Seed)
+      : Settings(Settings), Random(Seed) {
+    for (int I = 0; I < Settings.Endpoints; ++I)
+      Endpoints.push_back(std::make_unique<endpoint>());
+    for (int I = 0; I < Settings.Instances; ++I)
+      Instances.push_back(std::make_unique<instance>(*this, I));
+  }
+
+  fleet_result run() {
+    at(0, [this] { sendSound(); });
+    if (Settings.BadPerSecond > 0)
+      at(Settings.BadFrom, [this] { sendBad(); });
+    for (std::size_t I = 0; I < Instances.size(); ++I)
+      at(uniform(0, 200), [this, I] { exchangeReports(I); });
+    if (Settings.Disturbed)
+      at(60'000, [this] { disturb(); });
+    at(1'000, [this] { inspect(); });
+    while (!Events.empty() && Events.top().At < Settings.EndAt) {
+      const event Event = Events.top();
+      Events.pop();
+      Now = Event.At;
+      Event.Action();
+    }
+    return std::move(Result);
+  }
+
+private:
+  struct event {
+    time_ms At = 0;
+    std::uint64_t Number = 0; // Order of events at the same time.
+    std::function<void()> Action;
+    bool operator<(const event &Other) const {
+      return std::pair(At, Number) > std::pair(Other.At, Other.Number);
+    }
+  };
+
+  struct request {
+    relay::call Call;
+    std::size_t Instance = 0;
+    std::size_t Endpoint = 0;
+    std::set<std::string> Tried;
+    bool IsBad = false;
+    bool CanRetry = false;
+  };
+  using request_ptr = std::shared_ptr<request>;
+
+  struct endpoint {
+    bool IsUp = true;
+    bool IsSlow = false;
+    bool IsLeaving = false;
+    bool IsListed = true;
+    std::int64_t StartedAt = 1;
+    std::int64_t ListedStartedAt = 1; // Follows StartedAt after a delay.
+    std::set<request_ptr> InFlight;
+  };
+
+  struct instance final : relay::placement,
+                          endpoint_prober,
+                          endpoint_lookup,
+                          crash_guard_listener {
+    instance(fleet_simulation &Fleet, int Number)
+        : Fleet(Fleet), Name("r" + std::to_string(Number)), Quarantine(Name),
+          Guard(*this, Quarantine, *this, *this, *this) {}
+
+    std::optional<relay::endpoint_choice>
+    choose(const relay::call &, const std::set<std::string> &Tried,
+           time_ms) override {
+      return Fleet.chooseEndpoint(Tried);
+    }
+    void onSent(const relay::call &, std::string_view, time_ms) override {}
+    void onFirstByte(const relay::call &, std::string_view, time_ms) override {}
+    void onEnded(const relay::call &, std::string_view, attempt_outcome,
+                 time_ms) override {}
+    bool tryRetry(std::string_view, time_ms) override { return true; }
+    relay::placement_refusal refusal(const relay::call &) const override {
+      return {};
+    }
+    void probe(std::string_view Address, handler Handler) override {
+      const endpoint &Endpoint = *Fleet.Endpoints[indexOf(Address)];
+      Fleet.after(Fleet.uniform(1, 30), [this, &Endpoint, Handler] {
+        Handler(!Endpoint.IsUp, Fleet.Now);
+      });
+    }
+    std::optional<endpoint_info> find(std::string_view Id) const override {
+      const endpoint &Endpoint = *Fleet.Endpoints[indexOf(Id)];
+      if (!Endpoint.IsListed)
+        return std::nullopt;
+      return endpoint_info{Endpoint.ListedStartedAt, std::string(Id),
+                           Endpoint.IsLeaving};
+    }
+    void onEndpointDied(const endpoint_start &, int, std::size_t) override {}
+    void onPartRefused(const relay::call &, const part_refusal &) override {}
+
+    fleet_simulation &Fleet;
+    std::string Name;
+    part_quarantine Quarantine;
+    crash_guard Guard;
+    std::map<std::size_t, time_ms> ReportDueAt; // The last one, by sender.
+  };
+
+  static std::size_t indexOf(std::string_view EndpointId) {
+    return std::stoul(std::string(EndpointId.substr(1)));
+  }
+
+  time_ms uniform(time_ms From, time_ms Until) {
+    return From + static_cast<time_ms>(
+                      Random.next() % static_cast<std::uint64_t>(Until - From));
+  }
+  time_ms untilNext(double PerSecond) {
+    const double Share = static_cast<double>(uniform(1, 1'000'000)) / 1e6;
+    return 1 + static_cast<time_ms>(-std::log(Share) * 1'000 / PerSecond);
+  }
+  bool chance(int Percent) { return uniform(0, 100) < Percent; }
+  void at(time_ms At, std::function<void()> Action) {
+    Events.push({At, ++EventCount, std::move(Action)});
+  }
+  void after(time_ms Ms, std::function<void()> Action) {
+    at(Now + Ms, std::move(Action));
+  }
+  bool isMended() const {
+    return Settings.MendedAt >= 0 && Now >= Settings.MendedAt;
+  }
+
+  std::optional<relay::endpoint_choice>
+  chooseEndpoint(const std::set<std::string> &Tried) {
+    for (int Attempt = 0; Attempt < 40; ++Attempt) {
+      const std::size_t Index = static_cast<std::size_t>(
+          uniform(0, static_cast<time_ms>(Endpoints.size())));
+      const std::string Id = "e" + std::to_string(Index);
+      const endpoint &Endpoint = *Endpoints[Index];
+      if (Endpoint.IsUp && !Endpoint.IsLeaving && Endpoint.IsListed &&
+          !Tried.contains(Id))
+        return relay::endpoint_choice{Id, Id};
+    }
+    return std::nullopt;
+  }
+
+  // Few first parts, popular and rare middle parts.
+  std::vector<std::uint64_t> drawSharedParts() {
+    std::vector<std::uint64_t> Parts;
+    Parts.push_back(static_cast<std::uint64_t>(1 + uniform(0, 5)));
+    const time_ms Popular = uniform(0, 60) * uniform(0, 60) / 60;
+    Parts.push_back(static_cast<std::uint64_t>(
+        1'000 + (chance(20) ? 1'000 + uniform(0, 4'000) : Popular)));
+    return Parts;
+  }
+
+  void sendSound() {
+    after(untilNext(Settings.SoundPerSecond), [this] { sendSound(); });
+    arrive(drawSharedParts(), false);
+  }
+
+  void sendBad() {
+    after(untilNext(Settings.BadPerSecond), [this] { sendBad(); });
+    std::vector<std::uint64_t> Parts = drawSharedParts();
+    Parts.insert(Parts.begin() + uniform(0, 3), BadPart);
+    arrive(std::move(Parts), true);
+  }
+
+  void arrive(std::vector<std::uint64_t> Parts, bool IsBad) {
+    const request_ptr Request = std::make_shared<request>();
+    Request->Call.Prompt = promptOf(std::move(Parts));
+    Request->Instance = static_cast<std::size_t>(
+        uniform(0, static_cast<time_ms>(Instances.size())));
+    Request->IsBad = IsBad;
+    Request->CanRetry = chance(50);
+    if (!IsBad)
+      Result.SoundAt.push_back(Now);
+    crash_guard &Guard = Instances[Request->Instance]->Guard;
+    if (Guard.admit(Request->Call, Now)) {
+      (IsBad ? Result.BadRefusedAt : Result.SoundRefusedAt).push_back(Now);
+      return;
+    }
+    attemptAt(Request);
+  }
+
+  void attemptAt(const request_ptr &Request) {
+    crash_guard &Guard = Instances[Request->Instance]->Guard;
+    const std::optional<relay::endpoint_choice> Choice =
+        Guard.choose(Request->Call, Request->Tried, Now);
+    if (!Choice)
+      return;
+    Request->Endpoint = indexOf(Choice->Endpoint);
+    Guard.onSent(Request->Call, Choice->Endpoint, Now);
+    if (Request->IsBad)
+      Result.BadSentAt.push_back(Now);
+    endpoint &Endpoint = *Endpoints[Request->Endpoint];
+    Endpoint.InFlight.insert(Request);
+    const time_ms BeginMs =
+        Endpoint.IsSlow ? uniform(3'000, 6'000) : uniform(40, 150);
+    after(BeginMs, [this, Request, Start = Endpoint.StartedAt] {
+      begin(Request, Start);
+    });
+  }
+
+  bool isRunning(const request_ptr &Request, std::int64_t Start) const {
+    const endpoint &Endpoint = *Endpoints[Request->Endpoint];
+    return Endpoint.StartedAt == Start && Endpoint.InFlight.contains(Request);
+  }
+
+  void begin(const request_ptr &Request, std::int64_t Start) {
+    if (!isRunning(Request, Start))
+      return;
+    if (Request->IsBad && !isMended()) {
+      after(50, [this, Request, Start] {
+        if (!isRunning(Request, Start))
+          return;
+        Result.BadCrashAt.push_back(Now);
+        die(Request->Endpoint);
+      });
+      return;
+    }
+    Instances[Request->Instance]->Guard.onFirstByte(
+        Request->Call, "e" + std::to_string(Request->Endpoint), Now);
+    after(uniform(200, 3'000), [this, Request, Start] {
+      if (isRunning(Request, Start))
+        complete(Request);
+    });
+  }
+
+  void complete(const request_ptr &Request) {
+    end(Request, attempt_outcome::Good);
+    if (Request->IsBad)
+      Result.BadCompletedAt.push_back(Now);
+    for (const relay::prompt_part &Part : Request->Call.Prompt)
+      LastCompletedAt[Part.Id] = Now;
+  }
+
+  void end(const request_ptr &Request, attempt_outcome Outcome) {
+    const std::string Id = "e" + std::to_string(Request->Endpoint);
+    Endpoints[Request->Endpoint]->InFlight.erase(Request);
+    Instances[Request->Instance]->Guard.onEnded(Request->Call, Id, Outcome,
+                                                Now);
+    Request->Tried.insert(Id);
+    if (Outcome == attempt_outcome::Broken && Request->CanRetry &&
+        Request->Tried.size() < 3)
+      attemptAt(Request);
+  }
+
+  void die(std::size_t Index) {
+    endpoint &Endpoint = *Endpoints[Index];
+    Endpoint.IsUp = false;
+    const std::set<request_ptr> Broken = Endpoint.InFlight;
+    for (const request_ptr &Request : Broken)
+      end(Request, attempt_outcome::Broken);
+    after(4'000, [this, &Endpoint] {
+      Endpoint.IsUp = true;
+      Endpoint.IsSlow = false;
+      Endpoint.IsLeaving = false;
+      Endpoint.StartedAt = Now;
+      after(uniform(500, 1'500), [this, &Endpoint] {
+        Endpoint.ListedStartedAt = Endpoint.StartedAt;
+        Endpoint.IsListed = true;
+      });
+    });
+  }
+
+  // One rack death, release, burst of resets or slow endpoint.
+  void disturb() {
+    after(uniform(20'000, 60'000), [this] { disturb(); });
+    const std::size_t Index = static_cast<std::size_t>(
+        uniform(0, static_cast<time_ms>(Endpoints.size())));
+    switch (uniform(0, 4)) {
+    case 0:
+      for (std::size_t I = 0; I < Endpoints.size() / 4; ++I)
+        dieUnlessDown((Index + I) % Endpoints.size());
+      return;
+    case 1:
+      return release(Index);
+    case 2:
+      for (const request_ptr &Request : std::set(Endpoints[Index]->InFlight))
+        end(Request, attempt_outcome::Broken);
+      return;
+    case 3:
+      Endpoints[Index]->IsSlow = true;
+      return;
+    }
+  }
+
+  void dieUnlessDown(std::size_t Index) {
+    if (!Endpoints[Index]->IsUp)
+      return;
+    ++Result.OtherDeaths;
+    die(Index);
+  }
+
+  // Some endpoints announce that they leave, others are only removed.
+  void release(std::size_t Index) {
+    endpoint &Endpoint = *Endpoints[Index];
+    if (!Endpoint.IsUp)
+      return;
+    if (chance(50))
+      Endpoint.IsLeaving = true;
+    else
+      Endpoint.IsListed = false;
+    after(uniform(500, 4'000), [this, Index, Start = Endpoint.StartedAt] {
+      if (Endpoints[Index]->StartedAt == Start)
+        dieUnlessDown(Index);
+    });
+  }
+
+  void exchangeReports(std::size_t From) {
+    after(200, [this, From] { exchangeReports(From); });
+    const std::optional<crash_report> Report =
+        Instances[From]->Quarantine.takeReport(Now);
+    if (!Report)
+      return;
+    const std::string Bytes = encode(*Report);
+    for (std::size_t To = 0; To < Instances.size(); ++To) {
+      // In order, like the records of one key in a store.
+      time_ms &DueAt = Instances[To]->ReportDueAt[From];
+      DueAt = std::max(DueAt, Now + uniform(1'000, 1'500));
+      at(DueAt, [this, From, To, Bytes] {
+        Instances[To]->Quarantine.onReport(Instances[From]->Name,
+                                           *decodeReport(Bytes), Now);
+      });
+    }
+  }
+
+  // Measures how long sound parts stay in quarantine although requests with
+  // them are completed somewhere.
+  void inspect() {
+    after(500, [this] { inspect(); });
+    std::map<std::pair<std::size_t, std::uint64_t>, time_ms> Since;
+    for (std::size_t I = 0; I < Instances.size(); ++I)
+      for (const quarantined_part &Part :
+           Instances[I]->Quarantine.quarantinedParts()) {
+        if (Part.Part == BadPart)
+          continue;
+        const std::pair Key(I, Part.Part);
+        const auto Known = QuarantinedSince.find(Key);
+        Since[Key] = Known == QuarantinedSince.end() ? Now : Known->second;
+        if (Known == QuarantinedSince.end())
+          ++Result.SoundQuarantines;
+        noteUse(Key, Since[Key]);
+      }
+    std::erase_if(FirstUse, [&](const auto &Item) {
+      return !Since.contains(Item.first);
+    });
+    QuarantinedSince = std::move(Since);
+  }
+
+  void noteUse(const std::pair<std::size_t, std::uint64_t> &Key,
+               time_ms Since) {
+    const auto Used = LastCompletedAt.find(Key.second);
+    if (Used == LastCompletedAt.end() || Used->second < Since)
+      return;
+    const auto First = FirstUse.try_emplace(Key, Used->second).first;
+    Result.LongestAfterUse =
+        std::max(Result.LongestAfterUse, Now - First->second);
+  }
+
+  fleet_settings Settings;
+  tests::seeded_random Random;
+  time_ms Now = 0;
+  std::uint64_t EventCount = 0;
+  std::priority_queue<event> Events;
+  std::vector<std::unique_ptr<endpoint>> Endpoints;
+  std::vector<std::unique_ptr<instance>> Instances;
+  std::map<std::uint64_t, time_ms> LastCompletedAt; // By part id.
+  std::map<std::pair<std::size_t, std::uint64_t>, time_ms>
+      QuarantinedSince; // By instance and part id.
+  std::map<std::pair<std::size_t, std::uint64_t>, time_ms>
+      FirstUse; // First completion during the quarantine.
+  fleet_result Result;
+};
+
+fleet_settings drawSettings(std::uint64_t Seed) {
+  tests::seeded_random Random(Seed * 7'919);
+  fleet_settings Settings;
+  Settings.Instances = 8 + static_cast<int>(Random.next() % 23);
+  Settings.SoundPerSecond = 15 + static_cast<double>(Random.next() % 46);
+  Settings.BadPerSecond = 0.2 + 0.1 * static_cast<double>(Random.next() % 40);
+  return Settings;
+}
+
+struct worst_figures {
+  int Runs = 0;
+  int BadSent = 0; // Later than 3 s after the fifth crash.
+  int BadSentTotal = 0;
+  double SoundRefused = 0; // Share, from 6 s after the fifth crash on.
+  int SoundQuarantines = 0;
+  time_ms LongestAfterUse = 0;
+  int CrashesUntilUse = 0; // Later than 3 s after the fifth crash.
+  time_ms UsableAfterMs = 0;
+};
+
+std::ostream &operator<<(std::ostream &Out, const worst_figures &Worst) {
+  return Out << "runs " << Worst.Runs << ": at most " << Worst.BadSent
+             << " bad requests sent late (" << Worst.BadSentTotal
+             << " in all), at most " << 100 * Worst.SoundRefused
+             << " % sound refused, " << Worst.SoundQuarantines
+             << " quarantines of sound parts, longest after use "
+             << Worst.LongestAfterUse << " ms, crashes until use "
+             << Worst.CrashesUntilUse << ", usable " << Worst.UsableAfterMs
+             << " ms after the mending\n";
+}
+
+// The part is bad until the end of the run.
+void checkBadPart(int Runs) {
+  worst_figures Worst;
+  for (int Seed = 1; Seed <= Runs; ++Seed) {
+    const fleet_result Result =
+        fleet_simulation(drawSettings(Seed), Seed).run();
+    const time_ms Fifth = Result.fifthCrashAt();
+    CAPTURE(Seed, Fifth);
+    REQUIRE(Result.BadCrashAt.size() >= CrashesToQuarantine);
+    // Quarantined earlier: everything later than the last crash is late.
+    const time_ms From = Fifth < 0 ? Result.BadCrashAt.back() : Fifth;
+    const int Late = fleet_result::countFrom(Result.BadSentAt, From + 3'000);
+    const double Refused =
+        fleet_result::countFrom(Result.SoundRefusedAt, From + 6'000) /
+        static_cast<double>(
+            fleet_result::countFrom(Result.SoundAt, From + 6'000));
+    CHECK(Late <= 3);
+    CHECK(Refused < 0.01);
+    ++Worst.Runs;
+    Worst.BadSent = std::max(Worst.BadSent, Late);
+    Worst.BadSentTotal += Late;
+    Worst.SoundRefused = std::max(Worst.SoundRefused, Refused);
+    Worst.SoundQuarantines += Result.SoundQuarantines;
+    Worst.LongestAfterUse =
+        std::max(Worst.LongestAfterUse, Result.LongestAfterUse);
+  }
+  std::cout << Worst;
+}
+
+// No part is bad; racks die, endpoints leave, reset connections and are slow.
+void checkSoundParts(int Runs) {
+  worst_figures Worst;
+  for (int Seed = 1; Seed <= Runs; ++Seed) {
+    fleet_settings Settings = drawSettings(Seed);
+    Settings.BadPerSecond = 0;
+    const fleet_result Result = fleet_simulation(Settings, Seed).run();
+    const double Refused = static_cast<double>(Result.SoundRefusedAt.size()) /
+                           static_cast<double>(Result.SoundAt.size());
+    CAPTURE(Seed);
+    CHECK(Result.OtherDeaths > 0);
+    CHECK(Result.LongestAfterUse <= 5'000);
+    CHECK(Refused < 0.01);
+    ++Worst.Runs;
+    Worst.SoundRefused = std::max(Worst.SoundRefused, Refused);
+    Worst.SoundQuarantines += Result.SoundQuarantines;
+    Worst.LongestAfterUse =
+        std::max(Worst.LongestAfterUse, Result.LongestAfterUse);
+  }
+  std::cout << Worst;
+}
+
+// The part is mended during its quarantine or on trial.
+void checkMendedPart(int Runs) {
+  worst_figures Worst;
+  for (int Seed = 1; Seed <= Runs; ++Seed) {
+    fleet_settings Settings = drawSettings(Seed);
+    Settings.SoundPerSecond = 8;
+    Settings.MendedAt = 200'000 + Seed * 137'000 % 1'600'000;
+    Settings.EndAt = Settings.MendedAt + MaxQuarantineMs + 300'000;
+    const fleet_result Result = fleet_simulation(Settings, Seed).run();
+    CAPTURE(Seed, Settings.MendedAt);
+    REQUIRE(Result.BadCrashAt.size() >= CrashesToQuarantine);
+    const time_ms From = Result.fifthCrashAt() < 0 ? Result.BadCrashAt.back()
+                                                   : Result.fifthCrashAt();
+    const int Crashes =
+        fleet_result::countFrom(Result.BadCrashAt, From + 3'000);
+    CHECK(Crashes <= 3);
+    REQUIRE_FALSE(Result.BadCompletedAt.empty());
+    const time_ms Usable = Result.BadCompletedAt.front();
+    CHECK(Usable - Settings.MendedAt <=
+          MaxQuarantineMs + 2 * OtherInstancesDelayMs);
+    // From then on the part is served like any other.
+    CHECK(fleet_result::countFrom(Result.BadRefusedAt, Usable + 5'000) == 0);
+    ++Worst.Runs;
+    Worst.CrashesUntilUse = std::max(Worst.CrashesUntilUse, Crashes);
+    Worst.UsableAfterMs =
+        std::max(Worst.UsableAfterMs, Usable - Settings.MendedAt);
+  }
+  std::cout << Worst;
+}
+
+} // namespace
+
+// Guards against a bad part that goes on crashing endpoints of the fleet, and
+// against sound requests that are refused with it.
+TEST_CASE("a fleet keeps a bad part away from its endpoints", "[quarantine]") {
+  checkBadPart(10);
+}
+
+// Guards against deaths of racks, releases, resets and slow endpoints that shut
+// out parts in use.
+TEST_CASE("other failures shut out no part in use", "[quarantine]") {
+  checkSoundParts(10);
+}
+
+// Guards against a part that stays refused after the fault is mended.
+TEST_CASE("a mended part is used again", "[quarantine]") { checkMendedPart(6); }
+
+// The same with more runs, for measurements.
+TEST_CASE("many random fleets with a bad part", "[.][quarantine-runs]") {
+  checkBadPart(200);
+}
+
+TEST_CASE("many random fleets with other failures", "[.][quarantine-runs]") {
+  checkSoundParts(200);
+}
+
+TEST_CASE("many random fleets with a mended part", "[.][quarantine-runs]") {
+  checkMendedPart(200);
+}
