Choose the same first tester of a released part at all instances

A completion that cleared one known crash was not announced. Change: the smallest name among the reporters of all crashes tests first; each completion of a suspected part is announced.

--- a/packages/quarantine/include/tamarack/quarantine.hpp
+++ b/packages/quarantine/include/tamarack/quarantine.hpp
@@ -19,7 +19,6 @@
 
 #include "tamarack/relay.hpp"
 
-#include <compare>
 #include <cstdint>
 #include <deque>
 #include <functional>
@@ -30,6 +29,7 @@
 #include <span>
 #include <string>
 #include <string_view>
+#include <tuple>
 #include <unordered_map>
 #include <vector>
 
@@ -43,7 +43,11 @@
 struct endpoint_start {
   std::string Endpoint;       // Id.
   std::int64_t StartedAt = 0; // Unix ms as stated by the endpoint.
-  auto operator<=>(const endpoint_start &) const = default;
+  bool operator==(const endpoint_start &) const = default;
+  bool operator<(const endpoint_start &Other) const {
+    return std::tie(Endpoint, StartedAt) <
+           std::tie(Other.Endpoint, Other.StartedAt);
+  }
 };
 
 // The unexpected end of one run of an endpoint.
@@ -86,7 +90,7 @@
 // quarantined.
 inline constexpr std::size_t CrashesToQuarantine = 3;
 // Crashes attributed to a part after which an instance that saw it answered
-// completely announces it as sound.
+// completely before them announces it as sound.
 inline constexpr std::size_t CrashesToAnnounce = 2;
 // Time for which a completely answered part counts as sound.
 inline constexpr time_ms SoundMemoryMs = 60'000;
@@ -98,9 +102,9 @@
 // crash after a release.
 inline constexpr time_ms QuarantineMs = 10 * 60'000;
 inline constexpr time_ms MaxQuarantineMs = 30 * 60'000;
-// The instance that reported the newest crash releases the part first. Each of
-// the others follows after this time and a share of the same time that depends
-// on its name.
+// The instance with the smallest name that reported a crash of the part
+// releases it first. Each of the others follows after this time and a share of
+// the same time that depends on its name.
 inline constexpr time_ms OtherInstancesDelayMs = 60'000;
 // Advice to a caller while another request tests a released part.
 inline constexpr int TrialRetryAfterMs = 2'000;
@@ -172,7 +176,6 @@
   };
   struct suspected_part {
     std::map<endpoint_start, sighting> Crashes;
-    endpoint_start NewestCrash;
     time_ms NewestCrashAt = 0;
     std::optional<quarantine_period> Quarantine;
     int TrialsInFlight = 0;
--- a/packages/quarantine/src/part_quarantine.cpp
+++ b/packages/quarantine/src/part_quarantine.cpp
@@ -86,9 +86,17 @@
 
 time_ms part_quarantine::releaseAt(std::uint64_t Part,
                                    const suspected_part &State) const {
-  const auto Newest = State.Crashes.find(State.NewestCrash);
-  const bool IsFirst = Newest != State.Crashes.end() &&
-                       *Newest->second.Reporters.begin() == Instance;
+  // The same at all instances, in whatever order the reports arrive.
+  std::string_view First = Instance;
+  for (const auto &[Endpoint, Sighting] : State.Crashes)
+    First = std::min<std::string_view>(First, *Sighting.Reporters.begin());
+  const bool IsFirst =
+      std::ranges::any_of(State.Crashes,
+                          [&](const auto &Item) {
+                            return Item.second.Reporters.contains(
+                                std::string(First));
+                          }) &&
+      First == Instance;
   if (IsFirst)
     return State.Quarantine->Until;
   const std::size_t Hash = std::hash<std::string>{}(Instance) ^ Part;
@@ -104,8 +112,8 @@
     std::span<const relay::prompt_part> Prompt, time_ms Now) {
   for (const relay::prompt_part &Part : sharedParts(Prompt)) {
     rememberCompleted(Part.Id, Now);
-    announceIfSound(Part.Id, Now);
-    discardCrashes(Part.Id);
+    if (Suspected.contains(Part.Id))
+      announceSound(Part.Id, Now);
   }
 }
 
@@ -132,8 +140,9 @@
       CandidateParts, std::back_inserter(Parts),
       [&](std::uint64_t Part) { return !isKnownSound(Part, Now); });
   // Parts that other crashes have in common are kept first.
-  std::ranges::stable_partition(
-      Parts, [this](std::uint64_t Part) { return Suspected.contains(Part); });
+  std::stable_partition(Parts.begin(), Parts.end(), [this](std::uint64_t Part) {
+    return Suspected.contains(Part);
+  });
   Parts.resize(std::min(Parts.size(), MaxPartsPerCrash));
   if (Parts.empty())
     return;
@@ -206,10 +215,8 @@
   const bool WasQuarantined = State.Quarantine.has_value();
   if (!IsSound && (WasQuarantined ? IsNew : hasEnoughCrashes(State)))
     startQuarantine(State, Now);
-  if (IsNew) {
-    State.NewestCrash = Endpoint;
+  if (IsNew)
     State.NewestCrashAt = Now;
-  }
 }
 
 // A crash in the first half of a quarantine was on its way when it began; a
@@ -230,13 +237,12 @@
   if (Found == Suspected.end() || !isKnownSound(Part, Now))
     return;
   if (Found->second.Quarantine ||
-      Found->second.Crashes.size() >= CrashesToAnnounce) {
+      Found->second.Crashes.size() >= CrashesToAnnounce)
     announceSound(Part, Now);
-    discardCrashes(Part);
-  }
 }
 
 void part_quarantine::announceSound(std::uint64_t Part, time_ms Now) {
+  discardCrashes(Part);
   OwnSoundParts[Part] = {{Part, ++LastSoundNumber}, Now};
   ReportChanged = true;
   if (OwnSoundParts.size() > MaxReportedSoundParts)
