Count only parts that are not yet released in the simulation

Cause: the check for sound parts in quarantine also counted parts on trial. Change: a part counts until its release.

--- a/tests/unit/quarantine_test.cpp
+++ b/tests/unit/quarantine_test.cpp
@@ -865,7 +865,8 @@
     for (std::size_t I = 0; I < Instances.size(); ++I)
       for (const quarantined_part &Part :
            Instances[I]->Quarantine.quarantinedParts()) {
-        if (Part.Part == BadPart)
+        // A part on trial is served, one request at a time.
+        if (Part.Part == BadPart || Part.Until <= Now)
           continue;
         const std::pair Key(I, Part.Part);
         const auto Known = QuarantinedSince.find(Key);
