Keep prompt parts that crash endpoints away from all endpoints

Cause: the product judged endpoints only. Each crash raised the penalty of the endpoint that was lost, so the next such request went to one that still lived; nothing looked at what the lost endpoints had had in common, and no instance knew of the crashes that the others saw.

Now an instance whose connections to an endpoint break connects to it once; only if nobody listens there, and it was not leaving, did the endpoint die. The shared parts of the calls that were just beginning are suspected, without those that a complete answer was passed on with. Instances share what they suspect as records of the topic of grants, which all read every second anyway: no further reads, one write when something changed. A part that may have ended three endpoints is refused before tokens are reserved; after ten minutes one instance tries one request. Soundness is shared too, so that one wrong instance shuts nothing out.

Endpoints that die together and connections that are reset shut nothing out (as before).

--- /dev/null
+++ b/packages/daemon/src/endpoint_probe.cpp
@@ -0,0 +1,58 @@
+// Probes endpoints by TCP connections, and looks them up.
+#include "endpoint_probe.hpp"
+
+namespace tamarack::daemon {
+
+namespace {
+
+constexpr int ProbeTimeoutMs = 500;
+
+// One connection attempt; lives until its handlers have run.
+struct probe_connection {
+  explicit probe_connection(edge::net::io_context &Context)
+      : Socket(Context), Timer(Context) {}
+  edge::tcp::socket Socket;
+  edge::net::steady_timer Timer;
+};
+
+} // namespace
+
+void tcp_endpoint_prober::probe(std::string_view Address, handler Handler) {
+  edge::tcp::endpoint Target;
+  try {
+    Target = edge::parseAddress(Address);
+  } catch (const std::invalid_argument &) {
+    // Nothing can be found out about an address that can't be read.
+    edge::net::post(Context, [this, Handler = std::move(Handler)] {
+      Handler(false, Clock.monotonic());
+    });
+    return;
+  }
+  const std::shared_ptr<probe_connection> Probe =
+      std::make_shared<probe_connection>(Context);
+  Probe->Timer.expires_after(std::chrono::milliseconds(ProbeTimeoutMs));
+  Probe->Timer.async_wait([Probe](const edge::error_code &Error) {
+    edge::error_code Ignored;
+    if (!Error)
+      Probe->Socket.close(Ignored);
+  });
+  Probe->Socket.async_connect(Target, [this, Probe,
+                                       Handler = std::move(Handler)](
+                                          const edge::error_code &Error) {
+    edge::error_code Ignored;
+    Probe->Timer.cancel();
+    Probe->Socket.close(Ignored);
+    Handler(Error == edge::net::error::connection_refused, Clock.monotonic());
+  });
+}
+
+std::optional<quarantine::endpoint_info>
+listed_endpoints::find(std::string_view Endpoint) const {
+  const dispatch::endpoint_entry *Entry = LoadBalancer.findEntry(Endpoint);
+  if (Entry == nullptr)
+    return std::nullopt;
+  return quarantine::endpoint_info{Entry->StartedAt, Entry->Address,
+                                   Entry->Leaving};
+}
+
+} // namespace tamarack::daemon
--- a/packages/daemon/src/router.cpp
+++ b/packages/daemon/src/router.cpp
@@ -120,7 +120,13 @@
   explicit grant_listener(router &Router) : Router(Router) {}
 
   void onRecord(const keyed_record &Record) override {
-    Router.Grants.onRecord(Record.Key, Record.Value, Record.Removed);
+    if (!crash_report_exchange::isReport(Record))
+      return Router.Grants.onRecord(Record.Key, Record.Value, Record.Removed);
+    if (Router.CrashReports.onRecord(Record, Router.Clock.monotonic()))
+      return;
+    Router.Metrics.counterOf("tamarack_unreadable_records_total").add();
+    Router.Log.write("crash_report_unreadable",
+                     {{"key", std::string_view(Record.Key)}});
   }
   void onStoreUnavailable() override { Router.Grants.onStoreUnavailable(); }
   void onCaughtUp(std::uint64_t) override {
@@ -154,8 +160,13 @@
       SharedReads(PeerCallStore, Clock),
       PeerService(SharedReads, Store, Clock, *this),
       LoadBalancer(Settings.Zone, Settings.RetryLimits, Random),
-      Placement(LoadBalancer, Log, Metrics), ShutdownGate(Placement),
-      Codec(LoadBalancer, Random),
+      Placement(LoadBalancer, Log, Metrics), Quarantine(Settings.Instance),
+      QuarantineLog(Log, Metrics), EndpointProber(Context, Clock),
+      ListedEndpoints(LoadBalancer),
+      CrashGuard(Placement, Quarantine, EndpointProber, ListedEndpoints,
+                 QuarantineLog),
+      CrashReports(Settings.Instance, Store, Quarantine),
+      ShutdownGate(CrashGuard), Codec(LoadBalancer, Random),
       Grants(Settings.Instance, Random.next() | 1, Settings.PeerAddress,
              adapters::readBootId(), {}, Clock),
       ConfigurationListener(std::make_unique<configuration_listener>(*this)),
@@ -221,6 +232,8 @@
     readPreviousWatermark(false);
   writeGrants();
   writeWatermark();
+  CrashReports.tick(Now);
+  QuarantineLog.recordQuarantine(Quarantine, Now);
   ConnectionPool.closeExpired();
   if (IsStopping)
     continueStop();
--- a/packages/daemon/src/router.hpp
+++ b/packages/daemon/src/router.hpp
@@ -2,7 +2,10 @@
 // the store. Everything runs on one thread with one event loop.
 #pragma once
 
+#include "crash_report_exchange.hpp"
+#include "endpoint_probe.hpp"
 #include "logged_placement.hpp"
+#include "quarantine_log.hpp"
 #include "router_settings.hpp"
 #include "tamarack/adapters.hpp"
 #include "tamarack/dispatch.hpp"
@@ -115,6 +118,12 @@
   peers::peer_store_service PeerService;
   dispatch::load_balancer LoadBalancer;
   logged_placement Placement;
+  quarantine::part_quarantine Quarantine;
+  quarantine_log QuarantineLog;
+  tcp_endpoint_prober EndpointProber;
+  listed_endpoints ListedEndpoints;
+  quarantine::crash_guard CrashGuard;
+  crash_report_exchange CrashReports;
   dispatch::shutdown_gate ShutdownGate;
   platform::platform_codec Codec;
   grants::grant_holder Grants;
--- a/packages/daemon/src/router_grants.cpp
+++ b/packages/daemon/src/router_grants.cpp
@@ -95,6 +95,7 @@
           return; // The next tick starts again, in a higher epoch.
         ++WatermarkWriter.Sequence;
         GrantWriter.Epoch = WatermarkWriter.Epoch;
+        CrashReports.allowWrites(WatermarkWriter.Epoch);
         IsPreviousWatermarkKnown = true;
         Log.write("previous_watermark",
                   {{"found", std::int64_t(Previous.has_value())},
--- a/packages/dispatch/include/tamarack/dispatch.hpp
+++ b/packages/dispatch/include/tamarack/dispatch.hpp
@@ -167,6 +167,8 @@
   relay::placement_refusal refusal(const relay::call &Call) const override;
 
   std::size_t endpointCount() const { return Endpoints.size(); }
+  // Nullptr if the endpoint is not known.
+  const endpoint_entry *findEntry(std::string_view Endpoint) const;
   // One line for logs: the state of the endpoint that choose takes into
   // account.
   std::string describe(std::string_view Endpoint, time_ms Now) const;
--- a/packages/dispatch/src/load_balancer.cpp
+++ b/packages/dispatch/src/load_balancer.cpp
@@ -90,6 +90,12 @@
   return Found == Endpoints.end() ? nullptr : &Found->second;
 }
 
+const endpoint_entry *
+load_balancer::findEntry(std::string_view Endpoint) const {
+  const auto Found = Endpoints.find(Endpoint);
+  return Found == Endpoints.end() ? nullptr : &Found->second.Entry;
+}
+
 void load_balancer::onLoadReport(std::string_view Endpoint,
                                  const load_report &Load, time_ms Now) {
   endpoint_state *State = findEndpoint(Endpoint);
