Serve the connections that wait when the listener closes

Callers who had connected to a stopping router, and sent a whole request, got a closed or reset connection without an answer if the router had not accepted them when the listener closed, 2.5 s after SIGTERM.

Cause: closing the listener resets what waits in the kernel; the handler of an accept that had succeeded dropped its connection if the listener was closed by then; and a connection that was just accepted counted as idle and was closed. Now the listener accepts what waits before it closes, an accepted connection is always served (up to MaxSessions), and a new one keeps its drain idle timeout.

--- a/packages/edge/include/tamarack/edge.hpp
+++ b/packages/edge/include/tamarack/edge.hpp
@@ -197,7 +197,8 @@
   void setLimits(const relay::caller_limits &NewLimits) { Limits = NewLimits; }
   // From now on, responses ask the caller to close the connection.
   void beginDrain();
-  // Accepts no new connections and closes the idle ones.
+  // Accepts the connections that wait in the kernel but no later ones, and
+  // closes the idle ones that had time to send a request.
   void stopAccepting();
   // Ends all calls in progress, with a final response where none has begun, and
   // closes all other connections.
@@ -212,6 +213,9 @@
 private:
   friend class frontend_session;
   void accept();
+  // Closes the connection if there are MaxSessions sessions already.
+  void startSession(tcp::socket Socket);
+  void acceptWaiting();
 
   net::io_context &Context;
   const clock &Clock;
--- a/packages/edge/src/frontend_server.cpp
+++ b/packages/edge/src/frontend_server.cpp
@@ -29,6 +29,9 @@
 
 void frontend_server::accept() {
   Acceptor.async_accept([this](const error_code &Error, tcp::socket Socket) {
+    // The acceptor may have been closed since the accept succeeded.
+    if (!Error)
+      startSession(std::move(Socket));
     if (Error == net::error::operation_aborted || !Acceptor.is_open())
       return;
     if (Error) {
@@ -41,19 +44,35 @@
       });
       return;
     }
-    if (Sessions.size() < Settings.MaxSessions) {
-      const std::shared_ptr<frontend_session> Session =
-          std::make_shared<frontend_session>(*this, std::move(Socket));
-      Sessions.insert(Session);
-      Session->start();
-    }
     accept();
   });
 }
 
+void frontend_server::startSession(tcp::socket Socket) {
+  if (Sessions.size() >= Settings.MaxSessions)
+    return;
+  const std::shared_ptr<frontend_session> Session =
+      std::make_shared<frontend_session>(*this, std::move(Socket));
+  Sessions.insert(Session);
+  Session->start();
+}
+
+// Closing the listener resets the connections that wait in the kernel, although
+// their callers may have sent requests.
+void frontend_server::acceptWaiting() {
+  error_code Error;
+  Acceptor.non_blocking(true, Error);
+  while (!Error) {
+    tcp::socket Socket = Acceptor.accept(Error);
+    if (!Error)
+      startSession(std::move(Socket));
+  }
+}
+
 void frontend_server::beginDrain() { DrainBeganAt = Clock.monotonic(); }
 
 void frontend_server::stopAccepting() {
+  acceptWaiting();
   error_code Ignored;
   Acceptor.close(Ignored);
   // A copy, because sessions remove themselves from Sessions when they close.
--- a/packages/edge/src/frontend_session.cpp
+++ b/packages/edge/src/frontend_session.cpp
@@ -489,8 +489,14 @@
   afterExchangeEvent();
 }
 
+// True until a new connection had time to send its first request.
+bool frontend_session::isNew() const {
+  return RequestCount == 0 &&
+         now() - AcceptedAt < Server.Settings.DrainIdleTimeoutMs;
+}
+
 void frontend_session::closeIfIdle() {
-  if (Phase == phase::Idle && Buffer.size() == 0)
+  if (Phase == phase::Idle && Buffer.size() == 0 && !isNew())
     close();
 }
 
--- a/packages/edge/src/frontend_session.hpp
+++ b/packages/edge/src/frontend_session.hpp
@@ -15,6 +15,7 @@
 
   void start();
   void onGrantsChanged();
+  // A new connection is left to its idle timeout.
   void closeIfIdle();
   // Ends the call in progress; closes the connection if there is none.
   void giveUp();
@@ -77,6 +78,7 @@
   void finishRequest();
   void beginLingeringClose();
   void close();
+  bool isNew() const;
   time_ms now() const;
 
   frontend_server &Server;
--- a/tests/process/shutdown_scenarios.py
+++ b/tests/process/shutdown_scenarios.py
@@ -15,6 +15,7 @@
 GRACE_S = 8
 CUT_S = 7.5
 PROMPT_ANSWER_S = 0.2  # From the last byte of a request to its refusal.
+CLOSE_S = 2.5  # The listener closes then.
 
 
 class KeptConnection:
@@ -142,8 +143,37 @@
         assert caller.asks_to_close()
 
 
+def connections_that_wait_when_the_listener_closes_get_an_answer():
+    """What the kernel has accepted for the router is served or refused.
+
+    The router stands still while the listener's end is due, so connections
+    with whole requests wait for it. Guards against connections that are closed
+    without an answer.
+    """
+    with PlatformFleet(routers=1, grace_s=GRACE_S) as fleet:
+        process = fleet.processes["router-0"]
+        stopped_at = stop(fleet, "router-0")
+        sleep_until(stopped_at + CLOSE_S - 0.2)
+        process.send_signal(signal.SIGSTOP)
+        callers = [KeptConnection(fleet, "router-0") for _ in range(6)]
+        for number, caller in enumerate(callers):
+            caller.send("/lookup/x", f"waiting{number}", deadline_ms=2_000)
+        sleep_until(stopped_at + CLOSE_S + 0.25)
+        process.send_signal(signal.SIGCONT)
+        answers = []
+        for caller in callers:
+            try:
+                answers.append(caller.read_head())
+                caller.read_rest()
+                assert caller.asks_to_close()
+            except (http.client.HTTPException, OSError) as error:
+                answers.append(repr(error))
+        assert set(answers) <= {200, 503}, answers
+
+
 SCENARIOS = [
     a_request_on_a_kept_connection_late_in_a_stop_is_not_taken_and_cut,
     a_request_late_in_a_stop_that_ends_in_time_is_served,
     a_call_that_outlasts_a_stop_gets_a_final_answer,
+    connections_that_wait_when_the_listener_closes_get_an_answer,
 ]
--- /dev/null
+++ b/tests/unit/frontend_test.cpp
@@ -0,0 +1,256 @@
+// Callers' connections, over loopback and with a codec that refuses every
+// request.
+#include "tamarack/adapters.hpp"
+#include "tamarack/edge.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <array>
+#include <random>
+
+using namespace tamarack;
+using namespace tamarack::edge;
+
+namespace {
+
+constexpr int DrainIdleTimeoutMs = 100;
+constexpr std::chrono::seconds LongestWait(5);
+const tcp::endpoint AnyPort(net::ip::make_address("127.0.0.1"), 0);
+
+// Refuses every request with a body of ResponseBytes bytes.
+class refusing_codec final : public exchange_codec {
+public:
+  decoded_request decodeRequest(request_message Request, time_ms) override {
+    Targets.emplace_back(Request.target());
+    BodyBytes += Request.body().size();
+    return {};
+  }
+  void prepareAttempt(const relay::call &, const relay::endpoint_choice &,
+                      const relay::send_options &, time_ms,
+                      request_message &) override {}
+  bool isResponseTo(const relay::call &, const response_fields &) override {
+    return true;
+  }
+  relay::response_head decodeResponseHead(const response_fields &) override {
+    return {};
+  }
+  void recordLoadReport(const relay::endpoint_choice &, const response_fields &,
+                        time_ms) override {}
+  response_message makeErrorResponse(relay::error_kind, int,
+                                     std::string_view) override {
+    response_message Response(http::status::service_unavailable, 11);
+    Response.body().assign(ResponseBytes, 'x');
+    return Response;
+  }
+
+  std::size_t ResponseBytes = 0;
+  std::vector<std::string> Targets; // Of the requests, in order.
+  std::size_t BodyBytes = 0;        // Of all requests.
+};
+
+class no_placement final : public relay::placement {
+public:
+  std::optional<relay::endpoint_choice>
+  choose(const relay::call &, const std::set<std::string> &, time_ms) override {
+    return std::nullopt;
+  }
+  void onSent(const relay::call &, std::string_view, time_ms) override {}
+  void onFirstByte(const relay::call &, std::string_view, time_ms) override {}
+  void onEnded(const relay::call &, std::string_view, relay::attempt_outcome,
+               time_ms) override {}
+  bool tryRetry(std::string_view, time_ms) override { return false; }
+  relay::placement_refusal refusal(const relay::call &) const override {
+    return {};
+  }
+};
+
+class no_budget final : public relay::token_budget {
+public:
+  relay::reserve_result reserve(std::string_view, std::int64_t) override {
+    return relay::reserve_result::Exhausted;
+  }
+  bool settle(std::string_view, std::int64_t, std::int64_t) override {
+    return true;
+  }
+};
+
+class silent_observer final : public frontend_observer {
+public:
+  void onCallAccepted(const relay::call &) override {}
+  void onRequestRefused(const decoded_request &) override {}
+  void onCallDone(const relay::call &, const relay::exchange_report &,
+                  time_ms) override {}
+  void onRequestWhileDraining(const drain_arrival &) override {}
+};
+
+frontend_settings makeSettings(std::size_t MaxSessions) {
+  frontend_settings Settings;
+  Settings.MaxSessions = MaxSessions;
+  Settings.DrainIdleTimeoutMs = DrainIdleTimeoutMs;
+  Settings.LingeringCloseMs = 20;
+  return Settings;
+}
+
+struct frontend_fixture {
+  explicit frontend_fixture(std::size_t MaxSessions = 100)
+      : Server(Context, Clock, Codec, Placement, Budget, Observer, Pool,
+               makeSettings(MaxSessions)) {
+    tcp::acceptor PortFinder(Context, AnyPort);
+    Address = PortFinder.local_endpoint();
+    PortFinder.close();
+    Server.listen(Address);
+  }
+
+  // False if Condition does not hold within Limit.
+  template <typename condition>
+  bool runUntil(condition Condition,
+                std::chrono::milliseconds Limit = LongestWait) {
+    const std::chrono::steady_clock::time_point End =
+        std::chrono::steady_clock::now() + Limit;
+    while (!Condition()) {
+      if (std::chrono::steady_clock::now() > End)
+        return false;
+      Context.run_for(std::chrono::milliseconds(1));
+    }
+    return true;
+  }
+  void runFor(std::chrono::milliseconds Time) {
+    runUntil([] { return false; }, Time);
+  }
+
+  net::io_context Context;
+  net::executor_work_guard<net::io_context::executor_type> Work{
+      Context.get_executor()};
+  adapters::system_clock Clock;
+  refusing_codec Codec;
+  no_placement Placement;
+  no_budget Budget;
+  silent_observer Observer;
+  connection_pool Pool{Context, Clock, {}};
+  frontend_server Server;
+  tcp::endpoint Address;
+};
+
+class test_caller {
+public:
+  explicit test_caller(frontend_fixture &Frontend) : Socket(Frontend.Context) {
+    Socket.connect(Frontend.Address);
+  }
+
+  void send(const std::string &Text) {
+    Socket.non_blocking(false);
+    net::write(Socket, net::buffer(Text));
+  }
+  // Reads what has arrived.
+  void receive() {
+    Socket.non_blocking(true);
+    std::array<char, 65'536> Bytes;
+    error_code Error;
+    while (!Error) {
+      const std::size_t Size = Socket.read_some(net::buffer(Bytes), Error);
+      Received.append(Bytes.data(), Size);
+    }
+    IsClosed = Error != net::error::would_block;
+  }
+  std::size_t responseCount() {
+    receive();
+    std::size_t Count = 0;
+    for (std::size_t At = Received.find("HTTP/1.1 "); At != std::string::npos;
+         At = Received.find("HTTP/1.1 ", At + 1))
+      ++Count;
+    return Count;
+  }
+  // Of the first response.
+  std::size_t bodyBytes() const {
+    const std::size_t EndOfHead = Received.find("\r\n\r\n");
+    return EndOfHead == std::string::npos ? 0 : Received.size() - EndOfHead - 4;
+  }
+  void close() { Socket.close(); }
+
+  std::string Received;
+  bool IsClosed = false; // By the server.
+
+private:
+  tcp::socket Socket;
+};
+
+std::string formatRequest(const std::string &Target,
+                          const std::string &Body = {}) {
+  return "POST " + Target + " HTTP/1.1\r\nHost: h\r\nContent-Length: " +
+         std::to_string(Body.size()) + "\r\n\r\n" + Body;
+}
+
+std::size_t countAnswered(std::list<test_caller> &Callers) {
+  std::size_t Count = 0;
+  for (test_caller &Caller : Callers)
+    Count += Caller.responseCount();
+  return Count;
+}
+
+} // namespace
+
+// Guards against callers whose connection the kernel has established and whose
+// request it has taken, and who get a closed connection for an answer.
+TEST_CASE("connections that wait when the listener closes are served",
+          "[edge][shutdown]") {
+  constexpr std::size_t CallerCount = 6;
+  frontend_fixture Frontend;
+  std::list<test_caller> Callers;
+  for (std::size_t Number = 0; Number < CallerCount; ++Number) {
+    Callers.emplace_back(Frontend);
+    Callers.back().send(formatRequest("/x"));
+  }
+  Frontend.Server.beginDrain();
+  SECTION("none is accepted yet") { Frontend.Server.stopAccepting(); }
+  SECTION("one accept has succeeded but its handler has not run yet") {
+    net::post(Frontend.Context, [&] { Frontend.Server.stopAccepting(); });
+    Frontend.Context.poll();
+  }
+  SECTION("one is accepted but its request is not read yet") {
+    while (Frontend.Server.sessionCount() == 0)
+      Frontend.Context.run_one();
+    Frontend.Server.stopAccepting();
+  }
+  CHECK(
+      Frontend.runUntil([&] { return countAnswered(Callers) == CallerCount; }));
+  CHECK(countAnswered(Callers) == CallerCount);
+  CHECK_THROWS(test_caller(Frontend));
+  CHECK(Frontend.runUntil([&] { return Frontend.Server.sessionCount() == 0; }));
+}
+
+// Guards against a connection that is closed before its request, which is on
+// its way, has arrived.
+TEST_CASE("a new connection has time to send a request when the listener "
+          "closes",
+          "[edge][shutdown]") {
+  frontend_fixture Frontend;
+  Frontend.Server.beginDrain();
+  test_caller Early(Frontend);
+  REQUIRE(
+      Frontend.runUntil([&] { return Frontend.Server.sessionCount() == 1; }));
+  test_caller Waiting(Frontend);
+  Frontend.Server.stopAccepting();
+  Frontend.runFor(std::chrono::milliseconds(DrainIdleTimeoutMs / 4));
+  Early.send(formatRequest("/early"));
+  Waiting.send(formatRequest("/waiting"));
+  CHECK(Frontend.runUntil([&] {
+    return Early.responseCount() == 1 && Waiting.responseCount() == 1;
+  }));
+}
+
+// Guards against more sessions than allowed when the listener closes.
+TEST_CASE("connections beyond the limit are closed when the listener closes",
+          "[edge][shutdown]") {
+  constexpr std::size_t MaxSessions = 2;
+  frontend_fixture Frontend(MaxSessions);
+  std::list<test_caller> Callers;
+  for (std::size_t Number = 0; Number < 5; ++Number) {
+    Callers.emplace_back(Frontend);
+    Callers.back().send(formatRequest("/x"));
+  }
+  Frontend.Server.beginDrain();
+  Frontend.Server.stopAccepting();
+  CHECK(Frontend.Server.sessionCount() == MaxSessions);
+  Frontend.runUntil([&] { return countAnswered(Callers) == MaxSessions; });
+  CHECK(countAnswered(Callers) == MaxSessions);
+}
