Don't treat a session as idle before its response is sent

A caller that read a long response slowly got only its beginning: 5.36 of 6 MB at 0.7 MB/s when the head had gone out before SIGTERM.

Cause: a session became idle as soon as the response was complete on this side, although the socket had not taken it yet. The idle timeout (250 ms in a drain), the end of the listener and the forced stop then closed it, and the process counted it as idle. Now it is in the phase Sending, which counts as busy and is not closed, until the last byte has been passed to the socket; then the idle timeout begins and the next request is read. A caller that reads nothing is still ended by TCP_USER_TIMEOUT, as with responses that close the connection.

--- a/packages/edge/include/tamarack/edge.hpp
+++ b/packages/edge/include/tamarack/edge.hpp
@@ -201,7 +201,7 @@
   // closes the idle ones that had time to send a request.
   void stopAccepting();
   // Ends all calls in progress, with a final response where none has begun, and
-  // closes all other connections.
+  // closes all other connections on which no response is being sent.
   void giveUpCalls();
   // Calls that wait for tokens try to reserve them again.
   void onGrantsChanged();
--- a/packages/edge/src/frontend_session.cpp
+++ b/packages/edge/src/frontend_session.cpp
@@ -280,7 +280,7 @@
 
 void frontend_session::giveUp() {
   if (!Exchange) {
-    if (Phase != phase::Closing)
+    if (Phase != phase::Closing && Phase != phase::Sending)
       close();
     return;
   }
@@ -381,6 +381,8 @@
     startWrite();
   else if (Phase == phase::Closing)
     beginLingeringClose();
+  else if (Phase == phase::Sending)
+    awaitNextRequest();
   if (Attempt && canAcceptBody())
     Attempt->resume();
 }
@@ -436,20 +438,27 @@
   });
 }
 
-// The response is complete or queued. The session waits for the next request or
-// closes the connection.
+// The response is complete or queued. When it is sent, the session waits for
+// the next request or closes the connection.
 void frontend_session::finishRequest() {
   if (Phase == phase::Closed)
     return;
   ExchangeTimerDue = 0;
   Timer.cancel();
   ForwardRequest = {};
+  const bool IsSent = BytesBeingSent.empty() && UnsentBytes.empty();
   if (!KeepAlive) {
     Phase = phase::Closing;
-    if (BytesBeingSent.empty() && UnsentBytes.empty())
+    if (IsSent)
       beginLingeringClose();
     return;
   }
+  Phase = phase::Sending;
+  if (IsSent)
+    awaitNextRequest();
+}
+
+void frontend_session::awaitNextRequest() {
   Phase = phase::Idle;
   startIdleTimer();
   if (IsReadingAhead)
--- a/packages/edge/src/frontend_session.hpp
+++ b/packages/edge/src/frontend_session.hpp
@@ -17,7 +17,8 @@
   void onGrantsChanged();
   // A new connection is left to its idle timeout.
   void closeIfIdle();
-  // Ends the call in progress; closes the connection if there is none.
+  // Ends the call in progress. Without one, closes the connection unless a
+  // response is being sent.
   void giveUp();
   bool isBusy() const { return Phase != phase::Idle; }
 
@@ -26,6 +27,7 @@
     Idle,           // Waits for the first byte of a request.
     ReadingRequest, // Reads a request.
     Serving,        // Serves a request.
+    Sending,        // Sends the rest of a response; the connection stays open.
     Closing,        // Writes the last response or is in its lingering close.
     Closed,
   };
@@ -76,6 +78,7 @@
   void afterExchangeEvent();
   void startExchangeTimer();
   void finishRequest();
+  void awaitNextRequest();
   void beginLingeringClose();
   void close();
   bool isNew() const;
--- a/tests/unit/frontend_test.cpp
+++ b/tests/unit/frontend_test.cpp
@@ -254,3 +254,41 @@
   Frontend.runUntil([&] { return countAnswered(Callers) == MaxSessions; });
   CHECK(countAnswered(Callers) == MaxSessions);
 }
+
+// Guards against a response that ends in its middle because the session counts
+// as idle once the response is complete on this side.
+TEST_CASE("a session is not idle until its response is sent",
+          "[edge][shutdown]") {
+  constexpr std::size_t ResponseBytes = 32u << 20; // More than sockets buffer.
+  frontend_fixture Frontend;
+  relay::caller_limits Limits;
+  Limits.IdleTimeoutMs = DrainIdleTimeoutMs;
+  Frontend.Server.setLimits(Limits);
+  Frontend.Codec.ResponseBytes = ResponseBytes;
+  test_caller Caller(Frontend);
+  Caller.send(formatRequest("/x"));
+  REQUIRE(
+      Frontend.runUntil([&] { return Frontend.Codec.Targets.size() == 1; }));
+  SECTION("the idle timeout passes") {}
+  SECTION("the idle timeout of a drain passes") {
+    Frontend.Server.beginDrain();
+  }
+  SECTION("the listener closes") {
+    Frontend.Server.beginDrain();
+    Frontend.Server.stopAccepting();
+  }
+  SECTION("the stop is forced") {
+    Frontend.Server.beginDrain();
+    Frontend.Server.stopAccepting();
+    Frontend.Server.giveUpCalls();
+  }
+  Frontend.runFor(std::chrono::milliseconds(2 * DrainIdleTimeoutMs));
+  CHECK(Frontend.Server.busySessionCount() == 1);
+  Frontend.runUntil([&] {
+    Caller.receive();
+    return Caller.IsClosed || Caller.bodyBytes() == ResponseBytes;
+  });
+  CHECK(Caller.bodyBytes() == ResponseBytes);
+  // Then it is idle and ends as every idle session.
+  CHECK(Frontend.runUntil([&] { return Frontend.Server.sessionCount() == 0; }));
+}
