Start a request that has arrived behind another one

Of two requests that a caller sent together, or the second while the first was served, only the first was answered: the second waited until the caller sent more, or for the idle timeout.

Cause: the session reads ahead while it serves a request. When the response was done and that read was still pending, it waited for it without looking at what the buffer already held. Now it cancels the read and goes on with the buffer; bytes that the read had received are kept. A session with such a request counts as busy.

--- a/packages/edge/src/frontend_session.cpp
+++ b/packages/edge/src/frontend_session.cpp
@@ -61,7 +61,8 @@
 void frontend_session::onReadAhead(const error_code &Error, std::size_t Size) {
   if (Phase == phase::Closed)
     return;
-  if (Error) {
+  // awaitNextRequest() cancels the read to go on with what Buffer holds.
+  if (Error && Error != net::error::operation_aborted) {
     if (Exchange) {
       Exchange->onCallerDisconnected(now());
       KeepAlive = false;
@@ -461,8 +462,13 @@
 void frontend_session::awaitNextRequest() {
   Phase = phase::Idle;
   startIdleTimer();
-  if (IsReadingAhead)
+  if (Buffer.size() > 0 && IsReadingAhead) {
+    // onReadAhead() goes on with the request. Nothing else is pending on the
+    // socket: all responses are sent.
+    error_code Ignored;
+    Socket.cancel(Ignored);
     return;
+  }
   if (Buffer.size() > 0) {
     const std::shared_ptr<frontend_session> Self = shared_from_this();
     net::post(Server.Context, [Self] {
@@ -505,7 +511,7 @@
 }
 
 void frontend_session::closeIfIdle() {
-  if (Phase == phase::Idle && Buffer.size() == 0 && !isNew())
+  if (!isBusy() && !isNew())
     close();
 }
 
--- a/packages/edge/src/frontend_session.hpp
+++ b/packages/edge/src/frontend_session.hpp
@@ -20,7 +20,7 @@
   // Ends the call in progress. Without one, closes the connection unless a
   // response is being sent.
   void giveUp();
-  bool isBusy() const { return Phase != phase::Idle; }
+  bool isBusy() const { return Phase != phase::Idle || Buffer.size() > 0; }
 
 private:
   enum class phase {
--- a/tests/unit/frontend_test.cpp
+++ b/tests/unit/frontend_test.cpp
@@ -292,3 +292,60 @@
   // Then it is idle and ends as every idle session.
   CHECK(Frontend.runUntil([&] { return Frontend.Server.sessionCount() == 0; }));
 }
+
+// Guards against a request that has been received whole but is handled only
+// when further bytes arrive.
+TEST_CASE("requests that arrive together are all answered", "[edge]") {
+  frontend_fixture Frontend;
+  test_caller Caller(Frontend);
+  Caller.send(formatRequest("/1") + formatRequest("/2") + formatRequest("/3"));
+  CHECK(Frontend.runUntil([&] { return Caller.responseCount() == 3; }));
+  CHECK(Frontend.Codec.Targets == std::vector<std::string>{"/1", "/2", "/3"});
+  CHECK(Frontend.Server.sessionCount() == 1);
+  CHECK(Frontend.runUntil(
+      [&] { return Frontend.Server.busySessionCount() == 0; }));
+}
+
+// Guards against bytes that are lost or read twice when a pending read is
+// cancelled because the next request has arrived already.
+TEST_CASE("requests that arrive in pieces of any size are all answered",
+          "[edge]") {
+  constexpr std::size_t Requests = 400;
+  constexpr std::size_t BodyBytes = 700;
+  for (unsigned Seed = 1; Seed <= 20; ++Seed) {
+    INFO("seed " << Seed);
+    frontend_fixture Frontend;
+    std::string Text;
+    std::vector<std::string> Targets;
+    for (std::size_t Number = 0; Number < Requests; ++Number) {
+      Targets.push_back("/" + std::to_string(Number));
+      Text += formatRequest(Targets.back(), std::string(BodyBytes, 'b'));
+    }
+    test_caller Caller(Frontend);
+    std::minstd_rand Random(Seed);
+    for (std::size_t Sent = 0; Sent < Text.size();) {
+      const std::size_t Size = 1 + Random() % (Seed * 500);
+      Caller.send(Text.substr(Sent, Size));
+      Sent += Size;
+      for (unsigned Steps = Random() % 8; Steps > 0; --Steps)
+        Frontend.Context.poll_one();
+      Caller.receive();
+    }
+    CHECK(
+        Frontend.runUntil([&] { return Caller.responseCount() == Requests; }));
+    CHECK(Frontend.Codec.Targets == Targets);
+    CHECK(Frontend.Codec.BodyBytes == Requests * BodyBytes);
+  }
+}
+
+// Guards against a session that stays open after its caller has gone while the
+// next request is incomplete.
+TEST_CASE("a caller's close is noticed behind an incomplete request",
+          "[edge]") {
+  frontend_fixture Frontend;
+  test_caller Caller(Frontend);
+  Caller.send(formatRequest("/1") + "POST /2 HT");
+  CHECK(Frontend.runUntil([&] { return Caller.responseCount() == 1; }));
+  Caller.close();
+  CHECK(Frontend.runUntil([&] { return Frontend.Server.sessionCount() == 0; }));
+}
