Check the refusal and the end of a stop in the shutdown scenarios

The late request must be refused as not_ready with a Retry-After of at most 0.1 s, and the routers of the other two scenarios must exit with 0 before the grace time ends.

--- a/tests/process/shutdown_scenarios.py
+++ b/tests/process/shutdown_scenarios.py
@@ -3,6 +3,7 @@
 Each function of SCENARIOS is one test. Its name says what must hold.
 """
 import http.client
+import json
 import signal
 import time
 
@@ -16,6 +17,7 @@
 CUT_S = 7.5
 PROMPT_ANSWER_S = 0.2  # From the last byte of a request to its refusal.
 CLOSE_S = 2.5  # The listener closes then.
+LONGEST_RETRY_AFTER_S = 0.1  # Another instance takes the request at once.
 
 
 class KeptConnection:
@@ -62,6 +64,12 @@
     return sent_at
 
 
+def assert_ends_in_time(fleet, router, stopped_at):
+    """The router exits with 0 within the grace time."""
+    left = stopped_at + GRACE_S - time.monotonic()
+    assert fleet.processes[router].wait(timeout=max(0, left)) == 0
+
+
 def sleep_until(moment):
     time.sleep(max(0, moment - time.monotonic()))
 
@@ -87,11 +95,13 @@
         caller.send_stream("late", events=60)
         status = caller.read_head()
         took = time.monotonic() - sent_at
-        caller.read_rest()  # Raises if the answer is cut.
+        body = json.loads(caller.read_rest())  # Raises if the answer is cut.
         assert status == 503, status
+        assert body["error"]["kind"] == "not_ready", body
         assert took < PROMPT_ANSWER_S, took
         assert caller.asks_to_close()
-        assert float(caller.response.getheader("Retry-After")) > 0
+        retry_after_s = float(caller.response.getheader("Retry-After"))
+        assert 0 < retry_after_s <= LONGEST_RETRY_AFTER_S, retry_after_s
         assert "late" not in fleet.executions_by_request()
 
 
@@ -120,7 +130,7 @@
             assert caller.read_head() == 200
             assert caller.asks_to_close()
             caller.read_rest()
-        assert fleet.processes["router-0"].wait(timeout=60) == 0
+        assert_ends_in_time(fleet, "router-0", stopped_at)
 
 
 def a_call_that_outlasts_a_stop_gets_a_final_answer():
@@ -141,6 +151,7 @@
         assert status == 504, status
         assert answered < GRACE_S, answered
         assert caller.asks_to_close()
+        assert_ends_in_time(fleet, "router-0", stopped_at)
 
 
 def connections_that_wait_when_the_listener_closes_get_an_answer():
