--- a/packages/edge/include/tamarack/edge.hpp
+++ b/packages/edge/include/tamarack/edge.hpp
@@ -196,10 +196,11 @@
   void setLimits(const relay::caller_limits &NewLimits) { Limits = NewLimits; }
   // From now on, responses ask the caller to close the connection.
   void beginDrain();
-  // Accepts no new connections and closes the idle ones.
+  // Accepts the connections that wait in the kernel but no later ones, and
+  // closes the idle ones that had time to send a request.
   void stopAccepting();
   // Ends all calls in progress, with a final response where none has begun, and
-  // closes all other connections.
+  // closes all other connections on which no response is being sent.
   void giveUpCalls();
   // Calls that wait for tokens try to reserve them again.
   void onGrantsChanged();
@@ -211,6 +212,9 @@
 private:
   friend class frontend_session;
   void accept();
+  // Closes the connection if there are MaxSessions sessions already.
+  void startSession(tcp::socket Socket);
+  void acceptWaiting();
 
   net::io_context &Context;
   const clock &Clock;
--- a/packages/edge/src/frontend_session.cpp
+++ b/packages/edge/src/frontend_session.cpp
@@ -61,7 +61,8 @@
 void frontend_session::onReadAhead(const error_code &Error, std::size_t Size) {
   if (Phase == phase::Closed)
     return;
-  if (Error) {
+  // awaitNextRequest() cancels the read to go on with what Buffer holds.
+  if (Error && Error != net::error::operation_aborted) {
     if (Exchange) {
       Exchange->onCallerDisconnected(now());
       KeepAlive = false;
@@ -279,7 +280,7 @@
 
 void frontend_session::giveUp() {
   if (!Exchange) {
-    if (Phase != phase::Closing)
+    if (Phase != phase::Closing && Phase != phase::Sending)
       close();
     return;
   }
@@ -380,6 +381,8 @@
     startWrite();
   else if (Phase == phase::Closing)
     beginLingeringClose();
+  else if (Phase == phase::Sending)
+    awaitNextRequest();
   if (Attempt && canAcceptBody())
     Attempt->resume();
 }
@@ -435,24 +438,36 @@
   });
 }
 
-// The response is complete or queued. The session waits for the next request or
-// closes the connection.
+// The response is complete or queued. When it is sent, the session waits for
+// the next request or closes the connection.
 void frontend_session::finishRequest() {
   if (Phase == phase::Closed)
     return;
   ExchangeTimerDue = 0;
   Timer.cancel();
   ForwardRequest = {};
+  const bool IsSent = BytesBeingSent.empty() && UnsentBytes.empty();
   if (!KeepAlive) {
     Phase = phase::Closing;
-    if (BytesBeingSent.empty() && UnsentBytes.empty())
+    if (IsSent)
       beginLingeringClose();
     return;
   }
+  Phase = phase::Sending;
+  if (IsSent)
+    awaitNextRequest();
+}
+
+void frontend_session::awaitNextRequest() {
   Phase = phase::Idle;
   startIdleTimer();
-  if (IsReadingAhead)
+  if (Buffer.size() > 0 && IsReadingAhead) {
+    // onReadAhead() goes on with the request. Nothing else is pending on the
+    // socket: all responses are sent.
+    error_code Ignored;
+    Socket.cancel(Ignored);
     return;
+  }
   if (Buffer.size() > 0) {
     const std::shared_ptr<frontend_session> Self = shared_from_this();
     net::post(Server.Context, [Self] {
@@ -488,8 +503,14 @@
   afterExchangeEvent();
 }
 
+// True until a new connection had time to send its first request.
+bool frontend_session::isNew() const {
+  return RequestCount == 0 &&
+         now() - AcceptedAt < Server.Settings.DrainIdleTimeoutMs;
+}
+
 void frontend_session::closeIfIdle() {
-  if (Phase == phase::Idle && Buffer.size() == 0)
+  if (!isBusy() && !isNew())
     close();
 }
 
--- a/packages/edge/src/frontend_session.hpp
+++ b/packages/edge/src/frontend_session.hpp
@@ -15,16 +15,19 @@
 
   void start();
   void onGrantsChanged();
+  // A new connection is left to its idle timeout.
   void closeIfIdle();
-  // Ends the call in progress; closes the connection if there is none.
+  // Ends the call in progress. Without one, closes the connection unless a
+  // response is being sent.
   void giveUp();
-  bool isBusy() const { return Phase != phase::Idle; }
+  bool isBusy() const { return Phase != phase::Idle || Buffer.size() > 0; }
 
 private:
   enum class phase {
     Idle,           // Waits for the first byte of a request.
     ReadingRequest, // Reads a request.
     Serving,        // Serves a request.
+    Sending,        // Sends the rest of a response; the connection stays open.
     Closing,        // Writes the last response or is in its lingering close.
     Closed,
   };
@@ -75,8 +78,10 @@
   void afterExchangeEvent();
   void startExchangeTimer();
   void finishRequest();
+  void awaitNextRequest();
   void beginLingeringClose();
   void close();
+  bool isNew() const;
   time_ms now() const;
 
   frontend_server &Server;
