Bound what all calls together keep of responses

An endpoint may send bytes without end. One call kept up to 8 MiB of a body, or 1 MiB of an event, before its attempt counted as broken; a hundred at once would exceed the memory of an instance (worked out, not run in a process). All calls of a router share a bound now, 16 MiB; beyond it an attempt is broken once its own part is over 64 KiB, so that small responses go on.

Measured: the unit test of 20 endless bodies keeps at most the bound and 64 KiB a call, and a small response beside them is received; on the code before it does not compile, as there was no common bound.

--- a/bench/engine.cpp
+++ b/bench/engine.cpp
@@ -41,6 +41,8 @@
 };
 
 // Discards the response and only counts its bytes.
+constexpr std::size_t MaxKeptBytes = 16u << 20;
+
 class discarding_host final : public relay::exchange_host {
 public:
   void startAttempt(const relay::endpoint_choice &,
@@ -113,8 +115,9 @@
     discarding_host Host;
     const std::size_t BytesAtStart = ::mallinfo2().uordblks;
     relay::numbered_event_reader Reader;
+    relay::response_memory Memory(MaxKeptBytes);
     relay::exchange Exchange(makeCall(++Number), Fixture.LoadBalancer,
-                             TokenBudget, Reader, Host);
+                             TokenBudget, Reader, Host, Memory);
     Exchange.start(0);
     relay::response_head Head;
     Head.Status = 200;
--- a/packages/daemon/src/exchange_driver.cpp
+++ b/packages/daemon/src/exchange_driver.cpp
@@ -17,6 +17,7 @@
 constexpr int MaxAttempts = 4;
 constexpr int MaxResumptions = 2; // Of one stream, in addition to MaxAttempts.
 constexpr std::size_t ReadBufferBytes = 16 * 1024;
+constexpr std::size_t MaxResponseBytes = 16u << 20;
 
 relay::call_kind callKind(bool IsStream, bool IsRepeatable) {
   if (IsStream)
@@ -51,8 +52,8 @@
                                  prepaid_admission &Admission,
                                  resuming_response_reader &Reader)
     : Context(Context), Request(std::move(Request)), Execution(Execution),
-      Admission(Admission), Reader(Reader),
-      Exchange(makeCall(), *this, *this, Reader, *this),
+      Admission(Admission), Reader(Reader), ResponseMemory(MaxResponseBytes),
+      Exchange(makeCall(), *this, *this, Reader, *this, ResponseMemory),
       ReadBuffer(ReadBufferBytes) {}
 
 exchange_driver::~exchange_driver() { releaseAcquiredEndpoint(); }
--- a/packages/daemon/src/exchange_driver.hpp
+++ b/packages/daemon/src/exchange_driver.hpp
@@ -100,6 +100,7 @@
   single_execution &Execution;
   prepaid_admission &Admission;
   resuming_response_reader &Reader;
+  relay::response_memory ResponseMemory; // Of this call alone.
   relay::exchange Exchange;
 
   std::optional<config::endpoint> AcquiredEndpoint; // No request was sent yet.
--- a/packages/edge/include/tamarack/edge.hpp
+++ b/packages/edge/include/tamarack/edge.hpp
@@ -156,6 +156,8 @@
   // Unsent bytes of one session at which the endpoint's response is no longer
   // read.
   std::size_t MaxUnsentBytes = 256 * 1024;
+  // Bytes kept of all responses that are not complete yet.
+  std::size_t MaxKeptResponseBytes = 16u << 20;
   int LingeringCloseMs = 1'000; // See frontend_session::beginLingeringClose.
   int DrainIdleTimeoutMs = 250; // Idle timeout once draining has begun.
 };
@@ -224,6 +226,7 @@
   frontend_observer &Observer;
   connection_pool &Pool;
   frontend_settings Settings;
+  relay::response_memory KeptResponses;
   relay::caller_limits Limits;
   tcp::acceptor Acceptor;
   net::steady_timer AcceptRetryTimer;
--- a/packages/edge/src/frontend_server.cpp
+++ b/packages/edge/src/frontend_server.cpp
@@ -18,7 +18,8 @@
                                  frontend_settings Settings)
     : Context(Context), Clock(Clock), Codec(Codec), Placement(Placement),
       Allowance(Allowance), Observer(Observer), Pool(Pool), Settings(Settings),
-      Acceptor(Context), AcceptRetryTimer(Context) {}
+      KeptResponses(Settings.MaxKeptResponseBytes), Acceptor(Context),
+      AcceptRetryTimer(Context) {}
 
 frontend_server::~frontend_server() = default;
 
--- a/packages/edge/src/frontend_session.cpp
+++ b/packages/edge/src/frontend_session.cpp
@@ -196,9 +196,9 @@
   ForwardRequest = std::move(Decoded.ForwardRequest);
   Server.Observer.onCallAccepted(*Decoded.Call);
   Reader = {};
-  Exchange = std::make_unique<relay::exchange>(std::move(*Decoded.Call),
-                                               Server.Placement,
-                                               Server.Allowance, Reader, *this);
+  Exchange = std::make_unique<relay::exchange>(
+      std::move(*Decoded.Call), Server.Placement, Server.Allowance, Reader,
+      *this, Server.KeptResponses);
   Exchange->start(now());
   afterExchangeEvent();
 }
--- a/packages/relay/include/tamarack/relay.hpp
+++ b/packages/relay/include/tamarack/relay.hpp
@@ -307,6 +307,23 @@
   virtual void refuse(error_kind Kind, int RetryAfterMs) = 0;
 };
 
+// Bytes that all calls of a process may keep of responses that are not complete
+// yet, so that endpoints that send without end can't exhaust its memory.
+class response_memory {
+public:
+  explicit response_memory(std::size_t Limit) : Limit(Limit) {}
+
+  // False if the bytes may not be kept. A call that keeps little may go on, so
+  // that large responses don't break off the others.
+  bool tryKeep(std::size_t Bytes, std::size_t KeptByCall);
+  void release(std::size_t Bytes) { Kept -= Bytes; }
+  std::size_t kept() const { return Kept; }
+
+private:
+  std::size_t Limit;
+  std::size_t Kept = 0;
+};
+
 //---------------------------------------------------------------------------
 // Event streams
 //---------------------------------------------------------------------------
@@ -424,7 +441,11 @@
 class exchange {
 public:
   exchange(call Call, placement &Placement, token_budget &Budget,
-           response_reader &Reader, exchange_host &Host);
+           response_reader &Reader, exchange_host &Host,
+           response_memory &Memory);
+  ~exchange();
+  exchange(const exchange &) = delete;
+  exchange &operator=(const exchange &) = delete;
 
   void start(time_ms Now);
   // Grants have changed. Has an effect only while the call waits for tokens.
@@ -453,6 +474,10 @@
   void reserveTokens(time_ms Now);
   void startNextAttempt(time_ms Now);
   bool tryRetry(time_ms Now);
+  // Keeps Bytes more of the current attempt's response; false if it is too
+  // large.
+  bool keepBytes(std::size_t Bytes, std::size_t Limit);
+  void releaseBytes();
   void cancelAttempt(time_ms Now); // If one is in flight.
   void endAttempt(attempt_outcome Outcome, time_ms Now);
   void processEvents(time_ms Now);
@@ -473,6 +498,7 @@
   token_budget &Budget;
   response_reader &Reader;
   exchange_host &Host;
+  response_memory &Memory;
 
   state State = state::New;
   exchange_report Report;
@@ -481,6 +507,7 @@
   std::string Body;           // Of a response that is not a stream.
   event_stream_parser Parser; // Of the current attempt.
   std::string FinalEvent;     // Held back until the call is settled.
+  std::size_t KeptBytes = 0;  // Of the current attempt, in Memory.
   bool HoldsReservation = false;
   bool AttemptInFlight = false;
   bool MayHaveRun = false;   // At least one attempt may have run the call.
--- a/packages/relay/src/exchange.cpp
+++ b/packages/relay/src/exchange.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <cassert>
+#include <utility>
 
 namespace tamarack::relay {
 
@@ -14,15 +15,36 @@
 constexpr int MinAttemptMs = 20;         // A shorter attempt is not worthwhile.
 constexpr std::size_t MaxCompleteBodyBytes = 8u << 20;
 constexpr std::size_t MaxEventBytes = 1u << 20;
+// What a call may keep also while all calls together keep too much.
+constexpr std::size_t MinBytesPerCall = 64u << 10;
 
 bool isSuccess(int Status) { return Status >= 200 && Status < 300; }
 
 } // namespace
 
+bool response_memory::tryKeep(std::size_t Bytes, std::size_t KeptByCall) {
+  if (Kept + Bytes > Limit && KeptByCall + Bytes > MinBytesPerCall)
+    return false;
+  Kept += Bytes;
+  return true;
+}
+
 exchange::exchange(call Call, placement &Placement, token_budget &Budget,
-                   response_reader &Reader, exchange_host &Host)
+                   response_reader &Reader, exchange_host &Host,
+                   response_memory &Memory)
     : Call(std::move(Call)), Placement(Placement), Budget(Budget),
-      Reader(Reader), Host(Host) {}
+      Reader(Reader), Host(Host), Memory(Memory) {}
+
+exchange::~exchange() { releaseBytes(); }
+
+bool exchange::keepBytes(std::size_t Bytes, std::size_t Limit) {
+  if (KeptBytes + Bytes > Limit || !Memory.tryKeep(Bytes, KeptBytes))
+    return false;
+  KeptBytes += Bytes;
+  return true;
+}
+
+void exchange::releaseBytes() { Memory.release(std::exchange(KeptBytes, 0)); }
 
 void exchange::start(time_ms Now) {
   assert(State == state::New && "an exchange starts once");
@@ -73,8 +95,9 @@
   AttemptInFlight = true;
   SawFirstByte = false;
   Head = {};
-  Body.clear();
+  Body = {};
   Parser.clear();
+  releaseBytes();
   if (!StreamBegun)
     Reader.restart();
   Report.LastEndpoint = Choice->Endpoint;
@@ -180,7 +203,7 @@
     Parser.push(Bytes);
     return processEvents(Now);
   }
-  if (Body.size() + Bytes.size() > MaxCompleteBodyBytes)
+  if (!keepBytes(Bytes.size(), MaxCompleteBodyBytes))
     return onBroken(Now);
   Body.append(Bytes);
   recordFirstByte(Now);
@@ -206,7 +229,8 @@
     }
   }
   forwardEvents(ToForward, Now);
-  if (Parser.pending() > MaxEventBytes)
+  releaseBytes();
+  if (!keepBytes(Parser.pending(), MaxEventBytes))
     onBroken(Now);
 }
 
--- a/tests/unit/relay_test.cpp
+++ b/tests/unit/relay_test.cpp
@@ -128,7 +128,11 @@
 
 struct exchange_fixture {
   explicit exchange_fixture(call Call)
-      : Exchange(std::move(Call), Placement, Budget, Reader, Host) {}
+      : exchange_fixture(std::move(Call), OwnMemory) {}
+  exchange_fixture(call Call, response_memory &Memory)
+      : Exchange(std::move(Call), Placement, Budget, Reader, Host, Memory) {}
+
+  response_memory OwnMemory{64u << 20};
 
   fake_placement Placement;
   fake_token_budget Budget;
@@ -367,6 +371,40 @@
   CHECK(Late.Host.RefusedWith == error_kind::BudgetUnavailable);
 }
 
+// Guards against an instance that runs out of memory when many endpoints send
+// bodies without end at once, each within the limit of one call.
+TEST_CASE("all calls together keep a bounded part of their responses",
+          "[relay]") {
+  constexpr std::size_t Limit = 1u << 20;
+  constexpr std::size_t PartBytes = 32u << 10;
+  const std::string Part(PartBytes, 'x');
+  response_memory Memory(Limit);
+  std::vector<std::unique_ptr<exchange_fixture>> Endless;
+  for (int Number = 0; Number < 20; ++Number) {
+    Endless.push_back(std::make_unique<exchange_fixture>(
+        callOf(call_kind::NotRepeatable), Memory));
+    Endless.back()->Exchange.start(Start);
+    Endless.back()->Exchange.onHead(headOf(200), Start + 1);
+  }
+  for (int Round = 0; Round < 64; ++Round)
+    for (const std::unique_ptr<exchange_fixture> &Fixture : Endless)
+      Fixture->Exchange.onBody(Part, Start + 2);
+  CHECK(Memory.kept() <= Limit + 20 * 64 * 1024);
+  int Broken = 0;
+  for (const std::unique_ptr<exchange_fixture> &Fixture : Endless)
+    Broken += Fixture->Exchange.isDone() ? 1 : 0;
+  CHECK(Broken > 0);
+  // A small response is received nevertheless.
+  exchange_fixture Small(callOf(call_kind::NotRepeatable), Memory);
+  Small.Exchange.start(Start);
+  Small.Exchange.onHead(headOf(200), Start + 3);
+  Small.Exchange.onBody("small", Start + 3);
+  Small.Exchange.onEnd(Start + 4);
+  CHECK(Small.Host.Body == "small");
+  Endless.clear();
+  CHECK(Memory.kept() == 5);
+}
+
 // Guards against a connection that ends without a response when the process
 // gives a call up.
 TEST_CASE("a call that outlasts the process gets a final response",
