Take only a surely complete answer as proof that a part is sound

Cause: attempt_outcome::Good meant any status below 500 and any normal end. The outcome Unproven stands for those; it costs an endpoint nothing and proves nothing. The unit test runs the exchange for the four cases.

--- a/packages/daemon/src/exchange_driver.cpp
+++ b/packages/daemon/src/exchange_driver.cpp
@@ -30,6 +30,7 @@
 attempt_result toAttemptResult(attempt_outcome End) {
   switch (End) {
   case attempt_outcome::Good:
+  case attempt_outcome::Unproven:
     return attempt_result::Succeeded;
   case attempt_outcome::Refused:
   case attempt_outcome::Misplaced:
--- a/packages/daemon/src/logged_placement.cpp
+++ b/packages/daemon/src/logged_placement.cpp
@@ -30,7 +30,8 @@
 void logged_placement::onEnded(const relay::call &Call,
                                std::string_view Endpoint,
                                relay::attempt_outcome End, time_ms Now) {
-  if (End != relay::attempt_outcome::Good) {
+  if (End != relay::attempt_outcome::Good &&
+      End != relay::attempt_outcome::Unproven) {
     const std::string EndpointState = LoadBalancer.describe(Endpoint, Now);
     const std::string Parts = sharedPartsOf(Call);
     Metrics
--- a/packages/dispatch/src/load_balancer.cpp
+++ b/packages/dispatch/src/load_balancer.cpp
@@ -285,6 +285,7 @@
     State->PendingPrefillTokens = 0;
   switch (End) {
   case relay::attempt_outcome::Good:
+  case relay::attempt_outcome::Unproven:
   case relay::attempt_outcome::Cancelled:
     break;
   case relay::attempt_outcome::Failed:
--- a/packages/edge/src/endpoint_attempt.cpp
+++ b/packages/edge/src/endpoint_attempt.cpp
@@ -163,7 +163,9 @@
   ServerKeepAliveS =
       parseKeepAliveTimeoutS({KeepAlive.data(), KeepAlive.size()});
   const std::shared_ptr<endpoint_attempt> Self = shared_from_this();
-  Listener->onHead(this, Codec.decodeResponseHead(Fields));
+  relay::response_head Head = Codec.decodeResponseHead(Fields);
+  Head.EndsWithConnection = Parser->need_eof();
+  Listener->onHead(this, std::move(Head));
   readBody();
 }
 
--- a/packages/relay/include/tamarack/relay.hpp
+++ b/packages/relay/include/tamarack/relay.hpp
@@ -177,6 +177,8 @@
 // How an attempt at an endpoint ended.
 enum class attempt_outcome {
   Good,      // Complete response.
+  Unproven,  // Complete, but a 4xx status, or only the end of the connection
+             // marks the end.
   Failed,    // The endpoint responded with a failure.
   Broken,    // The connection or the response broke after the request was sent.
   Unreached, // No connection, nothing sent.
@@ -278,6 +280,7 @@
   bool NotRun = false;    // The endpoint reports that it did not run the call.
   bool Misplaced = false; // From another endpoint than the expected one.
   bool Unusable = false;  // Must not be forwarded to the caller.
+  bool EndsWithConnection = false;  // Neither a length nor chunks.
   std::vector<header_field> Fields; // Forwarded unchanged.
 };
 
@@ -479,6 +482,7 @@
   bool keepBytes(std::size_t Bytes, std::size_t Limit);
   void releaseBytes();
   void cancelAttempt(time_ms Now); // If one is in flight.
+  attempt_outcome outcomeOfComplete() const;
   void endAttempt(attempt_outcome Outcome, time_ms Now);
   void processEvents(time_ms Now);
   void forwardEvents(std::string_view Events, time_ms Now);
--- a/packages/relay/src/exchange.cpp
+++ b/packages/relay/src/exchange.cpp
@@ -256,12 +256,18 @@
   finishStream(Now);
 }
 
+attempt_outcome exchange::outcomeOfComplete() const {
+  if (Head.Status >= 500)
+    return attempt_outcome::Failed;
+  if (!isSuccess(Head.Status) || Head.EndsWithConnection)
+    return attempt_outcome::Unproven;
+  return attempt_outcome::Good;
+}
+
 void exchange::finishCompleteResponse(time_ms Now) {
   if (!Reader.onCompleteBody(Head, Body))
     return onBroken(Now);
-  endAttempt(Head.Status >= 500 ? attempt_outcome::Failed
-                                : attempt_outcome::Good,
-             Now);
+  endAttempt(outcomeOfComplete(), Now);
   Report.Status = Head.Status;
   if (!settle(delivery::Complete))
     return failUnstoredBill();
@@ -270,7 +276,7 @@
 }
 
 void exchange::finishStream(time_ms Now) {
-  endAttempt(attempt_outcome::Good, Now);
+  endAttempt(outcomeOfComplete(), Now);
   Report.Status = Head.Status;
   if (!StreamBegun) {
     StreamBegun = true;
--- a/packages/relay/src/route_table.cpp
+++ b/packages/relay/src/route_table.cpp
@@ -29,6 +29,8 @@
   switch (Outcome) {
   case attempt_outcome::Good:
     return "good";
+  case attempt_outcome::Unproven:
+    return "unproven";
   case attempt_outcome::Failed:
     return "failed";
   case attempt_outcome::Broken:
--- a/tests/unit/quarantine_test.cpp
+++ b/tests/unit/quarantine_test.cpp
@@ -111,10 +111,36 @@
   part_refusal LastRefusal;
 };
 
+// Sends nothing.
+class silent_host final : public relay::exchange_host {
+public:
+  void startAttempt(const relay::endpoint_choice &,
+                    const relay::send_options &) override {}
+  void cancelAttempt() override {}
+  void beginResponse(const relay::response_head &) override {}
+  void forwardEvents(std::string_view) override {}
+  void endResponse() override {}
+  void sendCompleteResponse(const relay::response_head &,
+                            std::string_view) override {}
+  void abortResponse() override {}
+  void refuse(relay::error_kind, int) override {}
+};
+
+class no_budget final : public relay::token_budget {
+public:
+  relay::reserve_result reserve(std::string_view, std::int64_t) override {
+    return relay::reserve_result::Reserved;
+  }
+  bool settle(std::string_view, std::int64_t, std::int64_t) override {
+    return true;
+  }
+};
+
 struct guard_fixture {
   relay::call callOf(std::vector<std::uint64_t> Shared) const {
     relay::call Call;
     Call.Prompt = promptOf(std::move(Shared));
+    Call.Deadline = std::numeric_limits<time_ms>::max() / 2;
     return Call;
   }
   // Sends a call that breaks after AfterMs.
@@ -125,6 +151,19 @@
       Guard.onFirstByte(Call, "e1", FirstByteAt);
     Guard.onEnded(Call, "e1", Outcome, Now + 5'000);
   }
+  // Runs a call whose endpoint responds with this head and a body.
+  void answer(const relay::call &Call, const relay::response_head &Head,
+              time_ms Now) {
+    silent_host Host;
+    no_budget Budget;
+    relay::numbered_event_reader Reader;
+    relay::response_memory Memory(1u << 20);
+    relay::exchange Exchange(Call, Guard, Budget, Reader, Host, Memory);
+    Exchange.start(Now);
+    Exchange.onHead(Head, Now);
+    Exchange.onBody("body", Now);
+    Exchange.onEnd(Now);
+  }
   // Three crashes of different starts of an endpoint.
   void quarantineBadPart(time_ms Now) {
     const relay::call Call = callOf({BadPart});
@@ -443,6 +482,25 @@
   CHECK(Fixture.Listener.Died == 1);
 }
 
+// Guards against an error, or a crash that looks like an end, that clears the
+// part for the whole fleet.
+TEST_CASE("only a response that is surely complete proves a part sound",
+          "[quarantine]") {
+  for (const bool EndsWithConnection : {false, true})
+    for (const int Status : {200, 400}) {
+      guard_fixture Fixture;
+      Fixture.breakCall(Fixture.callOf({BadPart}), 0);
+      Fixture.Prober.finish(true, 5'000);
+      relay::response_head Head;
+      Head.Status = Status;
+      Head.EndsWithConnection = EndsWithConnection;
+      const relay::call Call = Fixture.callOf({BadPart});
+      Fixture.answer(Call, Head, 5'100);
+      const bool IsProof = Status == 200 && !EndsWithConnection;
+      CHECK(Fixture.Quarantine.mayRetry(Call.Prompt, 5'200) == IsProof);
+    }
+}
+
 // Guards against blaming parts of responses that had run for long.
 TEST_CASE("only an attempt that has just begun may be the cause",
           "[quarantine]") {
