Keep only a request that broke from a second endpoint

The guard looked at whether an endpoint had been tried, not at how that had ended. It looks at the last end now.

--- a/packages/quarantine/include/tamarack/quarantine.hpp
+++ b/packages/quarantine/include/tamarack/quarantine.hpp
@@ -318,6 +318,9 @@
   std::map<const relay::call *, attempt> Attempts; // In flight.
   std::map<endpoint_start, suspicion> Suspicions;  // With a probe in flight.
   time_ms LastChoiceAt = 0;
+  // The call whose attempt broke last, null once another attempt has ended. An
+  // exchange decides on a retry at once.
+  const relay::call *LastBroken = nullptr;
 };
 
 } // namespace tamarack::quarantine
--- a/packages/quarantine/src/crash_guard.cpp
+++ b/packages/quarantine/src/crash_guard.cpp
@@ -35,7 +35,8 @@
   LastChoiceAt = Now;
   if (Quarantine.refusal(Call.Prompt, Now))
     return std::nullopt;
-  if (!Tried.empty() && !Quarantine.mayRetry(Call.Prompt, Now))
+  const bool IsAfterBreak = !Tried.empty() && LastBroken == &Call;
+  if (IsAfterBreak && !Quarantine.mayRetry(Call.Prompt, Now))
     return std::nullopt;
   return placement_decorator::choose(Call, Tried, Now);
 }
@@ -68,6 +69,9 @@
 void crash_guard::onEnded(const relay::call &Call, std::string_view Endpoint,
                           relay::attempt_outcome Outcome, time_ms Now) {
   placement_decorator::onEnded(Call, Endpoint, Outcome, Now);
+  const bool MayHaveCrashed = Outcome == relay::attempt_outcome::Broken ||
+                              Outcome == relay::attempt_outcome::Failed;
+  LastBroken = MayHaveCrashed ? &Call : nullptr;
   if (Outcome == relay::attempt_outcome::Good)
     Quarantine.onResponseCompleted(Call.Prompt, Now);
   const auto Found = Attempts.find(&Call);
--- a/tests/unit/quarantine_test.cpp
+++ b/tests/unit/quarantine_test.cpp
@@ -501,6 +501,23 @@
     }
 }
 
+// Guards against a request that is refused although it was never sent, because
+// its parts were in flight when some other request crashed an endpoint.
+TEST_CASE("only a request that broke is kept from a second endpoint",
+          "[quarantine]") {
+  guard_fixture Fixture;
+  const relay::call Call = Fixture.callOf({BadPart});
+  Fixture.Quarantine.onReport("r2", reportOf({1}, BadPart), 0);
+  for (const attempt_outcome Outcome :
+       {attempt_outcome::Unreached, attempt_outcome::Refused,
+        attempt_outcome::Misplaced}) {
+    Fixture.breakCall(Call, 0, -1, Outcome);
+    CHECK(Fixture.Guard.choose(Call, {"e1"}, 5'000));
+  }
+  Fixture.breakCall(Call, 0);
+  CHECK_FALSE(Fixture.Guard.choose(Call, {"e1"}, 5'000));
+}
+
 // Guards against blaming parts of responses that had run for long.
 TEST_CASE("only an attempt that has just begun may be the cause",
           "[quarantine]") {
