Pace the writes of crash reports

Reports share a partition with the grants, where appends wait for each other; each change was written within 100 ms, and a failed write every 100 ms. There are 300 ms between writes now and 1 s after a failure. A record that is read back counts as one of the previous incarnation only before the first own write. Not measured: a fleet of 370 instances that all report at once.

--- a/packages/daemon/src/crash_report_exchange.cpp
+++ b/packages/daemon/src/crash_report_exchange.cpp
@@ -7,6 +7,10 @@
 
 // No instance has a name that begins with this: names are host names.
 constexpr std::string_view ReportKeyPrefix = "crash/";
+// Between two writes: the appends of a topic wait for each other, and grants
+// share this one.
+constexpr int WriteIntervalMs = 300;
+constexpr int RetryIntervalMs = 1'000; // After a failure.
 
 } // namespace
 
@@ -37,8 +41,7 @@
     Quarantine.onReport(Reporter, *Report, Now);
     return true;
   }
-  const bool IsOfPreviousIncarnation = Writer.Sequence == 0 && !IsWriting;
-  if (!IsOfPreviousIncarnation)
+  if (HasWritten)
     return true;
   PreviousReportAt = Now;
   Quarantine.onReport(Record.Key, *Report, Now);
@@ -63,20 +66,23 @@
     Unwritten = std::string();
     PreviousReportAt = -1;
   }
-  if (Unwritten && MayWrite && !IsWriting)
-    write(std::move(*std::exchange(Unwritten, std::nullopt)));
+  if (Unwritten && MayWrite && !IsWriting && Now >= NextWriteAt)
+    write(Now, std::move(*std::exchange(Unwritten, std::nullopt)));
 }
 
-void crash_report_exchange::write(std::string Value) {
+void crash_report_exchange::write(time_ms Now, std::string Value) {
   IsWriting = true;
+  HasWritten = true;
   BeingWritten = std::move(Value);
   Store.appendAs(store_topic::Grants, Writer, Key, BeingWritten,
-                 [this](store_status Status) { onWritten(Status); });
+                 [this, Now](store_status Status) { onWritten(Status, Now); });
 }
 
 // A report that may not be stored is written again, unless a newer one waits.
-void crash_report_exchange::onWritten(store_status Status) {
+void crash_report_exchange::onWritten(store_status Status, time_ms StartedAt) {
   IsWriting = false;
+  NextWriteAt = StartedAt + (Status == store_status::Ok ? WriteIntervalMs
+                                                        : RetryIntervalMs);
   if (Status == store_status::Ok) {
     ++Writer.Sequence;
     return;
--- a/packages/daemon/src/crash_report_exchange.hpp
+++ b/packages/daemon/src/crash_report_exchange.hpp
@@ -27,8 +27,8 @@
   void tick(time_ms Now);
 
 private:
-  void write(std::string Value);
-  void onWritten(store_status Status);
+  void write(time_ms Now, std::string Value);
+  void onWritten(store_status Status, time_ms StartedAt);
 
   std::string Instance;
   std::string Key; // Of the own report.
@@ -37,6 +37,8 @@
   store_writer Writer;
   bool MayWrite = false;
   bool IsWriting = false;
+  bool HasWritten = false; // Records under Key may be of this incarnation.
+  time_ms NextWriteAt = 0; // Monotonic.
   std::optional<std::string> Unwritten; // Encoded; "" removes the record.
   std::string BeingWritten;
   time_ms PreviousReportAt = -1; // When the report of the previous incarnation
