--- a/packages/quarantine/include/tamarack/quarantine.hpp
+++ b/packages/quarantine/include/tamarack/quarantine.hpp
@@ -61,8 +61,8 @@
 // of crashes.
 struct sound_part {
   std::uint64_t Part = 0;   // Id.
-  std::uint64_t Number = 0; // Grows with each announcement of an instance. A
-                            // new number discards the crashes known so far.
+  std::uint64_t Number = 0; // Differs between the announcements of an instance.
+                            // A new number discards the crashes known so far.
   bool operator==(const sound_part &) const = default;
 };
 
@@ -131,7 +131,10 @@
 // the part again at once, at all instances.
 class part_quarantine {
 public:
-  explicit part_quarantine(std::string Instance); // Name of this instance.
+  // Instance: name of this instance. FirstSoundNumber must differ between its
+  // incarnations.
+  explicit part_quarantine(std::string Instance,
+                           std::uint64_t FirstSoundNumber = 0);
 
   // Returns why the prompt may not be sent to an endpoint now, if so.
   std::optional<part_refusal>
@@ -211,7 +214,7 @@
   std::deque<own_crash> OwnCrashes; // Oldest first.
   std::map<std::uint64_t, std::pair<sound_part, time_ms>>
       OwnSoundParts; // By part id, with the time of the announcement.
-  std::uint64_t LastSoundNumber = 0;
+  std::uint64_t LastSoundNumber;
   bool ReportChanged = false;
   std::list<completed_part> Completed; // Most recently completed first.
   std::unordered_map<std::uint64_t, std::list<completed_part>::iterator>
--- a/packages/quarantine/src/part_quarantine.cpp
+++ b/packages/quarantine/src/part_quarantine.cpp
@@ -35,8 +35,9 @@
 
 } // namespace
 
-part_quarantine::part_quarantine(std::string Instance)
-    : Instance(std::move(Instance)) {}
+part_quarantine::part_quarantine(std::string Instance,
+                                 std::uint64_t FirstSoundNumber)
+    : Instance(std::move(Instance)), LastSoundNumber(FirstSoundNumber) {}
 
 //---------------------------------------------------------------------------
 // Decisions
