Wait for the last line of the call whose log a test reads

The router writes call after the response has gone out, and the test waited for any line of the id only.

--- a/tests/process/platform_scenarios.py
+++ b/tests/process/platform_scenarios.py
@@ -326,8 +326,10 @@
     with PlatformFleet(desks=1) as fleet:
         fleet.control(fleet.runner_url("desk-0"), lose=1)
         assert fleet.call("router-0", "/sale/x", "why1").status == 502
+        # The last line of a call is written after its response.
         wait_until(lambda: [line for line in fleet.log_lines("router-0")
-                            if line.get("id") == "why1"], "its lines")
+                            if line.get("id") == "why1"
+                            and line["event"] == "call"], "its lines")
         lines = [line for line in fleet.log_lines("router-0")
                  if line.get("id") == "why1"]
         failed_attempts = [line for line in lines
