--- a/packages/quarantine/include/tamarack/quarantine.hpp
+++ b/packages/quarantine/include/tamarack/quarantine.hpp
@@ -13,6 +13,10 @@
 // (sound_part). A part that may have caused several crashes and is not known to
 // be sound is in quarantine: requests that contain it are refused.
 //
+// Not detected: endpoints that hang or become unreachable instead of ending,
+// crashes over 2 s after the first byte of a response, and for up to a minute a
+// part that was answered completely before it began to crash endpoints.
+//
 // Nothing here is thread-safe or reads a clock; times are monotonic ms of this
 // instance. Times of different instances are never compared.
 #pragma once
