--- a/packages/dispatch/include/tamarack/dispatch.hpp
+++ b/packages/dispatch/include/tamarack/dispatch.hpp
@@ -236,9 +236,9 @@
   // True if the call may begin. After OpenUntil, only if its deadline is before
   // the cut.
   bool admitsCall(const relay::call &Call) const;
-  // True if one more attempt of a call that has begun is worthwhile: a call that
-  // was taken before OpenUntil may outlast the cut, but no attempt of it begins
-  // shortly before.
+  // True if one more attempt of a call that has begun is worthwhile: a call
+  // that was taken before OpenUntil may outlast the cut, but no attempt of it
+  // begins shortly before.
   bool admitsAttempt(const relay::call &Call, time_ms Now) const;
 
 private:
