Tell how long a page of the configuration was on its way

The log told how long before a page had arrived, not when it had been asked for, so that hypotheses 1 (age from the arrival) and 2 (a flag set too seldom) looked alike.

Change: the follower keeps when the read with the last response began; `refused` states it and when the flag was set, `configuration_read_slow` and a histogram tell of slow reads. No decision changes.

--- a/packages/daemon/src/router.cpp
+++ b/packages/daemon/src/router.cpp
@@ -58,6 +58,7 @@
   }
   void onCaughtUp(std::uint64_t) override {}
   void onStoreResponse() override {
+    Router.recordConfigurationRead();
     if (IsUnavailable)
       Router.Log.write("store_regained", {{"topic", "configuration"}});
     IsUnavailable = false;
--- a/packages/daemon/src/router.hpp
+++ b/packages/daemon/src/router.hpp
@@ -89,6 +89,9 @@
   void recordLoopDelay(time_ms Now);
   // Time since the last successful read of a topic, -1 before the first.
   time_ms ageOf(const follow::topic_follower &Follower) const;
+  // Time since the start of that read, -1 before the first.
+  time_ms readAgeOf(const follow::topic_follower &Follower) const;
+  void recordConfigurationRead();
   void setTopicAge(std::string_view Topic,
                    const follow::topic_follower &Follower);
   void writeGrants();
--- a/packages/daemon/src/router_reports.cpp
+++ b/packages/daemon/src/router_reports.cpp
@@ -112,6 +112,21 @@
   return LastResponseAt < 0 ? -1 : Clock.monotonic() - LastResponseAt;
 }
 
+time_ms router::readAgeOf(const follow::topic_follower &Follower) const {
+  const time_ms LastReadAt = Follower.lastReadAt();
+  return LastReadAt < 0 ? -1 : Clock.monotonic() - LastReadAt;
+}
+
+void router::recordConfigurationRead() {
+  const time_ms ElapsedMs = readAgeOf(ConfigurationFollower);
+  Metrics.histogramOf("tamarack_configuration_read_ms")
+      .observe(static_cast<double>(ElapsedMs));
+  if (ElapsedMs >= LoggedStoreCallMs)
+    Log.write("configuration_read_slow",
+              {{"ms", ElapsedMs},
+               {"direct", std::int64_t(Store.isDirectPathActive())}});
+}
+
 void router::setTopicAge(std::string_view Topic,
                          const follow::topic_follower &Follower) {
   const time_ms AgeMs = ageOf(Follower);
@@ -136,7 +151,10 @@
              {"error", Row.Name},
              {"why", std::string_view(Request.Detail)},
              {"version", RouteTable ? RouteTable->Version : std::int64_t(-1)},
-             {"version_read_ms_ago", ageOf(ConfigurationFollower)}});
+             {"version_read_ms_ago", ageOf(ConfigurationFollower)},
+             {"version_requested_ms_ago", readAgeOf(ConfigurationFollower)},
+             {"current_checked_ms_ago",
+              LastTickAt < 0 ? -1 : Clock.monotonic() - LastTickAt}});
 }
 
 void router::logBudgetRefusal(const relay::call &Call) {
--- a/packages/follow/include/tamarack/follow.hpp
+++ b/packages/follow/include/tamarack/follow.hpp
@@ -63,6 +63,8 @@
   void scheduleReadNow() { NextReadAt = 0; }
   bool isStoreUnavailable() const { return StoreUnavailable; }
   time_ms lastResponseAt() const { return LastResponseAt; } // -1 if never.
+  // When the read with the last response was started, -1 if never.
+  time_ms lastReadAt() const { return LastReadAt; }
 
 private:
   void onPage(bool IsSnapshot, const keyed_page &Page);
@@ -82,7 +84,9 @@
   bool StoreUnavailable = false;
   std::uint64_t NextOffset = 0; // Of the next read.
   time_ms NextReadAt = 0;
+  time_ms ReadStartedAt = -1;  // Of the read in progress.
   time_ms LastResponseAt = -1; // -1 if never.
+  time_ms LastReadAt = -1;     // -1 if never.
   time_ms LastRecordsAt = -1;  // When a read last returned records.
 };
 
--- a/packages/follow/src/topic_follower.cpp
+++ b/packages/follow/src/topic_follower.cpp
@@ -17,6 +17,7 @@
   if (Now < NextReadAt)
     return NextReadAt;
   ReadInProgress = true;
+  ReadStartedAt = Now;
   const bool IsSnapshot = !HasSnapshot;
   page_handler Handler = [this, IsSnapshot](const keyed_page &Page) {
     onPage(IsSnapshot, Page);
@@ -52,6 +53,7 @@
   Era = Page.Era;
   StoreUnavailable = false;
   LastResponseAt = Now;
+  LastReadAt = ReadStartedAt;
   Listener.onStoreResponse();
   if (IsSnapshot)
     Listener.onSnapshotBegin();
