Add a failing test of a configuration page that is long on its way

The test sends a version of 600 KB at 200 KB a second, and acknowledges the next one while the first is on its way.

--- /dev/null
+++ b/tests/process/configuration_scenarios.py
@@ -0,0 +1,51 @@
+"""End-to-end tests of configurations that reach a router late.
+
+Each function of SCENARIOS is one test. Its name says what must hold.
+"""
+import time
+
+from harness import wait_until
+from platform_fleet import PlatformFleet, idle_path
+from platform_scenarios import CONFIGURATION_BOUND_S
+
+SLOW_KB_PER_S = 200  # Of responses of the store, on each connection.
+LARGE_ROUTES = 3_000  # A configuration of about 600 KB: 3 s at that rate.
+LONG_POLL_S = 1.5  # A read that was waiting before has ended by then.
+WATCH_S = 6  # After the bound; the page and the trust in it have ended then.
+
+
+def a_page_that_arrives_late_denies_no_newer_route():
+    """404 is said only by a version that is known to be in force.
+
+    A page with one version is on its way while the next one is acknowledged,
+    so it is older than it looks when it arrives. Guards against an age of the
+    configuration that is counted from the arrival of a page instead of from
+    the request for it.
+    """
+    with PlatformFleet(routers=1) as fleet:
+        fleet.control(fleet.store, kb_per_s=SLOW_KB_PER_S)
+        time.sleep(LONG_POLL_S)  # The rate holds for reads from now on.
+        fleet.publish(idle_routes=LARGE_ROUTES)
+        time.sleep(0.3)  # The router has asked and gets this version.
+        fleet.publish(idle_routes=LARGE_ROUTES + 1)
+        published = time.monotonic()
+        new_route = idle_path(LARGE_ROUTES)
+        late_denials = []
+        for number in range(1_000):
+            sent_s = time.monotonic() - published
+            if sent_s > CONFIGURATION_BOUND_S + WATCH_S:
+                break
+            status = fleet.call("router-0", new_route, f"c{number}",
+                                method="GET", body=None).status
+            if sent_s > CONFIGURATION_BOUND_S and status in (401, 403, 404):
+                late_denials.append((round(sent_s, 2), status))
+            time.sleep(0.05)
+        wait_until(lambda: fleet.call(
+            "router-0", new_route, "last", method="GET",
+            body=None).status == 200, "the version")
+        assert not late_denials, late_denials
+
+
+SCENARIOS = [
+    a_page_that_arrives_late_denies_no_newer_route,
+]
--- a/tests/process/scenarios.py
+++ b/tests/process/scenarios.py
@@ -12,6 +12,7 @@
 import traceback
 from http.client import HTTPConnection
 
+import configuration_scenarios
 import delayed_stop_scenarios
 import drill_scenarios
 import limit_scenarios
@@ -644,7 +645,7 @@
 ] + (platform_scenarios.SCENARIOS + shutdown_scenarios.SCENARIOS
      + delayed_stop_scenarios.SCENARIOS + prompt_scenarios.SCENARIOS
      + limit_scenarios.SCENARIOS + request_scenarios.SCENARIOS
-     + drill_scenarios.SCENARIOS)
+     + drill_scenarios.SCENARIOS + configuration_scenarios.SCENARIOS)
 
 
 def read_known_red():
