Count the age of the configuration from the request for it

An instance takes its configuration for the newest one while it is at most 1.5 s old, and counted that from the arrival of a page. All that a page proves is what the store held when it was asked: a page of 370 KB that is 2.2 s or more on its way over a full link looked new, and so did one that another instance had read before.

Change: a follower states as of when it has all records, by the time since boot: the start of the read, less the age of a shared read (it travels with the page now), plus the wait of a long poll that ended empty. Pages after which more records follow move nothing. The age is asked for at each refusal instead of in the timer of the main loop.

No further store call: the long poll stays at 1 s.

--- a/packages/daemon/src/router.cpp
+++ b/packages/daemon/src/router.cpp
@@ -187,7 +187,7 @@
       CrashGuard(LimitGate, Quarantine, EndpointProber, ListedEndpoints,
                  QuarantineLog),
       CrashReports(Settings.Instance, Store, Quarantine),
-      ShutdownGate(CrashGuard), Codec(LoadBalancer, Limiter, Random),
+      ShutdownGate(CrashGuard), Codec(LoadBalancer, Limiter, Random, *this),
       Grants(Settings.Instance, Random.next() | 1, Settings.PeerAddress,
              adapters::readBootId(), {}, Clock),
       LostRecords(Store, Settings.Instance + ".lost"),
@@ -248,8 +248,6 @@
   EndpointFollower.tick(Now);
   GrantFollower.tick(Now);
   refreshEndpoints();
-  Codec.setConfigurationCurrent(ageOf(ConfigurationFollower) <=
-                                MaxConfigurationAgeMs);
   if (!IsPreviousWatermarkKnown)
     readPreviousWatermark(false);
   writeGrants();
@@ -321,6 +319,11 @@
              {"apply_ms", Clock.monotonic() - DecodedAt}});
 }
 
+bool router::isConfigurationCurrent() const {
+  const time_ms AgeMs = ageOf(ConfigurationFollower);
+  return AgeMs >= 0 && AgeMs <= MaxConfigurationAgeMs;
+}
+
 void router::refreshEndpoints() {
   const time_ms Now = Clock.monotonic();
   if (!Directory.update(Now))
--- a/packages/daemon/src/router.hpp
+++ b/packages/daemon/src/router.hpp
@@ -27,6 +27,7 @@
                      private peers::store_path_listener,
                      private peers::peer_service_listener,
                      private platform::store_call_listener,
+                     private platform::configuration_freshness,
                      private store_era_listener {
 public:
   explicit router(const router_settings &Settings);
@@ -68,6 +69,9 @@
   // platform::store_call_listener
   void onStoreCall(const platform::store_call_report &Report) override;
 
+  // platform::configuration_freshness
+  bool isConfigurationCurrent() const override;
+
   // store_era_listener
   void onEraChanged(std::uint64_t Before, std::uint64_t Era) override;
   void onFormerEra(std::uint64_t Stated, std::uint64_t Era) override;
@@ -87,10 +91,8 @@
   void tick();
   void scheduleTick();
   void recordLoopDelay(time_ms Now);
-  // Time since the last successful read of a topic, -1 before the first.
+  // How old what is known of a topic may be, -1 if nothing is.
   time_ms ageOf(const follow::topic_follower &Follower) const;
-  // Time since the start of that read, -1 before the first.
-  time_ms readAgeOf(const follow::topic_follower &Follower) const;
   void recordConfigurationRead();
   void setTopicAge(std::string_view Topic,
                    const follow::topic_follower &Follower);
--- a/packages/daemon/src/router_reports.cpp
+++ b/packages/daemon/src/router_reports.cpp
@@ -108,22 +108,16 @@
 }
 
 time_ms router::ageOf(const follow::topic_follower &Follower) const {
-  const time_ms LastResponseAt = Follower.lastResponseAt();
-  return LastResponseAt < 0 ? -1 : Clock.monotonic() - LastResponseAt;
-}
-
-time_ms router::readAgeOf(const follow::topic_follower &Follower) const {
-  const time_ms LastReadAt = Follower.lastReadAt();
-  return LastReadAt < 0 ? -1 : Clock.monotonic() - LastReadAt;
+  const time_ms KnownAsOf = Follower.knownAsOf();
+  return KnownAsOf < 0 ? -1 : Clock.sinceBoot() - KnownAsOf;
 }
 
 void router::recordConfigurationRead() {
-  const time_ms ElapsedMs = readAgeOf(ConfigurationFollower);
-  Metrics.histogramOf("tamarack_configuration_read_ms")
-      .observe(static_cast<double>(ElapsedMs));
+  const int ElapsedMs = ConfigurationFollower.lastReadMs();
+  Metrics.histogramOf("tamarack_configuration_read_ms").observe(ElapsedMs);
   if (ElapsedMs >= LoggedStoreCallMs)
     Log.write("configuration_read_slow",
-              {{"ms", ElapsedMs},
+              {{"ms", std::int64_t(ElapsedMs)},
                {"direct", std::int64_t(Store.isDirectPathActive())}});
 }
 
@@ -151,10 +145,7 @@
              {"error", Row.Name},
              {"why", std::string_view(Request.Detail)},
              {"version", RouteTable ? RouteTable->Version : std::int64_t(-1)},
-             {"version_read_ms_ago", ageOf(ConfigurationFollower)},
-             {"version_requested_ms_ago", readAgeOf(ConfigurationFollower)},
-             {"current_checked_ms_ago",
-              LastTickAt < 0 ? -1 : Clock.monotonic() - LastTickAt}});
+             {"version_known_ms_ago", ageOf(ConfigurationFollower)}});
 }
 
 void router::logBudgetRefusal(const relay::call &Call) {
--- a/packages/follow/include/tamarack/follow.hpp
+++ b/packages/follow/include/tamarack/follow.hpp
@@ -63,8 +63,11 @@
   void scheduleReadNow() { NextReadAt = 0; }
   bool isStoreUnavailable() const { return StoreUnavailable; }
   time_ms lastResponseAt() const { return LastResponseAt; } // -1 if never.
-  // When the read with the last response was started, -1 if never.
-  time_ms lastReadAt() const { return LastReadAt; }
+  // The listener has got all records that were stored before this time, by
+  // clock::sinceBoot. -1 if it has never had them all. The arrival of a page
+  // proves nothing: it may have been on its way for seconds.
+  time_ms knownAsOf() const { return KnownAsOf; }
+  int lastReadMs() const { return LastReadMs; } // Duration, with a long poll.
 
 private:
   void onPage(bool IsSnapshot, const keyed_page &Page);
@@ -84,10 +87,11 @@
   bool StoreUnavailable = false;
   std::uint64_t NextOffset = 0; // Of the next read.
   time_ms NextReadAt = 0;
-  time_ms ReadStartedAt = -1;  // Of the read in progress.
+  time_ms ReadStartedAt = -1;  // Of the last read, by sinceBoot.
   time_ms LastResponseAt = -1; // -1 if never.
-  time_ms LastReadAt = -1;     // -1 if never.
-  time_ms LastRecordsAt = -1;  // When a read last returned records.
+  time_ms KnownAsOf = -1;      // By sinceBoot, -1 if never.
+  int LastReadMs = 0;
+  time_ms LastRecordsAt = -1; // When a read last returned records.
 };
 
 //---------------------------------------------------------------------------
--- a/packages/follow/src/topic_follower.cpp
+++ b/packages/follow/src/topic_follower.cpp
@@ -17,7 +17,7 @@
   if (Now < NextReadAt)
     return NextReadAt;
   ReadInProgress = true;
-  ReadStartedAt = Now;
+  ReadStartedAt = Clock.sinceBoot();
   const bool IsSnapshot = !HasSnapshot;
   page_handler Handler = [this, IsSnapshot](const keyed_page &Page) {
     onPage(IsSnapshot, Page);
@@ -53,7 +53,7 @@
   Era = Page.Era;
   StoreUnavailable = false;
   LastResponseAt = Now;
-  LastReadAt = ReadStartedAt;
+  LastReadMs = static_cast<int>(Clock.sinceBoot() - ReadStartedAt);
   Listener.onStoreResponse();
   if (IsSnapshot)
     Listener.onSnapshotBegin();
@@ -68,6 +68,9 @@
   // from it. A read from the snapshot's NextOffset on returns these records.
   const bool More = IsSnapshot || NextOffset < Page.NextOffset;
   CaughtUp = !More;
+  if (IsSnapshot || CaughtUp)
+    KnownAsOf =
+        std::max(KnownAsOf, ReadStartedAt - Page.StaleMs + Page.WaitedMs);
   if (CaughtUp)
     Listener.onCaughtUp(Page.NextOffset);
   NextReadAt =
--- a/packages/peers/include/tamarack/peers.hpp
+++ b/packages/peers/include/tamarack/peers.hpp
@@ -151,7 +151,8 @@
 // result.
 //
 // A shared page is as of the beginning of the first read, so it may be older
-// than the request by the duration of a read and ReuseMs. Only the topics that
+// than the request by the duration of a read and ReuseMs; its StaleMs tells by
+// how much. Only the topics that
 // instances do not write are shared: grants and watermarks need a read that
 // begins after the instance's own last write.
 class shared_read_store final : public keyed_store {
@@ -175,10 +176,16 @@
   // Topic and first offset, which is empty for a snapshot.
   using read_key = std::pair<store_topic, std::optional<std::uint64_t>>;
 
+  struct waiting_reader {
+    page_handler Handler;
+    int StaleMs = 0; // Since the beginning of the read.
+  };
+
   struct shared_read {
-    std::vector<page_handler> Waiting; // Empty once the read has ended.
-    keyed_page Page;                   // Of the ended read.
-    time_ms EndedAt = 0;               // Monotonic.
+    std::vector<waiting_reader> Waiting; // Empty once the read has ended.
+    keyed_page Page;                     // Of the ended read.
+    time_ms StartedAt = 0;               // By clock::sinceBoot.
+    time_ms EndedAt = 0;                 // Monotonic.
   };
 
   // True if the caller has to start the read, false if Handler was called or
--- a/packages/peers/src/messages.cpp
+++ b/packages/peers/src/messages.cpp
@@ -6,7 +6,7 @@
 
 namespace {
 
-constexpr int FormatVersion = 3;
+constexpr int FormatVersion = 4;
 // Highest values that may be decoded.
 constexpr int LastCall = static_cast<int>(store_call::Fence);
 constexpr int LastTopic = static_cast<int>(store_topic::Watermarks);
@@ -18,7 +18,7 @@
                std::uint64_t, std::string, std::string>;
 using record_form = std::tuple<std::uint64_t, std::string, std::string, bool>;
 using response_form = std::tuple<int, int, std::uint64_t, int, std::uint64_t,
-                                 std::vector<record_form>>;
+                                 std::vector<record_form>, int>;
 
 bool isWithin(int Value, int Last) { return Value >= 0 && Value <= Last; }
 
@@ -53,23 +53,24 @@
   for (const keyed_record &Record : Response.Page.Records)
     Records.emplace_back(Record.Offset, Record.Key, Record.Value,
                          Record.Removed);
-  return wire::pack(
-      response_form(FormatVersion, static_cast<int>(Response.Status),
-                    Response.Era, static_cast<int>(Response.Page.Status),
-                    Response.Page.NextOffset, std::move(Records)));
+  return wire::pack(response_form(
+      FormatVersion, static_cast<int>(Response.Status), Response.Era,
+      static_cast<int>(Response.Page.Status), Response.Page.NextOffset,
+      std::move(Records), Response.Page.StaleMs));
 }
 
 std::optional<store_response> decodeResponse(std::string_view Bytes) {
   std::optional<response_form> Form =
       wire::unpack<response_form>(Bytes, FormatVersion);
   if (!Form || !isWithin(std::get<1>(*Form), LastStatus) ||
-      !isWithin(std::get<3>(*Form), LastStatus))
+      !isWithin(std::get<3>(*Form), LastStatus) || std::get<6>(*Form) < 0)
     return std::nullopt;
   store_response Response;
   Response.Status = static_cast<store_status>(std::get<1>(*Form));
   Response.Era = std::get<2>(*Form);
   Response.Page.Status = static_cast<store_status>(std::get<3>(*Form));
   Response.Page.NextOffset = std::get<4>(*Form);
+  Response.Page.StaleMs = std::get<6>(*Form);
   for (record_form &Record : std::get<5>(*Form))
     Response.Page.Records.push_back(
         {std::get<0>(Record), std::move(std::get<1>(Record)),
--- a/packages/peers/src/shared_read_store.cpp
+++ b/packages/peers/src/shared_read_store.cpp
@@ -25,28 +25,36 @@
   removeExpired();
   const auto [Found, IsNew] = Reads.try_emplace(Key);
   shared_read &Read = Found->second;
+  const time_ms Now = Clock.sinceBoot();
+  if (IsNew)
+    Read.StartedAt = Now;
+  const int StaleMs = static_cast<int>(Now - Read.StartedAt);
   if (!IsNew && Read.Waiting.empty()) {
-    const keyed_page Page = Read.Page;
-    Handler(Page);
+    keyed_page Page = Read.Page;
+    Page.StaleMs += StaleMs;
+    Handler(std::move(Page));
     return false;
   }
-  Read.Waiting.push_back(std::move(Handler));
+  Read.Waiting.push_back({std::move(Handler), StaleMs});
   return IsNew;
 }
 
 page_handler shared_read_store::endOf(const read_key &Key) {
   return [this, Key](const keyed_page &Page) {
     shared_read &Read = Reads[Key];
-    const std::vector<page_handler> Waiting =
-        std::exchange(Read.Waiting, std::vector<page_handler>());
+    const std::vector<waiting_reader> Waiting =
+        std::exchange(Read.Waiting, std::vector<waiting_reader>());
     if (Page.Status == store_status::Ok) {
       Read.Page = Page;
       Read.EndedAt = Clock.monotonic();
     } else {
       Reads.erase(Key);
     }
-    for (const page_handler &Handler : Waiting)
-      Handler(Page);
+    for (const waiting_reader &Reader : Waiting) {
+      keyed_page Shared = Page;
+      Shared.StaleMs += Reader.StaleMs;
+      Reader.Handler(std::move(Shared));
+    }
   };
 }
 
--- a/packages/ports/include/tamarack/ports.hpp
+++ b/packages/ports/include/tamarack/ports.hpp
@@ -134,6 +134,12 @@
   // Offset that the next append will get; for a snapshot, as of its beginning.
   std::uint64_t NextOffset = 0;
   std::vector<keyed_record> Records;
+  // The page shows all that was stored when the read was started, or this much
+  // earlier (ms): above 0 if the read was joined to one that had begun before.
+  int StaleMs = 0;
+  // An empty page shows that nothing was stored for this long (ms) after the
+  // start of the read: the time that the store waited for records.
+  int WaitedMs = 0;
 };
 
 // Notified of what responses of the store say about its era.
--- a/tests/unit/edge_test.cpp
+++ b/tests/unit/edge_test.cpp
@@ -471,6 +471,30 @@
   CHECK(Store.Handlers.size() == 2);
 }
 
+// Guards against a shared page that looks as new as the request for it.
+TEST_CASE("a shared page tells how old it is", "[peers]") {
+  pending_store Store;
+  tests::manual_clock Clock;
+  peers::shared_read_store Shared(Store, Clock);
+  std::vector<int> StaleMs;
+  const page_handler Record = [&StaleMs](const keyed_page &Page) {
+    StaleMs.push_back(Page.StaleMs);
+  };
+  Shared.readSnapshot(store_topic::Configuration, Record);
+  Clock.Time += 3'000;
+  Shared.readSnapshot(store_topic::Configuration, Record);
+  Clock.Time += 200;
+  Store.complete(store_status::Ok);
+  Clock.Time += 100;
+  Shared.readSnapshot(store_topic::Configuration, Record);
+  CHECK(StaleMs == std::vector<int>{0, 3'000, 3'300});
+  peers::store_response Response;
+  Response.Page.StaleMs = 3'300;
+  CHECK(peers::decodeResponse(peers::encode(Response))->Page.StaleMs == 3'300);
+  Response.Page.StaleMs = -1;
+  CHECK_FALSE(peers::decodeResponse(peers::encode(Response)));
+}
+
 TEST_CASE("a failed read is not reused, and money is never shared", "[peers]") {
   pending_store Store;
   tests::manual_clock Clock;
--- a/tests/unit/follow_test.cpp
+++ b/tests/unit/follow_test.cpp
@@ -14,17 +14,27 @@
 
 namespace {
 
-// Responds at once with the pages that the test has set.
+// Responds with the pages that the test has set: at once, or in release() while
+// Hold is set.
 class scripted_store final : public keyed_store {
 public:
+  struct held_response {
+    page_handler Handler;
+    keyed_page Page;
+  };
+
   void readSnapshot(store_topic, page_handler Handler) override {
     ++SnapshotReads;
-    Handler(SnapshotPage);
+    respond(std::move(Handler), SnapshotPage);
   }
   void read(store_topic, std::uint64_t From, int,
             page_handler Handler) override {
     LastFrom = From;
-    Handler(ReadPage);
+    respond(std::move(Handler), ReadPage);
+  }
+  void release() {
+    const held_response Response = *std::exchange(Held, std::nullopt);
+    Response.Handler(Response.Page);
   }
   void appendAs(store_topic, const store_writer &, std::string_view,
                 std::string_view, append_handler Handler) override {
@@ -40,6 +50,16 @@
   store_status AppendStatus = store_status::Ok;
   int SnapshotReads = 0;
   std::uint64_t LastFrom = 0;
+  bool Hold = false;
+  std::optional<held_response> Held;
+
+private:
+  void respond(page_handler Handler, const keyed_page &Page) {
+    if (Hold)
+      Held = held_response{std::move(Handler), Page};
+    else
+      Handler(Page);
+  }
 };
 
 class recording_listener final : public topic_listener {
@@ -139,6 +159,39 @@
   CHECK(Fixture.Store.LastFrom == 3);
 }
 
+// Guards against a page that looks new because it has just arrived.
+TEST_CASE("what a follower knows is as old as its request", "[follow]") {
+  follower_fixture Fixture;
+  CHECK(Fixture.Follower.knownAsOf() == -1);
+  Fixture.Clock.Time = 100;
+  Fixture.Store.Hold = true;
+  Fixture.Follower.tick(100);
+  Fixture.Clock.Time = 3'300;
+  Fixture.Store.release();
+  CHECK(Fixture.Follower.knownAsOf() == 100);
+  CHECK(Fixture.Follower.lastReadMs() == 3'200);
+  // An empty page shows what was stored while the store waited for records.
+  Fixture.Follower.tick(3'300);
+  Fixture.Clock.Time = 4'800;
+  Fixture.Store.Held->Page.WaitedMs = 1'000;
+  Fixture.Store.release();
+  CHECK(Fixture.Follower.knownAsOf() == 4'300);
+  // A page that was read earlier, for another instance.
+  Fixture.Follower.scheduleReadNow();
+  Fixture.Follower.tick(6'000);
+  Fixture.Clock.Time = 6'000;
+  Fixture.Store.Held->Page.StaleMs = 400;
+  Fixture.Store.release();
+  CHECK(Fixture.Follower.knownAsOf() == 4'400);
+  // More records follow, so not all are known.
+  Fixture.Follower.scheduleReadNow();
+  Fixture.Follower.tick(6'000);
+  Fixture.Store.Held->Page.Records = {{5, "n", "v", false}};
+  Fixture.Store.Held->Page.NextOffset = 7;
+  Fixture.Store.release();
+  CHECK(Fixture.Follower.knownAsOf() == 4'400);
+}
+
 TEST_CASE(
     "a response of a former era is dropped, a missing one holds nothing up",
     "[follow]") {
--- a/tests/unit/platform_test.cpp
+++ b/tests/unit/platform_test.cpp
@@ -59,10 +59,16 @@
   double PerSecond = -1;
 };
 
+class switched_freshness final : public configuration_freshness {
+public:
+  bool isConfigurationCurrent() const override { return IsCurrent; }
+  bool IsCurrent = true;
+};
+
 struct codec_fixture {
   codec_fixture()
       : Random(1), LoadBalancer("z", {}, Random),
-        Codec(LoadBalancer, LimitListener, Random) {
+        Codec(LoadBalancer, LimitListener, Random, Freshness) {
     Codec.setRouteTable(decodeConfiguration(Configuration));
     Request.method(edge::http::verb::post);
     Request.target("/a/x?q=1");
@@ -80,6 +86,7 @@
   tests::seeded_random Random;
   dispatch::load_balancer LoadBalancer;
   recording_limit_listener LimitListener;
+  switched_freshness Freshness;
   platform_codec Codec;
   edge::request_message Request;
 };
@@ -236,13 +243,13 @@
   }
   // Guards against final refusals of routes and keys that a newer version has.
   SECTION("no route and unknown key while the configuration may be old") {
-    Fixture.Codec.setConfigurationCurrent(false);
+    Fixture.Freshness.IsCurrent = false;
     CHECK(Fixture.decode().Call);
     Fixture.Request.set("Key", "none");
     CHECK(Fixture.decode().Refusal == error_kind::NotReady);
     Fixture.Request.target("/none/");
     CHECK(Fixture.decode().Refusal == error_kind::NotReady);
-    Fixture.Codec.setConfigurationCurrent(true);
+    Fixture.Freshness.IsCurrent = true;
     CHECK(Fixture.decode().Refusal == error_kind::NotFound);
   }
   SECTION("two keys") {
