Deny no route while the newest version can't be read

A record of the configuration that can't be decoded counted as news: the table of the version before was taken for the newest one, and its unknown routes and keys got 404 and 401.

Change: until a readable version arrives, they get 503 not_ready as from any configuration that may be old. Known routes are served as before.

Measured: an_unreadable_version_denies_no_route failed before (404) and passes.

--- a/packages/daemon/src/router.cpp
+++ b/packages/daemon/src/router.cpp
@@ -49,7 +49,9 @@
           platform::decodeConfiguration(Record.Value);
       Router.activateConfiguration(Table, Record, ReceivedAt,
                                    Router.Clock.monotonic());
+      Router.IsNewestVersionUnreadable = false;
     } catch (const platform::document_error &Error) {
+      Router.IsNewestVersionUnreadable = true;
       Router.Metrics.counterOf("tamarack_unreadable_records_total").add();
       Router.Log.write("configuration_unreadable",
                        {{"offset", static_cast<std::int64_t>(Record.Offset)},
@@ -321,7 +323,8 @@
 
 bool router::isConfigurationCurrent() const {
   const time_ms AgeMs = ageOf(ConfigurationFollower);
-  return AgeMs >= 0 && AgeMs <= MaxConfigurationAgeMs;
+  return AgeMs >= 0 && AgeMs <= MaxConfigurationAgeMs &&
+         !IsNewestVersionUnreadable;
 }
 
 void router::refreshEndpoints() {
--- a/packages/daemon/src/router.hpp
+++ b/packages/daemon/src/router.hpp
@@ -168,6 +168,7 @@
   time_ms LastTickDueAt = -1;
   time_ms LastTickAt = -1;
   std::shared_ptr<const relay::route_table> RouteTable;
+  bool IsNewestVersionUnreadable = false;     // The table is an older one.
   store_writer WatermarkWriter;               // Writes under Settings.Instance.
   store_writer GrantWriter;                   // Writes under Settings.Instance.
   bool IsWatermarkRecoveryInProgress = false; // A store call is in flight.
--- a/tests/process/configuration_scenarios.py
+++ b/tests/process/configuration_scenarios.py
@@ -46,6 +46,30 @@
         assert not late_denials, late_denials
 
 
+def an_unreadable_version_denies_no_route():
+    """While the newest version can't be read, no route is called unknown.
+
+    Guards against a router that takes an older version for the newest one
+    because a record has arrived that it could not decode.
+    """
+    with PlatformFleet(routers=1) as fleet:
+        def status():
+            return fleet.call("router-0", "/unknown/", "u", method="GET",
+                              body=None).status
+        assert status() == 404
+        fleet.append_configuration(b'{"version": 4, "routes": ')
+        wait_until(lambda: fleet.metrics("router-0").get(
+            "tamarack_unreadable_records_total", 0) > 0, "the record")
+        assert status() == 503
+        assert fleet.call("router-0", "/lookup/x", "l", method="GET",
+                          body=None).status == 200
+        fleet.publish()
+        wait_until(lambda: fleet.metrics("router-0")[
+            "tamarack_configuration_version"] == fleet.version, "the version")
+        assert status() == 404
+
+
 SCENARIOS = [
     a_page_that_arrives_late_denies_no_newer_route,
+    an_unreadable_version_denies_no_route,
 ]
--- a/tests/process/platform_fleet.py
+++ b/tests/process/platform_fleet.py
@@ -230,7 +230,11 @@
             "tenants": [{"name": "ring", "apiKeys": list(keys),
                          "priority": 1, "prepaid": self.prepaid}]}
         document.update(changes)
-        body = encode_keyed_record("config", json.dumps(document).encode())
+        self.append_configuration(json.dumps(document).encode())
+
+    def append_configuration(self, value):
+        """Stores bytes as the newest configuration."""
+        body = encode_keyed_record("config", value)
         answer = http("POST",
                       self.store + "/-/log-append?topic=keyed.op&part=0",
                       body=body, headers={"X-Operator": "1"})
