Log which software version began a stream and which one went on

Change: the version of an endpoint's entry and the fields with which a caller takes a stream up are decoded; the line `call` states them with the versions that sent the first event and the last attempt. No decision about a call changes.

Measured: unit tests pass; the process tests of whole streams too.

--- a/packages/dispatch/include/tamarack/dispatch.hpp
+++ b/packages/dispatch/include/tamarack/dispatch.hpp
@@ -38,6 +38,7 @@
   std::string Service;
   std::string Address; // host:port
   std::string Zone;
+  std::string Version;        // Of its software.
   int Slots = 1;              // Requests that it processes concurrently.
   bool Leaving = false;       // Takes no new work.
   int WarmUpMs = 0;           // Remaining time after a start during which the
--- a/packages/dispatch/src/load_balancer.cpp
+++ b/packages/dispatch/src/load_balancer.cpp
@@ -244,7 +244,8 @@
   }
   if (Best == nullptr)
     return std::nullopt;
-  return relay::endpoint_choice{Best->Entry.Id, Best->Entry.Address};
+  return relay::endpoint_choice{Best->Entry.Id, Best->Entry.Address, 0,
+                                Best->Entry.Version};
 }
 
 void load_balancer::onSent(const relay::call &Call, std::string_view Endpoint,
--- a/packages/follow/src/endpoint_directory.cpp
+++ b/packages/follow/src/endpoint_directory.cpp
@@ -11,8 +11,8 @@
 bool isSameState(const dispatch::endpoint_entry &A,
                  const dispatch::endpoint_entry &B) {
   return A.Service == B.Service && A.Address == B.Address && A.Zone == B.Zone &&
-         A.Slots == B.Slots && A.Leaving == B.Leaving &&
-         A.StartedAt == B.StartedAt;
+         A.Version == B.Version && A.Slots == B.Slots &&
+         A.Leaving == B.Leaving && A.StartedAt == B.StartedAt;
 }
 
 // True if the endpoint published Entry before Known.
--- a/packages/relay/include/tamarack/relay.hpp
+++ b/packages/relay/include/tamarack/relay.hpp
@@ -160,6 +160,11 @@
   std::int64_t MaxOutputTokens = 0;
   int MaxTokensPerEvent = 1;
   std::vector<prompt_part> Prompt;
+  // The caller takes up a stream that an earlier attempt began, after the event
+  // ResumeAfter. Both are empty for a stream from its beginning.
+  std::string ResumedId; // Request id of the attempt that brought the first
+                         // event.
+  std::string ResumeAfter;
   // Digest of account, method, host, target and body: the same for a request
   // that is sent again. 0 if not known.
   std::uint64_t Fingerprint = 0;
@@ -177,6 +182,7 @@
   std::string Address;  // host:port
   // Of what was known of the endpoint's rate limit when it was chosen.
   std::uint64_t LimitVersion = 0;
+  std::string Version = {}; // Of the endpoint's software, empty if unknown.
 };
 
 // How an attempt at an endpoint ended.
@@ -441,6 +447,9 @@
   std::int64_t TokensCharged = 0;
   time_ms FirstByteAt = 0;  // Of the endpoint's response, 0 if none.
   std::string LastEndpoint; // Of the last attempt.
+  std::string FirstVersion; // Of the endpoint that sent the first event, empty
+                            // if none was forwarded.
+  std::string LastVersion;  // Of the endpoint of the last attempt.
   attempt_outcome LastOutcome = attempt_outcome::Good;
 };
 
--- a/packages/relay/src/exchange.cpp
+++ b/packages/relay/src/exchange.cpp
@@ -101,6 +101,7 @@
   if (!StreamBegun)
     Reader.restart();
   Report.LastEndpoint = Choice->Endpoint;
+  Report.LastVersion = Choice->Version;
   ++Report.Attempts;
   Placement.onSent(Call, Choice->Endpoint, Now);
   send_options Options;
@@ -240,6 +241,7 @@
   recordFirstByte(Now);
   if (!StreamBegun) {
     StreamBegun = true;
+    Report.FirstVersion = Report.LastVersion;
     Host.beginResponse(Head);
   }
   Host.forwardEvents(Events);
