--- a/stand_ins/runner.cpp
+++ b/stand_ins/runner.cpp
@@ -3,7 +3,8 @@
 //
 // A request whose path contains /stream/ gets a stream of events: the maximum
 // output in Token-Count divided by --tokens-per-event. Any other request gets
-// one complete body.
+// one complete body. The events of a runner whose --software is not v1 name it;
+// Last-Event-Id is obeyed whichever software sent that event.
 //
 //   POST /control   sets a value, see below
 //   GET  /stats     seen: requests received; arrivals: the Unix ms at which
@@ -51,6 +52,7 @@
 
 namespace {
 
+constexpr char FirstSoftware[] = "v1";
 constexpr int HeartbeatMs = 400;    // Between two registrations.
 constexpr int CrashExitStatus = 86; // Of a crash by crash_part; tests know it.
 
@@ -64,6 +66,7 @@
   int StorePort = 0;
   int Slots = 8;
   int TokensPerEvent = 1;
+  std::string Software; // Version that it registers.
 };
 
 std::string encodeBigEndian(std::size_t Value) {
@@ -255,6 +258,8 @@
     const std::int64_t Events = MaxOutputTokens / Settings.TokensPerEvent;
     const std::chrono::milliseconds EventPause(controlValue("event_ms"));
     const bool Cut = consumeFault("cut");
+    const std::string Mark =
+        Settings.Software == FirstSoftware ? "" : " " + Settings.Software;
     Response.setContentType("text/event-stream");
     Response.setChunkedTransferEncoding(true);
     std::ostream &Out = Response.send();
@@ -264,7 +269,7 @@
         return closeConnection(Request);
       }
       std::this_thread::sleep_for(EventPause);
-      Out << "id: " << Event << "\ndata: piece " << Event << "\n\n"
+      Out << "id: " << Event << "\ndata: piece " << Event << Mark << "\n\n"
           << std::flush;
       if (!Out.good())
         return;
@@ -281,7 +286,7 @@
     Entry.set("service", Settings.Service);
     Entry.set("address", Settings.Host + ":" + std::to_string(Settings.Port));
     Entry.set("zone", Settings.Zone);
-    Entry.set("version", std::string("v1"));
+    Entry.set("version", Settings.Software);
     Entry.set("slots", Settings.Slots);
     Entry.set("state",
               std::string(ControlValues["leave"] > 0 ? "draining" : "ready"));
@@ -346,6 +351,7 @@
   Flags.addNumber("slots", "8", 1, 1000,
                   "requests executed at once, as registered");
   Flags.addNumber("tokens-per-event", "1", 1, 1000, "tokens in one event");
+  Flags.addText("software", FirstSoftware, "version of the software");
   if (!Flags.read(ArgumentCount, Arguments))
     return 0;
   runner_settings Settings;
@@ -359,6 +365,7 @@
   Settings.Slots = static_cast<int>(Flags.getNumber("slots"));
   Settings.TokensPerEvent =
       static_cast<int>(Flags.getNumber("tokens-per-event"));
+  Settings.Software = Flags.getText("software");
   runner_service Service(Settings);
   serveUntilSignal(Service, Flags);
   return 0;
--- a/tests/process/platform_fleet.py
+++ b/tests/process/platform_fleet.py
@@ -53,6 +53,7 @@
                 self.runners[f"{service}-{number}"] = (service, ports.pop())
         self.routers = {f"router-{n}": [ports.pop() for _ in range(4)]
                         for n in range(routers)}
+        self.software = {}  # Of runners by name; v1 if absent.
         self.cut_off = set(list(self.routers)[routers - cut_off:])
 
     def __enter__(self):
@@ -85,7 +86,8 @@
         service, port = self.runners[name]
         self.start(name, ["stand_ins/standin-runner", "--id", name,
                           "--service", service, "--port", str(port),
-                          "--store-port", str(self.store_port)])
+                          "--store-port", str(self.store_port),
+                          "--software", self.software.get(name, "v1")])
 
     def restart_runner(self, name):
         """Starts a runner that has ended again, with its id and port.
