Resume a stream only at endpoints of the version that began it

An exchange resumed a broken stream at the endpoint that cost least.

Change: with its first event a stream is bound to the version of the endpoint that sent it; the load balancer offers no other endpoint. A stream that breaks before its first event goes on anywhere. With no endpoint of the version left it is aborted at once, as any other that can't be resumed.

The random sequences of the exchange check it too.

--- a/packages/dispatch/src/load_balancer.cpp
+++ b/packages/dispatch/src/load_balancer.cpp
@@ -156,6 +156,9 @@
                                 const relay::call &Call) const {
   if (State.Entry.Leaving || State.ReportsLeaving || !State.IsListed)
     return false;
+  if (!Call.RequiredVersion.empty() &&
+      Call.RequiredVersion != State.Entry.Version)
+    return false;
   if (isEngine(Call.Service))
     return estimatedRequests(State) < 2.0 * State.Entry.Slots;
   return estimatedRequests(State) <
--- a/packages/relay/include/tamarack/relay.hpp
+++ b/packages/relay/include/tamarack/relay.hpp
@@ -165,6 +165,9 @@
   std::string ResumedId; // Request id of the attempt that brought the first
                          // event.
   std::string ResumeAfter;
+  // Software that the endpoint must have, because it has sent a part of the
+  // stream already. Empty: any.
+  std::string RequiredVersion;
   // Digest of account, method, host, target and body: the same for a request
   // that is sent again. 0 if not known.
   std::uint64_t Fingerprint = 0;
@@ -218,7 +221,8 @@
   virtual std::optional<placement_refusal> admit(const call &, time_ms) {
     return std::nullopt;
   }
-  // Returns nothing if no endpoint outside Tried can take the call now.
+  // Returns nothing if no endpoint outside Tried, and of the call's
+  // RequiredVersion, can take the call now.
   virtual std::optional<endpoint_choice>
   choose(const call &Call, const std::set<std::string> &Tried, time_ms Now) = 0;
   virtual void onSent(const call &Call, std::string_view Endpoint,
--- a/packages/relay/src/exchange.cpp
+++ b/packages/relay/src/exchange.cpp
@@ -242,6 +242,8 @@
   if (!StreamBegun) {
     StreamBegun = true;
     Report.FirstVersion = Report.LastVersion;
+    // What two versions write does not fit together.
+    Call.RequiredVersion = Report.FirstVersion;
     Host.beginResponse(Head);
   }
   Host.forwardEvents(Events);
--- a/tests/unit/dispatch_test.cpp
+++ b/tests/unit/dispatch_test.cpp
@@ -132,6 +132,24 @@
   CHECK(Fixture.choose(callOf(1, 1)).empty());
 }
 
+// Guards against a stream that goes on at another version.
+TEST_CASE("a call that needs a version goes to no other one", "[dispatch]") {
+  dispatch_fixture Fixture(1);
+  std::vector<endpoint_entry> List = entries(4);
+  for (std::size_t I = 0; I < List.size(); ++I)
+    List[I].Version = I == 2 ? "v1" : "v2";
+  Fixture.Balancer.setEndpoints(List, 0);
+  relay::call Call = callOf(1, 1);
+  Call.RequiredVersion = "v1";
+  CHECK(Fixture.choose(Call) == "e2");
+  CHECK(Fixture.Balancer.choose(Call, {}, 0)->Version == "v1");
+  // It starts again in another version.
+  List[2].Version = "v2";
+  List[2].StartedAt = 2;
+  Fixture.Balancer.setEndpoints(List, 0);
+  CHECK(Fixture.choose(Call).empty());
+}
+
 TEST_CASE("an endpoint is avoided for some time after a connect failure",
           "[dispatch]") {
   dispatch_fixture Fixture(1);
--- a/tests/unit/relay_test.cpp
+++ b/tests/unit/relay_test.cpp
@@ -31,13 +31,22 @@
 
 class fake_placement final : public placement {
 public:
-  std::optional<endpoint_choice>
-  choose(const call &, const std::set<std::string> &Tried, time_ms) override {
-    for (const std::string &Name : Endpoints)
-      if (!Tried.contains(Name))
-        return endpoint_choice{Name, Name + ":1"};
+  std::optional<endpoint_choice> choose(const call &Call,
+                                        const std::set<std::string> &Tried,
+                                        time_ms) override {
+    for (const std::string &Name : Endpoints) {
+      const std::string Version = versionOf(Name);
+      const bool Fits =
+          Call.RequiredVersion.empty() || Call.RequiredVersion == Version;
+      if (Fits && !Tried.contains(Name))
+        return endpoint_choice{Name, Name + ":1", 0, Version};
+    }
     return std::nullopt;
   }
+  std::string versionOf(const std::string &Name) const {
+    const auto Found = Versions.find(Name);
+    return Found == Versions.end() ? "" : Found->second;
+  }
   void onSent(const call &, std::string_view, time_ms) override {
     ++SentAttempts;
   }
@@ -57,6 +66,7 @@
   }
 
   std::vector<std::string> Endpoints = {"e1", "e2", "e3"};
+  std::map<std::string, std::string> Versions; // By endpoint.
   int RetriesLeft = 100;
   int SentAttempts = 0;
   std::vector<attempt_outcome> Outcomes;
@@ -240,6 +250,36 @@
   CHECK(Fixture.Budget.Billed == 100 + 2 * 5);
 }
 
+// Guards against responses that are joined from two versions.
+TEST_CASE("a stream goes on at an endpoint of the version that began it",
+          "[relay]") {
+  exchange_fixture Fixture(callOf(call_kind::ResumableStream));
+  Fixture.Placement.Versions = {{"e1", "v1"}, {"e2", "v2"}, {"e3", "v1"}};
+  SECTION("after its first event") {
+    Fixture.Exchange.start(Start);
+    Fixture.Exchange.onHead(headOf(200), Start + 10);
+    Fixture.Exchange.onBody("id: 1\ndata: a\n\n", Start + 11);
+    Fixture.Exchange.onBroken(Start + 20);
+    CHECK(Fixture.Host.AttemptedEndpoints ==
+          std::vector<std::string>{"e1", "e3"});
+  }
+  SECTION("it breaks before its first event") {
+    Fixture.Exchange.start(Start);
+    Fixture.Exchange.onHead(headOf(200), Start + 10);
+    Fixture.Exchange.onBroken(Start + 20);
+    CHECK(Fixture.Host.AttemptedEndpoints ==
+          std::vector<std::string>{"e1", "e2"});
+  }
+  SECTION("no endpoint of the version is left") {
+    Fixture.Placement.Endpoints = {"e1", "e2"};
+    Fixture.Exchange.start(Start);
+    Fixture.Exchange.onHead(headOf(200), Start + 10);
+    Fixture.Exchange.onBody("id: 1\ndata: a\n\n", Start + 11);
+    Fixture.Exchange.onBroken(Start + 20);
+    CHECK(Fixture.Host.AbortedResponses == 1);
+  }
+}
+
 TEST_CASE("events that don't continue the response are never forwarded",
           "[relay]") {
   exchange_fixture Fixture(callOf(call_kind::ResumableStream));
@@ -460,6 +500,7 @@
   bool Responding = false;    // The current attempt has sent its head.
   int Event = 0;              // Id of the last complete event that was sent.
   bool SentHalfEvent = false; // The first half of the next event was sent.
+  std::set<std::string> EventVersions; // Of endpoints that sent events.
 };
 
 void apply(exchange_fixture &Fixture, endpoint_model &Model, step Step,
@@ -503,6 +544,8 @@
   case step::Event:
     if (InFlight && Responding) {
       ++Model.Event;
+      Model.EventVersions.insert(
+          Fixture.Placement.versionOf(Fixture.Host.AttemptedEndpoints.back()));
       Exchange.onBody(Model.SentHalfEvent
                           ? "ta: x\n\n"
                           : "id: " + std::to_string(Model.Event) +
@@ -558,6 +601,7 @@
     const int MaxAttempts = *rc::gen::inRange(1, 4);
     exchange_fixture Fixture(callOf(Kind, MaxAttempts));
     Fixture.Placement.RetriesLeft = *rc::gen::inRange(0, 4);
+    Fixture.Placement.Versions = {{"e1", "v1"}, {"e2", "v2"}, {"e3", "v1"}};
     if (*rc::gen::inRange(0, 4) == 0)
       Fixture.Budget.Result = reserve_result::Pending;
     const std::vector<int> Schedule =
@@ -598,6 +642,7 @@
     RC_ASSERT(Fixture.Budget.Billed <= 150);
     RC_ASSERT(Fixture.Placement.Outcomes.size() ==
               static_cast<std::size_t>(Fixture.Placement.SentAttempts));
+    RC_ASSERT(!isStream(Kind) || Model.EventVersions.size() <= 1);
     // The caller has complete events only, each once, in order.
     if (isStream(Kind) && Fixture.Host.ResponsesBegun > 0) {
       event_stream_parser Parser;
