Let a caller take a stream up only at the version that began it

Any instance sent a Last-Event-Id to any endpoint, and none could have known better.

Cause, as a class: work that belongs together was continued where its state doesn't fit, since the state that binds it was kept nowhere.

Not found, two versions under one name, or the store away: 503 stream_unknown at once, not run. That one version serves proves nothing and is not asked. The writer of reports moves to packages/follow, with its topic as a parameter.

--- a/bench/engine.cpp
+++ b/bench/engine.cpp
@@ -105,6 +105,7 @@
 void serveStream(benchmark::State &State) {
   load_balancer_fixture Fixture(9);
   unlimited_token_budget TokenBudget;
+  relay::no_stream_origins Origins;
   std::vector<std::string> Events;
   for (int Id = 1; Id <= 60; ++Id)
     Events.push_back("id: " + std::to_string(Id) +
@@ -117,7 +118,7 @@
     relay::numbered_event_reader Reader;
     relay::response_memory Memory(MaxKeptBytes);
     relay::exchange Exchange(makeCall(++Number), Fixture.LoadBalancer,
-                             TokenBudget, Reader, Host, Memory);
+                             TokenBudget, Origins, Reader, Host, Memory);
     Exchange.start(0);
     relay::response_head Head;
     Head.Status = 200;
--- a/packages/calls/include/tamarack/calls.hpp
+++ b/packages/calls/include/tamarack/calls.hpp
@@ -49,6 +49,8 @@
   PromptQuarantined,
   RequestQuarantined,
   NoEndpoint,
+  StreamUnknown,
+  StreamVersionGone,
   NotReady,
   EndpointFailed,
   AnswerIncomplete,
--- a/packages/calls/src/errors.cpp
+++ b/packages/calls/src/errors.cpp
@@ -58,6 +58,12 @@
      "The same request has crashed endpoints; it is not sent to any for now."},
     {NoEndpoint, "no_endpoint", 503, ran_at_endpoint::No, Later, 2'000,
      "No endpoint of the pool takes requests now."},
+    {StreamUnknown, "stream_unknown", 503, ran_at_endpoint::No, Later, 300,
+     "It is not known which version of the endpoints began the stream."},
+    {StreamVersionGone, "stream_version_gone", 503, ran_at_endpoint::No, Never,
+     0,
+     "No endpoint of the version that began the stream takes requests; begin "
+     "it anew."},
     {NotReady, "not_ready", 503, ran_at_endpoint::No, Later, 1'000,
      "The instance is starting, leaving or out of date."},
     {EndpointFailed, "endpoint_failed", 502, ran_at_endpoint::Unknown, SameKey,
--- a/packages/daemon/src/crash_report_exchange.cpp
+++ b/packages/daemon/src/crash_report_exchange.cpp
@@ -15,7 +15,7 @@
     quarantine::crash_quarantine &Quarantine)
     : Quarantine(Quarantine),
       Key(std::string(ReportKeyPrefix).append(Instance)),
-      Writer(Store, std::string(Instance) + ".crash") {}
+      Writer(Store, store_topic::Grants, std::string(Instance) + ".crash") {}
 
 bool crash_report_exchange::isReport(const keyed_record &Record) {
   return Record.Key.starts_with(ReportKeyPrefix);
--- a/packages/daemon/src/crash_report_exchange.hpp
+++ b/packages/daemon/src/crash_report_exchange.hpp
@@ -1,7 +1,7 @@
 // Exchange of crash reports between the instances, through the store.
 #pragma once
 
-#include "report_writer.hpp"
+#include "tamarack/follow.hpp"
 #include "tamarack/quarantine.hpp"
 
 #include <string>
@@ -19,7 +19,7 @@
   // Returns false if the report is unreadable.
   // IsSnapshot: the record may be old.
   bool onRecord(const keyed_record &Record, bool IsSnapshot, time_ms Now);
-  // See report_writer::allowWrites.
+  // See follow::report_writer::allowWrites.
   void allowWrites(std::uint64_t Epoch) { Writer.allowWrites(Epoch); }
   // The store may lack the report.
   void repeat() { LastReportAt -= quarantine::ReportRepeatMs; }
@@ -30,7 +30,7 @@
 private:
   quarantine::crash_quarantine &Quarantine;
   std::string Key; // Of the own report.
-  report_writer Writer;
+  follow::report_writer Writer;
   std::string LastReport; // Encoded, as written last; empty if there is none.
   time_ms LastReportAt = 0;
   time_ms PreviousReportAt = -1; // When the report of the previous incarnation
--- a/packages/daemon/src/exchange_driver.cpp
+++ b/packages/daemon/src/exchange_driver.cpp
@@ -54,7 +54,8 @@
                                  resuming_response_reader &Reader)
     : Context(Context), Request(std::move(Request)), Execution(Execution),
       Admission(Admission), Reader(Reader), ResponseMemory(MaxResponseBytes),
-      Exchange(makeCall(), *this, *this, Reader, *this, ResponseMemory),
+      Exchange(makeCall(), *this, *this, Origins, Reader, *this,
+               ResponseMemory),
       ReadBuffer(ReadBufferBytes) {}
 
 exchange_driver::~exchange_driver() { releaseAcquiredEndpoint(); }
--- a/packages/daemon/src/exchange_driver.hpp
+++ b/packages/daemon/src/exchange_driver.hpp
@@ -100,6 +100,7 @@
   single_execution &Execution;
   prepaid_admission &Admission;
   resuming_response_reader &Reader;
+  relay::no_stream_origins Origins;      // Callers get the rest of no stream.
   relay::response_memory ResponseMemory; // Of this call alone.
   relay::exchange Exchange;
 
--- a/packages/daemon/src/limit_report_exchange.cpp
+++ b/packages/daemon/src/limit_report_exchange.cpp
@@ -14,7 +14,7 @@
                                              keyed_store &Store,
                                              limits::endpoint_limiter &Limiter)
     : Limiter(Limiter), Key(std::string(ReportKeyPrefix).append(Instance)),
-      Writer(Store, std::string(Instance) + ".limit") {}
+      Writer(Store, store_topic::Grants, std::string(Instance) + ".limit") {}
 
 bool limit_report_exchange::isReport(const keyed_record &Record) {
   return Record.Key.starts_with(ReportKeyPrefix);
--- a/packages/daemon/src/limit_report_exchange.hpp
+++ b/packages/daemon/src/limit_report_exchange.hpp
@@ -1,7 +1,7 @@
 // Exchange of the reports on limits between the instances, through the store.
 #pragma once
 
-#include "report_writer.hpp"
+#include "tamarack/follow.hpp"
 #include "tamarack/limits.hpp"
 
 #include <string>
@@ -18,7 +18,7 @@
   static bool isReport(const keyed_record &Record);
   // IsSnapshot: the record may be old. Returns false if it is unreadable.
   bool onRecord(const keyed_record &Record, bool IsSnapshot, time_ms Now);
-  // See report_writer::allowWrites.
+  // See follow::report_writer::allowWrites.
   void allowWrites(std::uint64_t Epoch) { Writer.allowWrites(Epoch); }
   // Writes the report if it is due. Called at least every 100 ms.
   void tick(time_ms Now);
@@ -26,7 +26,7 @@
 private:
   limits::endpoint_limiter &Limiter;
   std::string Key; // Of the own report.
-  report_writer Writer;
+  follow::report_writer Writer;
 };
 
 } // namespace tamarack::daemon
--- a/packages/daemon/src/router.cpp
+++ b/packages/daemon/src/router.cpp
@@ -192,7 +192,8 @@
       ShutdownGate(CrashGuard), Codec(LoadBalancer, Limiter, Random, *this),
       Grants(Settings.Instance, Random.next() | 1, Settings.PeerAddress,
              adapters::readBootId(), {}, Clock),
-      LostRecords(Store, Settings.Instance + ".lost"),
+      LostRecords(Store, store_topic::Grants, Settings.Instance + ".lost"),
+      StreamOrigins(Settings.Instance, Store, Clock, *this, {}),
       ConfigurationListener(std::make_unique<configuration_listener>(*this)),
       EndpointListener(std::make_unique<endpoint_listener>(*this)),
       GrantListener(std::make_unique<grant_listener>(*this)),
@@ -203,7 +204,7 @@
       GrantFollower(store_topic::Grants, Store, Clock, *GrantListener,
                     GrantReads),
       ConnectionPool(Context, Clock, {}),
-      Frontend(Context, Clock, Codec, ShutdownGate, *this, *this,
+      Frontend(Context, Clock, Codec, ShutdownGate, *this, StreamOrigins, *this,
                ConnectionPool, {}),
       ReadinessServer(Context,
                       [this](const edge::request_message &,
@@ -257,6 +258,7 @@
   CrashReports.tick(Now);
   LimitReports.tick(Now);
   writeLostRecords(Now);
+  StreamOrigins.tick(Now);
   QuarantineLog.recordQuarantine(Quarantine, Now);
   ConnectionPool.closeExpired();
   if (IsStopping)
--- a/packages/daemon/src/router.hpp
+++ b/packages/daemon/src/router.hpp
@@ -17,6 +17,7 @@
 #include "tamarack/peers.hpp"
 #include "tamarack/platform.hpp"
 #include "tamarack/report.hpp"
+#include "tamarack/streams.hpp"
 
 #include <memory>
 
@@ -28,7 +29,8 @@
                      private peers::peer_service_listener,
                      private platform::store_call_listener,
                      private platform::configuration_freshness,
-                     private store_era_listener {
+                     private store_era_listener,
+                     private streams::origin_listener {
 public:
   explicit router(const router_settings &Settings);
   ~router() override;
@@ -77,7 +79,12 @@
   void onFormerEra(std::uint64_t Stated, std::uint64_t Era) override;
   void onEraMissing(std::string_view Text) override;
 
+  // streams::origin_listener
+  void onOriginsRead() override;
+  void onUnreadableRecord(std::string_view Key) override;
+
   void logBudgetRefusal(const relay::call &Call);
+  void logTakeUp(const relay::call &Call, const relay::exchange_report &Report);
   // Instances that announced themselves and those that the settings name,
   // without this one.
   std::vector<std::string> peerAddresses() const;
@@ -148,7 +155,8 @@
   dispatch::shutdown_gate ShutdownGate;
   platform::platform_codec Codec;
   grants::grant_holder Grants;
-  report_writer LostRecords; // See grants::lostRecordKey.
+  follow::report_writer LostRecords; // See grants::lostRecordKey.
+  streams::origin_exchange StreamOrigins;
   follow::endpoint_directory Directory;
   std::unique_ptr<configuration_listener> ConfigurationListener;
   std::unique_ptr<endpoint_listener> EndpointListener;
--- a/packages/daemon/src/router_grants.cpp
+++ b/packages/daemon/src/router_grants.cpp
@@ -98,6 +98,7 @@
         CrashReports.allowWrites(WatermarkWriter.Epoch);
         LimitReports.allowWrites(WatermarkWriter.Epoch);
         LostRecords.allowWrites(WatermarkWriter.Epoch);
+        StreamOrigins.allowWrites(WatermarkWriter.Epoch);
         IsPreviousWatermarkKnown = true;
         Log.write("previous_watermark",
                   {{"found", std::int64_t(Previous.has_value())},
--- a/packages/daemon/src/router_reports.cpp
+++ b/packages/daemon/src/router_reports.cpp
@@ -23,6 +23,8 @@
     return "grants";
   case store_topic::Watermarks:
     return "watermarks";
+  case store_topic::Streams:
+    return "streams";
   }
   return "";
 }
@@ -77,6 +79,7 @@
     return;
   Directory.onEraChanged(Clock.monotonic());
   CrashReports.repeat();
+  StreamOrigins.repeat();
   Metrics.counterOf("tamarack_store_era_changes_total").add();
   Log.write("store_era", {{"before", static_cast<std::int64_t>(Before)},
                           {"era", static_cast<std::int64_t>(Era)},
@@ -163,6 +166,33 @@
                                {"known_ms_ago", ageOf(GrantFollower)}});
 }
 
+void router::onOriginsRead() { Frontend.onOriginsRead(); }
+
+void router::onUnreadableRecord(std::string_view Key) {
+  Metrics.counterOf("tamarack_unreadable_records_total").add();
+  Log.write("stream_record_unreadable", {{"key", Key}});
+}
+
+void router::logTakeUp(const relay::call &Call,
+                       const relay::exchange_report &Report) {
+  const std::string_view Origin = relay::toString(*Report.Origin);
+  Metrics
+      .counterOf("tamarack_streams_taken_up_total{origin=\"" +
+                 std::string(Origin) + "\"}")
+      .add();
+  Log.write("stream_taken_up",
+            {{"id", std::string_view(Call.Id)},
+             {"resumed_id", std::string_view(Call.ResumedId)},
+             {"resume_after", std::string_view(Call.ResumeAfter)},
+             {"origin", Origin},
+             {"version", std::string_view(Call.RequiredVersion)},
+             {"looked_up_ms", Report.OriginFoundAt > 0
+                                  ? Report.OriginFoundAt - Call.ArrivedAt
+                                  : std::int64_t(-1)},
+             {"endpoint", std::string_view(Report.LastEndpoint)},
+             {"endpoint_version", std::string_view(Report.LastVersion)}});
+}
+
 void router::onCallDone(const relay::call &Call,
                         const relay::exchange_report &Report, time_ms Now) {
   const std::string_view Error = Report.Error
@@ -180,6 +210,8 @@
   if (Report.Error == relay::error_kind::BudgetExhausted ||
       Report.Error == relay::error_kind::BudgetUnavailable)
     logBudgetRefusal(Call);
+  if (Report.Origin)
+    logTakeUp(Call, Report);
   if (Report.FirstByteAt > 0)
     Metrics.histogramOf("tamarack_first_byte_ms")
         .observe(static_cast<double>(Report.FirstByteAt - Call.ArrivedAt));
@@ -195,8 +227,6 @@
                      {"unreached", std::int64_t(Report.UnreachedEndpoints)},
                      {"endpoint", std::string_view(Report.LastEndpoint)},
                      {"last_end", relay::toString(Report.LastOutcome)},
-                     {"resumed_id", std::string_view(Call.ResumedId)},
-                     {"resume_after", std::string_view(Call.ResumeAfter)},
                      {"first_version", std::string_view(Report.FirstVersion)},
                      {"last_version", std::string_view(Report.LastVersion)},
                      {"caller_gone", std::int64_t(Report.CallerDisconnected)},
@@ -244,6 +274,9 @@
   setTopicAge("configuration", ConfigurationFollower);
   setTopicAge("endpoints", EndpointFollower);
   setTopicAge("grants", GrantFollower);
+  Metrics.gaugeOf("tamarack_streams_kept").set(StreamOrigins.streamCount());
+  Metrics.counterOf("tamarack_stream_lookups_total")
+      .set(StreamOrigins.readCount());
   Metrics.counterOf("tamarack_store_calls_total")
       .set(DirectStore.callCount() + PeerCallStore.callCount());
   Metrics.counterOf("tamarack_store_calls_through_peers_total")
--- a/packages/dispatch/include/tamarack/dispatch.hpp
+++ b/packages/dispatch/include/tamarack/dispatch.hpp
@@ -210,6 +210,8 @@
   static bool isAvoided(const endpoint_state &State, time_ms Now);
   static bool isUnreachable(const endpoint_state &State, time_ms Now);
   bool acceptsCall(const endpoint_state &State, const relay::call &Call) const;
+  // True if no endpoint of the version that the call needs takes new work.
+  bool isVersionGone(const relay::call &Call) const;
   endpoint_state *findEndpoint(std::string_view Endpoint);
   bool isEngine(std::string_view Service) const;
 
--- a/packages/dispatch/src/load_balancer.cpp
+++ b/packages/dispatch/src/load_balancer.cpp
@@ -316,7 +316,21 @@
                                                      Now);
 }
 
+bool load_balancer::isVersionGone(const relay::call &Call) const {
+  if (Call.RequiredVersion.empty())
+    return false;
+  return std::none_of(Endpoints.begin(), Endpoints.end(),
+                      [&Call](const auto &Item) {
+                        const endpoint_state &State = Item.second;
+                        return State.IsListed && !State.Entry.Leaving &&
+                               State.Entry.Service == Call.Service &&
+                               State.Entry.Version == Call.RequiredVersion;
+                      });
+}
+
 relay::placement_refusal load_balancer::refusal(const relay::call &Call) const {
+  if (isVersionGone(Call))
+    return {relay::error_kind::StreamVersionGone, 0};
   return {relay::error_kind::NoEndpoint,
           isEngine(Call.Service) ? EngineRetryAfterMs : ServiceRetryAfterMs};
 }
--- a/packages/edge/include/tamarack/edge.hpp
+++ b/packages/edge/include/tamarack/edge.hpp
@@ -192,7 +192,8 @@
 public:
   frontend_server(net::io_context &Context, const clock &Clock,
                   exchange_codec &Codec, relay::placement &Placement,
-                  relay::token_budget &Allowance, frontend_observer &Observer,
+                  relay::token_budget &Allowance,
+                  relay::stream_origins &Origins, frontend_observer &Observer,
                   connection_pool &Pool, frontend_settings Settings);
   ~frontend_server();
 
@@ -209,6 +210,8 @@
   void giveUpCalls();
   // Calls that wait for tokens try to reserve them again.
   void onGrantsChanged();
+  // Calls that wait for the origin of a stream look again.
+  void onOriginsRead();
 
   std::size_t sessionCount() const { return Sessions.size(); }
   bool isDraining() const { return IsDraining; }
@@ -226,6 +229,7 @@
   exchange_codec &Codec;
   relay::placement &Placement;
   relay::token_budget &Allowance;
+  relay::stream_origins &Origins;
   frontend_observer &Observer;
   connection_pool &Pool;
   frontend_settings Settings;
--- a/packages/edge/src/frontend_server.cpp
+++ b/packages/edge/src/frontend_server.cpp
@@ -9,17 +9,15 @@
 
 } // namespace
 
-frontend_server::frontend_server(net::io_context &Context, const clock &Clock,
-                                 exchange_codec &Codec,
-                                 relay::placement &Placement,
-                                 relay::token_budget &Allowance,
-                                 frontend_observer &Observer,
-                                 connection_pool &Pool,
-                                 frontend_settings Settings)
+frontend_server::frontend_server(
+    net::io_context &Context, const clock &Clock, exchange_codec &Codec,
+    relay::placement &Placement, relay::token_budget &Allowance,
+    relay::stream_origins &Origins, frontend_observer &Observer,
+    connection_pool &Pool, frontend_settings Settings)
     : Context(Context), Clock(Clock), Codec(Codec), Placement(Placement),
-      Allowance(Allowance), Observer(Observer), Pool(Pool), Settings(Settings),
-      KeptResponses(Settings.MaxKeptResponseBytes), Acceptor(Context),
-      AcceptRetryTimer(Context) {}
+      Allowance(Allowance), Origins(Origins), Observer(Observer), Pool(Pool),
+      Settings(Settings), KeptResponses(Settings.MaxKeptResponseBytes),
+      Acceptor(Context), AcceptRetryTimer(Context) {}
 
 frontend_server::~frontend_server() = default;
 
@@ -94,6 +92,12 @@
     Session->onGrantsChanged();
 }
 
+void frontend_server::onOriginsRead() {
+  const std::set<std::shared_ptr<frontend_session>> SessionsCopy = Sessions;
+  for (const std::shared_ptr<frontend_session> &Session : SessionsCopy)
+    Session->onOriginsRead();
+}
+
 std::size_t frontend_server::busySessionCount() const {
   std::size_t Count = 0;
   for (const std::shared_ptr<frontend_session> &Session : Sessions)
--- a/packages/edge/src/frontend_session.cpp
+++ b/packages/edge/src/frontend_session.cpp
@@ -197,8 +197,8 @@
   Server.Observer.onCallAccepted(*Decoded.Call);
   Reader = {};
   Exchange = std::make_unique<relay::exchange>(
-      std::move(*Decoded.Call), Server.Placement, Server.Allowance, Reader,
-      *this, Server.KeptResponses);
+      std::move(*Decoded.Call), Server.Placement, Server.Allowance,
+      Server.Origins, Reader, *this, Server.KeptResponses);
   Exchange->start(now());
   afterExchangeEvent();
 }
@@ -503,6 +503,13 @@
   afterExchangeEvent();
 }
 
+void frontend_session::onOriginsRead() {
+  if (!Exchange)
+    return;
+  Exchange->onOriginsRead(now());
+  afterExchangeEvent();
+}
+
 // True until a new connection had time to send its first request.
 bool frontend_session::isNew() const {
   return RequestCount == 0 &&
--- a/packages/edge/src/frontend_session.hpp
+++ b/packages/edge/src/frontend_session.hpp
@@ -15,6 +15,7 @@
 
   void start();
   void onGrantsChanged();
+  void onOriginsRead();
   // A new connection is left to its idle timeout.
   void closeIfIdle();
   // Ends the call in progress. Without one, closes the connection unless a
--- a/packages/daemon/src/report_writer.cpp
+++ b/packages/follow/src/report_writer.cpp
@@ -1,21 +1,21 @@
-// Writes reports of this instance to the topic of grants.
-#include "report_writer.hpp"
+// Writes reports of this instance to a topic.
+#include "tamarack/follow.hpp"
 
 #include <utility>
 
-namespace tamarack::daemon {
+namespace tamarack::follow {
 
 namespace {
 
-// Between two writes: the appends of a topic wait for each other, and grants
-// share this one.
+// Between two writes: the appends of a topic wait for each other.
 constexpr int WriteIntervalMs = 300;
 constexpr int RetryIntervalMs = 1'000; // After a failure.
 
 } // namespace
 
-report_writer::report_writer(keyed_store &Store, std::string WriterName)
-    : Store(Store) {
+report_writer::report_writer(keyed_store &Store, store_topic Topic,
+                             std::string WriterName)
+    : Store(Store), Topic(Topic) {
   Writer.Name = std::move(WriterName);
 }
 
@@ -30,8 +30,7 @@
   IsWriting = true;
   HasWritten = true;
   BeingWritten = Unwritten.extract(Unwritten.begin());
-  Store.appendAs(store_topic::Grants, Writer, BeingWritten.key(),
-                 BeingWritten.mapped(),
+  Store.appendAs(Topic, Writer, BeingWritten.key(), BeingWritten.mapped(),
                  [this, Now](store_status Status) { onWritten(Status, Now); });
 }
 
@@ -53,4 +52,4 @@
   Unwritten.insert(std::move(BeingWritten)); // Unless a newer value waits.
 }
 
-} // namespace tamarack::daemon
+} // namespace tamarack::follow
--- a/packages/peers/src/messages.cpp
+++ b/packages/peers/src/messages.cpp
@@ -9,7 +9,7 @@
 constexpr int FormatVersion = 4;
 // Highest values that may be decoded.
 constexpr int LastCall = static_cast<int>(store_call::Fence);
-constexpr int LastTopic = static_cast<int>(store_topic::Watermarks);
+constexpr int LastTopic = static_cast<int>(store_topic::Streams);
 constexpr int LastStatus = static_cast<int>(store_status::Unavailable);
 
 // Wire formats. The first element is FormatVersion in both messages.
--- a/packages/ports/include/tamarack/ports.hpp
+++ b/packages/ports/include/tamarack/ports.hpp
@@ -102,6 +102,7 @@
   Endpoints,     // Written by the endpoints.
   Grants,        // Written by the instances of this system.
   Watermarks,    // Written by the instances: how far their spending may come.
+  Streams,       // Written by the instances: which version began a stream.
 };
 
 // Identity of one writer of a topic. The store rejects every record whose epoch
--- a/packages/relay/include/tamarack/relay.hpp
+++ b/packages/relay/include/tamarack/relay.hpp
@@ -4,7 +4,8 @@
 //   configuration        call_kind, route, service, account, caller_limits,
 //                        route_table
 //   one request          prompt_part, call
-//   dependencies         placement, token_budget, exchange_host
+//   dependencies         placement, token_budget, stream_origins,
+//                        exchange_host
 //   event streams        stream_event, event_stream_parser
 //   reading responses    response_reader, numbered_event_reader
 //   the state machine    exchange_report, exchange
@@ -165,6 +166,9 @@
   std::string ResumedId; // Request id of the attempt that brought the first
                          // event.
   std::string ResumeAfter;
+  // Names a resumable stream over all attempts of its caller: digest of the
+  // account and of the request id of the attempt that began it.
+  std::uint64_t StreamKey = 0;
   // Software that the endpoint must have, because it has sent a part of the
   // stream already. Empty: any.
   std::string RequiredVersion;
@@ -281,6 +285,38 @@
                       std::int64_t Used) = 0;
 };
 
+enum class origin_state {
+  Known,
+  Pending,   // It is being looked up.
+  Unknown,   // No instance has recorded the stream, or none can be asked.
+  Ambiguous, // Two streams of that name began at different versions.
+};
+
+std::string_view toString(origin_state State);
+
+struct stream_origin {
+  origin_state State = origin_state::Unknown;
+  std::string Version; // Software of the endpoint, if Known.
+};
+
+// Knows which version began a stream that a caller takes up.
+class stream_origins {
+public:
+  virtual ~stream_origins() = default;
+  virtual stream_origin find(const call &Call) = 0;
+  // The caller is sent the first event, from an endpoint of Version.
+  virtual void onBegun(const call &Call, std::string_view Version) = 0;
+  virtual void onDelivered(const call &Call) = 0; // Sent to its end.
+};
+
+// For calls that callers can't take up.
+class no_stream_origins final : public stream_origins {
+public:
+  stream_origin find(const call &) override { return {}; }
+  void onBegun(const call &, std::string_view) override {}
+  void onDelivered(const call &) override {}
+};
+
 struct send_options {
   // Never an idle connection, which the endpoint may have closed unnoticed.
   bool FreshConnection = false;
@@ -454,6 +490,9 @@
   std::string FirstVersion; // Of the endpoint that sent the first event, empty
                             // if none was forwarded.
   std::string LastVersion;  // Of the endpoint of the last attempt.
+  // Of a stream that the caller takes up.
+  std::optional<origin_state> Origin;
+  time_ms OriginFoundAt = 0; // When the look-up ended, 0 if there was none.
   attempt_outcome LastOutcome = attempt_outcome::Good;
 };
 
@@ -462,8 +501,8 @@
 class exchange {
 public:
   exchange(call Call, placement &Placement, token_budget &Budget,
-           response_reader &Reader, exchange_host &Host,
-           response_memory &Memory);
+           stream_origins &Origins, response_reader &Reader,
+           exchange_host &Host, response_memory &Memory);
   ~exchange();
   exchange(const exchange &) = delete;
   exchange &operator=(const exchange &) = delete;
@@ -471,6 +510,9 @@
   void start(time_ms Now);
   // Grants have changed. Has an effect only while the call waits for tokens.
   void onBudgetChanged(time_ms Now);
+  // Origins of streams have been read. Has an effect only while the call waits
+  // for one.
+  void onOriginsRead(time_ms Now);
   // The current attempt could not connect; nothing was sent.
   void onUnreached(time_ms Now);
   void onHead(response_head Head, time_ms Now);
@@ -490,8 +532,17 @@
   const exchange_report &report() const { return Report; }
 
 private:
-  enum class state { New, WaitingForTokens, AwaitingHead, Receiving, Done };
-
+  enum class state {
+    New,
+    WaitingForOrigin,
+    WaitingForTokens,
+    AwaitingHead,
+    Receiving,
+    Done
+  };
+
+  void findOrigin(time_ms Now);
+  void awaitTokens(time_ms Now);
   void reserveTokens(time_ms Now);
   void startNextAttempt(time_ms Now);
   bool tryRetry(time_ms Now);
@@ -518,6 +569,7 @@
   call Call;
   placement &Placement;
   token_budget &Budget;
+  stream_origins &Origins;
   response_reader &Reader;
   exchange_host &Host;
   response_memory &Memory;
@@ -535,7 +587,7 @@
   bool MayHaveRun = false;   // At least one attempt may have run the call.
   bool StreamBegun = false;  // The caller has the head of a stream.
   bool SawFirstByte = false; // Of the current attempt.
-  time_ms ReservationDeadline = 0; // Of the wait for tokens.
+  time_ms WaitDeadline = 0;  // Of the wait for an origin or for tokens.
 };
 
 } // namespace tamarack::relay
--- a/packages/relay/src/exchange.cpp
+++ b/packages/relay/src/exchange.cpp
@@ -10,6 +10,7 @@
 namespace {
 
 constexpr int MaxReservationWaitMs = 250;      // For a grant of tokens.
+constexpr int MaxOriginWaitMs = 500;           // For a look-up in the store.
 constexpr int StoreOutageRetryAfterMs = 6'000; // Store outages last seconds.
 constexpr int MaxUnreachedEndpoints = 3; // Each is replaced by another one.
 constexpr int MinAttemptMs = 20;         // A shorter attempt is not worthwhile.
@@ -30,10 +31,10 @@
 }
 
 exchange::exchange(call Call, placement &Placement, token_budget &Budget,
-                   response_reader &Reader, exchange_host &Host,
-                   response_memory &Memory)
+                   stream_origins &Origins, response_reader &Reader,
+                   exchange_host &Host, response_memory &Memory)
     : Call(std::move(Call)), Placement(Placement), Budget(Budget),
-      Reader(Reader), Host(Host), Memory(Memory) {}
+      Origins(Origins), Reader(Reader), Host(Host), Memory(Memory) {}
 
 exchange::~exchange() { releaseBytes(); }
 
@@ -51,7 +52,34 @@
   if (const std::optional<placement_refusal> Refusal =
           Placement.admit(Call, Now))
     return refuseNotRun(Refusal->Kind, Refusal->RetryAfterMs);
-  ReservationDeadline = std::min(Now + MaxReservationWaitMs, Call.Deadline);
+  if (Call.ResumeAfter.empty())
+    return awaitTokens(Now);
+  WaitDeadline = std::min(Now + MaxOriginWaitMs, Call.Deadline);
+  findOrigin(Now);
+}
+
+// A caller takes a stream up: it may go on only at the version that began it.
+void exchange::findOrigin(time_ms Now) {
+  const stream_origin Origin = Origins.find(Call);
+  Report.Origin = Origin.State;
+  if (Origin.State == origin_state::Pending) {
+    State = state::WaitingForOrigin;
+    return;
+  }
+  Report.OriginFoundAt = Now;
+  if (Origin.State != origin_state::Known)
+    return refuseNotRun(error_kind::StreamUnknown, 0);
+  Call.RequiredVersion = Origin.Version;
+  awaitTokens(Now);
+}
+
+void exchange::onOriginsRead(time_ms Now) {
+  if (State == state::WaitingForOrigin)
+    findOrigin(Now);
+}
+
+void exchange::awaitTokens(time_ms Now) {
+  WaitDeadline = std::min(Now + MaxReservationWaitMs, Call.Deadline);
   reserveTokens(Now);
 }
 
@@ -244,6 +272,8 @@
     Report.FirstVersion = Report.LastVersion;
     // What two versions write does not fit together.
     Call.RequiredVersion = Report.FirstVersion;
+    if (Call.StreamKey != 0)
+      Origins.onBegun(Call, Report.FirstVersion);
     Host.beginResponse(Head);
   }
   Host.forwardEvents(Events);
@@ -291,6 +321,8 @@
   if (!FinalEvent.empty())
     Host.forwardEvents(FinalEvent);
   Host.endResponse();
+  if (Call.StreamKey != 0)
+    Origins.onDelivered(Call);
   finish(delivery::Complete);
 }
 
@@ -316,12 +348,16 @@
 }
 
 time_ms exchange::nextTimer() const {
-  return State == state::WaitingForTokens ? ReservationDeadline : Call.Deadline;
+  const bool IsWaiting =
+      State == state::WaitingForOrigin || State == state::WaitingForTokens;
+  return IsWaiting ? WaitDeadline : Call.Deadline;
 }
 
 void exchange::onTimer(time_ms Now) {
   if (State == state::Done || Now < nextTimer())
     return;
+  if (State == state::WaitingForOrigin)
+    return refuseNotRun(error_kind::StreamUnknown, 0);
   if (State == state::WaitingForTokens)
     return refuseNotRun(error_kind::BudgetUnavailable, 0);
   cancelAttempt(Now);
--- a/packages/relay/src/route_table.cpp
+++ b/packages/relay/src/route_table.cpp
@@ -25,6 +25,20 @@
   return Kind == call_kind::Idempotent || Kind == call_kind::ResumableStream;
 }
 
+std::string_view toString(origin_state State) {
+  switch (State) {
+  case origin_state::Known:
+    return "known";
+  case origin_state::Pending:
+    return "pending";
+  case origin_state::Unknown:
+    return "unknown";
+  case origin_state::Ambiguous:
+    return "ambiguous";
+  }
+  return "";
+}
+
 std::string_view toString(attempt_outcome Outcome) {
   switch (Outcome) {
   case attempt_outcome::Good:
--- a/tests/process/version_scenarios.py
+++ b/tests/process/version_scenarios.py
@@ -194,8 +194,42 @@
         assert fresh.status == 200 and versions_of(fresh.body) == {"v2"}
 
 
+def a_stream_that_nobody_knows_is_refused_at_once():
+    """What can't be continued safely is refused as not run, and logged.
+
+    Guards against a stream whose rest is sent although it is not known which
+    version began it, and against callers that wait for that refusal.
+    """
+    with PlatformFleet(routers=2, engines=2, desks=1) as fleet:
+        def rest(number, path="/stream/x", **fields):
+            started = time.monotonic()
+            answer = fleet.call("router-0", path, f"r{number}",
+                                host=STREAM_HOST, Token_Count="100,10",
+                                **fields)
+            assert time.monotonic() - started < AT_ONCE_S
+            kind = "" if answer.status == 200 else answer.error()["kind"]
+            return answer.status, kind
+        unknown = rest(1, Resumes="nobody", Last_Event_Id="3")
+        assert unknown == (503, "stream_unknown"), unknown
+        unnamed = rest(2, Last_Event_Id="3")
+        assert unnamed == (503, "stream_unknown"), unnamed
+        # Without an event that the caller has, there is nothing to continue.
+        assert rest(3, Resumes="nobody") == (200, "")
+        once = rest(4, "/stream/once/x", Resumes="nobody", Last_Event_Id="3")
+        assert once == (400, "invalid_request"), once
+        fleet.control(fleet.store, mode="down")
+        away = rest(5, Resumes="nobody", Last_Event_Id="3")
+        assert away == (503, "stream_unknown"), away
+        origins = [line["origin"] for line in fleet.log_lines("router-0")
+                   if line["event"] == "stream_taken_up"]
+        assert origins == ["unknown", "unknown"], origins
+        executions = fleet.executions_by_request()
+        assert set(executions) == {"r3"}, executions
+
+
 SCENARIOS = [
     a_response_holds_events_of_one_version,
     streams_are_taken_up_at_their_version_after_all_routers_were_killed,
     a_stream_whose_version_has_left_is_refused,
+    a_stream_that_nobody_knows_is_refused_at_once,
 ]
--- a/tests/unit/frontend_test.cpp
+++ b/tests/unit/frontend_test.cpp
@@ -93,8 +93,8 @@
 
 struct frontend_fixture {
   explicit frontend_fixture(std::size_t MaxSessions = 100)
-      : Server(Context, Clock, Codec, Placement, Budget, Observer, Pool,
-               makeSettings(MaxSessions)) {
+      : Server(Context, Clock, Codec, Placement, Budget, Origins, Observer,
+               Pool, makeSettings(MaxSessions)) {
     tcp::acceptor PortFinder(Context, AnyPort);
     Address = PortFinder.local_endpoint();
     PortFinder.close();
@@ -127,6 +127,7 @@
   no_budget Budget;
   silent_observer Observer;
   connection_pool Pool{Context, Clock, {}};
+  relay::no_stream_origins Origins;
   frontend_server Server;
   tcp::endpoint Address;
 };
--- a/tests/unit/platform_test.cpp
+++ b/tests/unit/platform_test.cpp
@@ -31,7 +31,8 @@
   "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 1000,
              "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
   "tenants": [{"name": "t1", "apiKeys": ["k1", "k2"], "priority": 1,
-               "prepaid": 3114066}]})";
+               "prepaid": 3114066},
+              {"name": "t2", "apiKeys": ["k3"]}]})";
 
 constexpr char Entry[] = R"({"service": "engine", "address": "10.0.0.9:8080",
   "zone": "z", "version": "v1", "slots": 64, "state": "ready",
@@ -132,6 +133,14 @@
 TEST_CASE("a malformed endpoint entry is an error", "[platform]") {
   CHECK_THROWS_AS(decodeEndpointEntry("e", "\xff\xfe"), document_error);
   CHECK_THROWS_AS(decodeEndpointEntry("e", "7"), document_error);
+  CHECK(decodeEndpointEntry("e", Entry).Version == "v1");
+  CHECK_THROWS_AS(
+      decodeEndpointEntry("e", replaced(Entry, "\"version\": \"v1\", ", "")),
+      document_error);
+  CHECK_THROWS_AS(decodeEndpointEntry("e", replaced(Entry, "\"v1\"", "1")),
+                  document_error);
+  CHECK_THROWS_AS(decodeEndpointEntry("e", replaced(Entry, "v1", "")),
+                  document_error);
   CHECK_THROWS_AS(decodeEndpointEntry("e", replaced(Entry, "ready", "new")),
                   document_error);
   CHECK_THROWS_AS(
@@ -283,6 +292,48 @@
   CHECK_FALSE(Fixture.decode().Call);
 }
 
+TEST_CASE("a stream is named alike over the attempts of its account",
+          "[platform]") {
+  using relay::error_kind;
+  codec_fixture Fixture;
+  const std::uint64_t First = Fixture.decode().Call->StreamKey;
+  REQUIRE(First != 0);
+  Fixture.Request.set("Attempt-Id", "id2");
+  CHECK(Fixture.decode().Call->StreamKey != First);
+  SECTION("the caller takes it up") {
+    Fixture.Request.set("Resumes", "id1");
+    // Without the last event it begins anew.
+    CHECK(Fixture.decode().Call->StreamKey != First);
+    CHECK(Fixture.decode().Call->ResumeAfter.empty());
+    Fixture.Request.set("Last-Event-Id", "12");
+    CHECK(Fixture.decode().Call->StreamKey == First);
+    CHECK(Fixture.decode().Call->ResumeAfter == "12");
+    CHECK(Fixture.decode().ForwardRequest["Last-Event-Id"] == "12");
+  }
+  SECTION("another account names it") {
+    Fixture.Request.set("Resumes", "id1");
+    Fixture.Request.set("Last-Event-Id", "12");
+    Fixture.Request.set("Key", "k3");
+    CHECK(Fixture.decode().Call->StreamKey != First);
+  }
+  SECTION("the first attempt is not named") {
+    Fixture.Request.set("Last-Event-Id", "12");
+    CHECK(Fixture.decode().Refusal == error_kind::StreamUnknown);
+  }
+  SECTION("two attempts are named") {
+    Fixture.Request.set("Last-Event-Id", "12");
+    Fixture.Request.set("Resumes", "id1");
+    Fixture.Request.insert("Resumes", "id0");
+    CHECK(Fixture.decode().Refusal == error_kind::InvalidRequest);
+  }
+  SECTION("the route has no streams to take up") {
+    Fixture.Request.target("/a/b/c");
+    CHECK(Fixture.decode().Call->StreamKey == 0);
+    Fixture.Request.set("Resumes", "id1");
+    CHECK(Fixture.decode().Refusal == error_kind::InvalidRequest);
+  }
+}
+
 TEST_CASE("a public route needs no key", "[platform]") {
   codec_fixture Fixture;
   Fixture.Request.target("/open/x");
--- a/tests/unit/quarantine_test.cpp
+++ b/tests/unit/quarantine_test.cpp
@@ -169,7 +169,9 @@
     no_budget Budget;
     relay::numbered_event_reader Reader;
     relay::response_memory Memory(1u << 20);
-    relay::exchange Exchange(Call, Guard, Budget, Reader, Host, Memory);
+    relay::no_stream_origins Origins;
+    relay::exchange Exchange(Call, Guard, Budget, Origins, Reader, Host,
+                             Memory);
     Exchange.start(Now);
     Exchange.onHead(Head, Now);
     Exchange.onBody("body", Now);
--- a/tests/unit/relay_test.cpp
+++ b/tests/unit/relay_test.cpp
@@ -136,16 +136,39 @@
   int FinalResponses = 0;
 };
 
+class fake_origins final : public stream_origins {
+public:
+  stream_origin find(const call &) override { return Origin; }
+  void onBegun(const call &, std::string_view Version) override {
+    BegunVersions.emplace_back(Version);
+  }
+  void onDelivered(const call &) override { ++Delivered; }
+
+  stream_origin Origin;
+  std::vector<std::string> BegunVersions;
+  int Delivered = 0;
+};
+
+call takenUpCall() {
+  call Call = callOf(call_kind::ResumableStream);
+  Call.StreamKey = 7;
+  Call.ResumedId = "c0";
+  Call.ResumeAfter = "4";
+  return Call;
+}
+
 struct exchange_fixture {
   explicit exchange_fixture(call Call)
       : exchange_fixture(std::move(Call), OwnMemory) {}
   exchange_fixture(call Call, response_memory &Memory)
-      : Exchange(std::move(Call), Placement, Budget, Reader, Host, Memory) {}
+      : Exchange(std::move(Call), Placement, Budget, Origins, Reader, Host,
+                 Memory) {}
 
   response_memory OwnMemory{64u << 20};
 
   fake_placement Placement;
   fake_token_budget Budget;
+  fake_origins Origins;
   numbered_event_reader Reader;
   fake_host Host;
   exchange Exchange;
@@ -280,6 +303,52 @@
   }
 }
 
+// Guards against a stream that a caller takes up at another version than the
+// one that began it.
+TEST_CASE("a stream that is taken up goes on at its version or is refused",
+          "[relay]") {
+  exchange_fixture Fixture(takenUpCall());
+  Fixture.Placement.Versions = {{"e1", "v1"}, {"e2", "v2"}, {"e3", "v1"}};
+  SECTION("the version is known") {
+    Fixture.Origins.Origin = {origin_state::Known, "v2"};
+    Fixture.Exchange.start(Start);
+    CHECK(Fixture.Host.AttemptedEndpoints == std::vector<std::string>{"e2"});
+    Fixture.Exchange.onHead(headOf(200), Start + 10);
+    Fixture.Exchange.onBody("id: 5\ndata: a\n\n", Start + 11);
+    Fixture.Exchange.onEnd(Start + 12);
+    CHECK(Fixture.Origins.BegunVersions == std::vector<std::string>{"v2"});
+    CHECK(Fixture.Origins.Delivered == 1);
+  }
+  SECTION("no endpoint of the version is left") {
+    Fixture.Origins.Origin = {origin_state::Known, "v0"};
+    Fixture.Exchange.start(Start);
+    CHECK(Fixture.Host.RefusedWith == error_kind::NoEndpoint);
+  }
+  SECTION("the version is not known") {
+    Fixture.Origins.Origin.State =
+        GENERATE(origin_state::Unknown, origin_state::Ambiguous);
+    Fixture.Exchange.start(Start);
+    CHECK(Fixture.Host.RefusedWith == error_kind::StreamUnknown);
+    CHECK(Fixture.Budget.Reserved == 0);
+  }
+  SECTION("the version is looked up") {
+    Fixture.Origins.Origin.State = origin_state::Pending;
+    Fixture.Exchange.start(Start);
+    Fixture.Exchange.onBudgetChanged(Start + 1);
+    CHECK(Fixture.Host.AttemptedEndpoints.empty());
+    SECTION("and found") {
+      Fixture.Origins.Origin = {origin_state::Known, "v2"};
+      Fixture.Exchange.onOriginsRead(Start + 20);
+      CHECK(Fixture.Host.AttemptedEndpoints == std::vector<std::string>{"e2"});
+    }
+    SECTION("and not found in time") {
+      Fixture.Exchange.onTimer(Fixture.Exchange.nextTimer());
+      CHECK(Fixture.Host.RefusedWith == error_kind::StreamUnknown);
+    }
+  }
+  CHECK(Fixture.Host.FinalResponses <= 1);
+}
+
 TEST_CASE("events that don't continue the response are never forwarded",
           "[relay]") {
   exchange_fixture Fixture(callOf(call_kind::ResumableStream));
