Take a stream up at the service that began it

On a route that is split between services each attempt draws its service anew, and a route can move to another service: a stream of one service could go on at an endpoint of another whose version has the same name.

Change: the service belongs to what is recorded of a stream. A caller's later attempt goes to that service while the route leads there, with its billing per event; otherwise it gets 503 stream_version_gone. The same key at two services is ambiguous.

Measured: unit tests of the exchange, the codec and the records; before, the exchange kept the service that was drawn and knew no other (read; the tests do not compile on the code before).

--- a/packages/relay/include/tamarack/relay.hpp
+++ b/packages/relay/include/tamarack/relay.hpp
@@ -146,6 +146,12 @@
   int Tokens = 0;
 };
 
+// A service that a route may send a call to.
+struct service_option {
+  std::string Name;
+  int MaxTokensPerEvent = 1; // Generated tokens.
+};
+
 struct call {
   std::string Id; // Request id chosen by the caller.
   std::string RouteName;
@@ -169,6 +175,7 @@
   // Names a resumable stream over all attempts of its caller: digest of the
   // account and of the request id of the attempt that began it.
   std::uint64_t StreamKey = 0;
+  std::vector<service_option> RouteServices; // Of a stream that is taken up.
   // Software that the endpoint must have, because it has sent a part of the
   // stream already. Empty: any.
   std::string RequiredVersion;
@@ -296,10 +303,11 @@
 
 struct stream_origin {
   origin_state State = origin_state::Unknown;
-  std::string Version; // Software of the endpoint, if Known.
+  std::string Service; // Of the endpoint that began it, if Known.
+  std::string Version; // Of its software, if Known.
 };
 
-// Knows which version began a stream that a caller takes up.
+// Knows which service and version began a stream that a caller takes up.
 class stream_origins {
 public:
   virtual ~stream_origins() = default;
@@ -542,6 +550,7 @@
   };
 
   void findOrigin(time_ms Now);
+  bool continueAt(const stream_origin &Origin);
   void awaitTokens(time_ms Now);
   void reserveTokens(time_ms Now);
   void startNextAttempt(time_ms Now);
--- a/packages/relay/src/exchange.cpp
+++ b/packages/relay/src/exchange.cpp
@@ -69,10 +69,27 @@
   Report.OriginFoundAt = Now;
   if (Origin.State != origin_state::Known)
     return refuseNotRun(error_kind::StreamUnknown, 0);
-  Call.RequiredVersion = Origin.Version;
+  if (!continueAt(Origin))
+    return refuseNotRun(error_kind::StreamVersionGone, 0);
   awaitTokens(Now);
 }
 
+// Binds the call to the service and version that began its stream. False if the
+// route does not lead there any more.
+bool exchange::continueAt(const stream_origin &Origin) {
+  const auto Service =
+      std::find_if(Call.RouteServices.begin(), Call.RouteServices.end(),
+                   [&Origin](const service_option &Option) {
+                     return Option.Name == Origin.Service;
+                   });
+  if (Service == Call.RouteServices.end())
+    return false;
+  Call.Service = Service->Name;
+  Call.MaxTokensPerEvent = Service->MaxTokensPerEvent;
+  Call.RequiredVersion = Origin.Version;
+  return true;
+}
+
 void exchange::onOriginsRead(time_ms Now) {
   if (State == state::WaitingForOrigin)
     findOrigin(Now);
--- a/packages/streams/include/tamarack/streams.hpp
+++ b/packages/streams/include/tamarack/streams.hpp
@@ -4,7 +4,7 @@
 // Contents:
 //   the fleet        exchange_settings, origin_listener, origin_exchange, an
 //                    implementation of relay::stream_origins
-//   one instance     origin, origin_register
+//   one instance     software, origin, origin_register
 //   records          encode, decodeOrigins
 //
 // Each instance stores the streams that it began, and that callers may take up
@@ -26,6 +26,7 @@
 #include "tamarack/ports.hpp"
 #include "tamarack/relay.hpp"
 
+#include <compare>
 #include <cstdint>
 #include <list>
 #include <map>
@@ -41,10 +42,17 @@
 // One instance
 //---------------------------------------------------------------------------
 
+// What an endpoint runs. Versions of two services have nothing in common.
+struct software {
+  std::string Service;
+  std::string Version;
+  auto operator<=>(const software &) const = default;
+};
+
 // Where one stream began.
 struct origin {
   std::uint64_t Key = 0; // See relay::call::StreamKey.
-  std::string Version;   // Empty if two versions began streams of this key.
+  software Software;     // Empty if two began streams of this key.
   int AgeMs = 0;         // Since the first event.
 };
 
@@ -65,11 +73,11 @@
 
   // BegunAt is before Now for a stream of the previous incarnation.
   void add(std::uint64_t Key, std::string_view Account,
-           std::string_view Version, time_ms BegunAt);
+           const software &Software, time_ms BegunAt);
   // The response has been sent to its end.
   void onDelivered(std::uint64_t Key, time_ms Now);
-  // The version, empty if there are two; nothing if the stream is not known.
-  std::optional<std::string> find(std::uint64_t Key) const;
+  // Empty software if there are two; nothing if the stream is not known.
+  std::optional<software> find(std::uint64_t Key) const;
   void removeExpired(time_ms Now);
   std::vector<origin> origins(time_ms Now) const;
   std::size_t size() const { return Streams.size(); }
@@ -77,7 +85,7 @@
 private:
   struct stream {
     std::string Account;
-    std::string Version;
+    software Software;
     time_ms BegunAt = 0;
     time_ms ExpiresAt = 0;
     std::list<std::uint64_t>::iterator Position; // In its account's list.
@@ -154,9 +162,9 @@
   exchange_settings Settings;
   origin_register Register;
   follow::report_writer Writer;
-  // Versions by key, of the streams of other instances in the last read; empty
+  // Software by key, of the streams of other instances in the last read; empty
   // if there are two.
-  std::unordered_map<std::uint64_t, std::string> Others;
+  std::unordered_map<std::uint64_t, software> Others;
   bool HasPrevious = false; // The record of the previous incarnation is read.
   bool IsReading = false;
   bool WantsRead = true;       // Once at the start, then for each look-up.
--- a/packages/streams/src/origin_exchange.cpp
+++ b/packages/streams/src/origin_exchange.cpp
@@ -24,23 +24,25 @@
 }
 
 relay::stream_origin origin_exchange::lookUp(const relay::call &Call) const {
-  const std::optional<std::string> Own = Register.find(Call.StreamKey);
+  const std::optional<software> Own = Register.find(Call.StreamKey);
   const auto Other = Others.find(Call.StreamKey);
   const bool IsAtOthers = Other != Others.end();
   if (Own && IsAtOthers && *Own != Other->second)
-    return {origin_state::Ambiguous, {}};
+    return {origin_state::Ambiguous, {}, {}};
   if (Own || IsAtOthers) {
-    const std::string &Version = Own ? *Own : Other->second;
-    return {Version.empty() ? origin_state::Ambiguous : origin_state::Known,
-            Version};
+    const software &Software = Own ? *Own : Other->second;
+    if (Software == software())
+      return {origin_state::Ambiguous, {}, {}};
+    return {origin_state::Known, Software.Service, Software.Version};
   }
   const bool IsReadSince = EndedReadStart >= Call.ArrivedAt;
-  return {IsReadSince ? origin_state::Unknown : origin_state::Pending, {}};
+  return {IsReadSince ? origin_state::Unknown : origin_state::Pending, {}, {}};
 }
 
 void origin_exchange::onBegun(const relay::call &Call,
                               std::string_view Version) {
-  Register.add(Call.StreamKey, Call.Account, Version, Clock.monotonic());
+  Register.add(Call.StreamKey, Call.Account,
+               {Call.Service, std::string(Version)}, Clock.monotonic());
   HasUnwritten = true;
 }
 
@@ -88,14 +90,14 @@
     return;
   const time_ms Now = Clock.monotonic();
   for (const origin &Origin : Origins)
-    Register.add(Origin.Key, {}, Origin.Version, Now - Origin.AgeMs);
+    Register.add(Origin.Key, {}, Origin.Software, Now - Origin.AgeMs);
 }
 
 void origin_exchange::addOthersRecord(const std::vector<origin> &Origins) {
   for (const origin &Origin : Origins) {
-    const auto [Known, IsNew] = Others.try_emplace(Origin.Key, Origin.Version);
-    if (!IsNew && Known->second != Origin.Version)
-      Known->second.clear();
+    const auto [Known, IsNew] = Others.try_emplace(Origin.Key, Origin.Software);
+    if (!IsNew && Known->second != Origin.Software)
+      Known->second = {};
   }
 }
 
--- a/packages/streams/src/origin_register.cpp
+++ b/packages/streams/src/origin_register.cpp
@@ -7,12 +7,12 @@
 namespace tamarack::streams {
 
 void origin_register::add(std::uint64_t Key, std::string_view Account,
-                          std::string_view Version, time_ms BegunAt) {
+                          const software &Software, time_ms BegunAt) {
   const auto Found = Streams.find(Key);
   if (Found != Streams.end()) {
     stream &Known = Found->second;
-    if (Known.Version != Version)
-      Known.Version.clear();
+    if (Known.Software != Software)
+      Known.Software = {};
     Known.ExpiresAt = std::max(Known.ExpiresAt, BegunAt + Settings.KeepMs);
     return;
   }
@@ -21,7 +21,7 @@
   std::list<std::uint64_t> &Keys = KeysByAccount[std::string(Account)];
   Keys.push_back(Key);
   Streams.emplace(Key,
-                  stream{std::string(Account), std::string(Version), BegunAt,
+                  stream{std::string(Account), Software, BegunAt,
                          BegunAt + Settings.KeepMs, std::prev(Keys.end())});
 }
 
@@ -33,11 +33,11 @@
   ExpiresAt = std::min(ExpiresAt, Now + Settings.KeepDeliveredMs);
 }
 
-std::optional<std::string> origin_register::find(std::uint64_t Key) const {
+std::optional<software> origin_register::find(std::uint64_t Key) const {
   const auto Found = Streams.find(Key);
   if (Found == Streams.end())
     return std::nullopt;
-  return Found->second.Version;
+  return Found->second.Software;
 }
 
 void origin_register::removeExpired(time_ms Now) {
@@ -55,7 +55,7 @@
   for (const auto &[Key, Stream] : Streams)
     if (Stream.ExpiresAt > Now)
       Result.push_back(
-          {Key, Stream.Version,
+          {Key, Stream.Software,
            static_cast<int>(std::max<time_ms>(0, Now - Stream.BegunAt))});
   return Result;
 }
--- a/packages/streams/src/records.cpp
+++ b/packages/streams/src/records.cpp
@@ -10,21 +10,24 @@
 namespace {
 
 constexpr int FormatVersion = 1;
-constexpr std::size_t MaxVersionBytes = 256;
+constexpr std::size_t MaxTextBytes = 256; // Of a service or version.
 
 using stream_tuple = std::tuple<std::uint64_t, int>; // Key and age.
-// The streams of each version, which are many for few versions.
-using version_tuple = std::tuple<std::string, std::vector<stream_tuple>>;
-using record_tuple = std::tuple<int, std::vector<version_tuple>>;
+// Service, version and their streams, which are many for few versions.
+using software_tuple =
+    std::tuple<std::string, std::string, std::vector<stream_tuple>>;
+using record_tuple = std::tuple<int, std::vector<software_tuple>>;
 
 } // namespace
 
 std::string encode(const std::vector<origin> &Origins) {
-  std::map<std::string, std::vector<stream_tuple>> ByVersion;
+  std::map<software, std::vector<stream_tuple>> BySoftware;
   for (const origin &Origin : Origins)
-    ByVersion[Origin.Version].emplace_back(Origin.Key, Origin.AgeMs);
-  std::vector<version_tuple> Versions(ByVersion.begin(), ByVersion.end());
-  return wire::pack(record_tuple(FormatVersion, std::move(Versions)));
+    BySoftware[Origin.Software].emplace_back(Origin.Key, Origin.AgeMs);
+  std::vector<software_tuple> Rows;
+  for (auto &[Software, Streams] : BySoftware)
+    Rows.emplace_back(Software.Service, Software.Version, std::move(Streams));
+  return wire::pack(record_tuple(FormatVersion, std::move(Rows)));
 }
 
 std::optional<std::vector<origin>> decodeOrigins(std::string_view Bytes) {
@@ -33,11 +36,11 @@
   if (!Fields)
     return std::nullopt;
   std::vector<origin> Origins;
-  for (const auto &[Version, Streams] : std::get<1>(*Fields)) {
-    if (Version.size() > MaxVersionBytes)
+  for (const auto &[Service, Version, Streams] : std::get<1>(*Fields)) {
+    if (Service.size() > MaxTextBytes || Version.size() > MaxTextBytes)
       return std::nullopt;
     for (const auto &[Key, AgeMs] : Streams)
-      Origins.push_back({Key, Version, std::max(0, AgeMs)});
+      Origins.push_back({Key, {Service, Version}, std::max(0, AgeMs)});
   }
   return Origins;
 }
--- a/tests/unit/platform_test.cpp
+++ b/tests/unit/platform_test.cpp
@@ -308,6 +308,9 @@
     Fixture.Request.set("Last-Event-Id", "12");
     CHECK(Fixture.decode().Call->StreamKey == First);
     CHECK(Fixture.decode().Call->ResumeAfter == "12");
+    REQUIRE(Fixture.decode().Call->RouteServices.size() == 1);
+    CHECK(Fixture.decode().Call->RouteServices[0].Name == "engine");
+    CHECK(Fixture.decode().Call->RouteServices[0].MaxTokensPerEvent == 5);
     CHECK(Fixture.decode().ForwardRequest["Last-Event-Id"] == "12");
   }
   SECTION("another account names it") {
--- a/tests/unit/relay_test.cpp
+++ b/tests/unit/relay_test.cpp
@@ -154,6 +154,7 @@
   Call.StreamKey = 7;
   Call.ResumedId = "c0";
   Call.ResumeAfter = "4";
+  Call.RouteServices = {{"s", 5}, {"other", 9}};
   return Call;
 }
 
@@ -310,7 +311,7 @@
   exchange_fixture Fixture(takenUpCall());
   Fixture.Placement.Versions = {{"e1", "v1"}, {"e2", "v2"}, {"e3", "v1"}};
   SECTION("the version is known") {
-    Fixture.Origins.Origin = {origin_state::Known, "v2"};
+    Fixture.Origins.Origin = {origin_state::Known, "s", "v2"};
     Fixture.Exchange.start(Start);
     CHECK(Fixture.Host.AttemptedEndpoints == std::vector<std::string>{"e2"});
     Fixture.Exchange.onHead(headOf(200), Start + 10);
@@ -320,10 +321,24 @@
     CHECK(Fixture.Origins.Delivered == 1);
   }
   SECTION("no endpoint of the version is left") {
-    Fixture.Origins.Origin = {origin_state::Known, "v0"};
+    Fixture.Origins.Origin = {origin_state::Known, "s", "v0"};
     Fixture.Exchange.start(Start);
     CHECK(Fixture.Host.RefusedWith == error_kind::NoEndpoint);
   }
+  // Versions of two services have nothing to do with each other.
+  SECTION("another service of the route began it") {
+    Fixture.Origins.Origin = {origin_state::Known, "other", "v2"};
+    Fixture.Exchange.start(Start);
+    CHECK(Fixture.Exchange.request().Service == "other");
+    CHECK(Fixture.Exchange.request().MaxTokensPerEvent == 9);
+    CHECK(Fixture.Host.AttemptedEndpoints == std::vector<std::string>{"e2"});
+  }
+  SECTION("the route has left the service that began it") {
+    Fixture.Origins.Origin = {origin_state::Known, "former", "v2"};
+    Fixture.Exchange.start(Start);
+    CHECK(Fixture.Host.AttemptedEndpoints.empty());
+    CHECK(Fixture.Host.RefusedWith == error_kind::StreamVersionGone);
+  }
   SECTION("the version is not known") {
     Fixture.Origins.Origin.State =
         GENERATE(origin_state::Unknown, origin_state::Ambiguous);
@@ -337,7 +352,7 @@
     Fixture.Exchange.onBudgetChanged(Start + 1);
     CHECK(Fixture.Host.AttemptedEndpoints.empty());
     SECTION("and found") {
-      Fixture.Origins.Origin = {origin_state::Known, "v2"};
+      Fixture.Origins.Origin = {origin_state::Known, "s", "v2"};
       Fixture.Exchange.onOriginsRead(Start + 20);
       CHECK(Fixture.Host.AttemptedEndpoints == std::vector<std::string>{"e2"});
     }
--- a/tests/unit/streams_test.cpp
+++ b/tests/unit/streams_test.cpp
@@ -83,10 +83,11 @@
   int Unreadable = 0;
 };
 
-relay::call callOf(std::uint64_t Key, const std::string &Account = "a") {
+relay::call callOf(std::uint64_t Key) {
   relay::call Call;
+  Call.Service = "s";
   Call.StreamKey = Key;
-  Call.Account = Account;
+  Call.Account = "a";
   return Call;
 }
 
@@ -157,7 +158,7 @@
           "[streams]") {
   manual_clock Clock;
   queued_store Store;
-  Store.Records["a"] = encode({{1, "v1", 500}});
+  Store.Records["a"] = encode({{1, {"s", "v1"}, 500}});
   Store.Status = store_status::Unavailable;
   instance A("a", Store, Clock, 2);
   A.begin(2, "v2");
@@ -195,11 +196,26 @@
   CHECK(A.find(2).State == origin_state::Ambiguous);
 }
 
+TEST_CASE("versions of two services differ although their names don't",
+          "[streams]") {
+  manual_clock Clock;
+  queued_store Store;
+  instance A("a", Store, Clock, 1);
+  instance B("b", Store, Clock, 1);
+  relay::call Call = callOf(1);
+  A.Exchange.onBegun(Call, "v1");
+  A.write();
+  CHECK(B.find(1).Service == "s");
+  Call.Service = "other";
+  B.Exchange.onBegun(Call, "v1");
+  CHECK(B.find(1).State == origin_state::Ambiguous);
+}
+
 TEST_CASE("an unreadable record hides no other one", "[streams]") {
   manual_clock Clock;
   queued_store Store;
   Store.Records["x"] = "\xc1";
-  Store.Records["y"] = encode({{1, "v1", 0}});
+  Store.Records["y"] = encode({{1, {"s", "v1"}, 0}});
   instance A("a", Store, Clock, 1);
   CHECK(A.find(1).Version == "v1");
   CHECK(A.Listener.Unreadable == 1);
@@ -218,40 +234,41 @@
 
 TEST_CASE("an account pushes out no streams of others", "[streams]") {
   origin_register Register(SmallRegister);
-  Register.add(1, "small", "v1", 0);
+  Register.add(1, "small", {"s", "v1"}, 0);
   for (std::uint64_t Key = 10; Key < 100; ++Key)
-    Register.add(Key, "large", "v1", 1);
+    Register.add(Key, "large", {"s", "v1"}, 1);
   CHECK(Register.size() == SmallRegister.MaxStreams);
-  CHECK(Register.find(1) == "v1");
-  CHECK(Register.find(99) == "v1");
+  CHECK(Register.find(1)->Version == "v1");
+  CHECK(Register.find(99)->Version == "v1");
   CHECK_FALSE(Register.find(10));
 }
 
 TEST_CASE("a stream is kept for as long as it may be taken up", "[streams]") {
   origin_register Register(SmallRegister);
-  Register.add(1, "a", "v1", 0);
-  Register.add(2, "a", "v1", 0);
+  Register.add(1, "a", {"s", "v1"}, 0);
+  Register.add(2, "a", {"s", "v1"}, 0);
   Register.onDelivered(2, 3'000);
   Register.removeExpired(3'999);
   CHECK(Register.size() == 2);
   Register.removeExpired(4'000);
   CHECK_FALSE(Register.find(2));
   // Taken up, so it may break off once more.
-  Register.add(1, "a", "v1", 9'000);
+  Register.add(1, "a", {"s", "v1"}, 9'000);
   Register.removeExpired(18'999);
-  CHECK(Register.find(1) == "v1");
+  CHECK(Register.find(1)->Version == "v1");
   Register.removeExpired(19'000);
   CHECK(Register.size() == 0);
 }
 
 TEST_CASE("records are encoded and decoded", "[streams]") {
-  const std::vector<origin> Origins = {{1, "v1", 5}, {~0ull, "v2", 0}};
+  const std::vector<origin> Origins = {{1, {"s", "v1"}, 5},
+                                       {~0ull, {"s", "v2"}, 0}};
   const std::optional<std::vector<origin>> Decoded =
       decodeOrigins(encode(Origins));
   REQUIRE(Decoded);
   REQUIRE(Decoded->size() == 2);
   CHECK((*Decoded)[1].Key == ~0ull);
-  CHECK((*Decoded)[1].Version == "v2");
+  CHECK((*Decoded)[1].Software.Version == "v2");
   CHECK((*Decoded)[0].AgeMs == 5);
   CHECK_FALSE(decodeOrigins("").has_value());
   CHECK_FALSE(decodeOrigins("\x91\x02").has_value());
