Take the list of completed causes out of crash_quarantine

What callers saw: nothing; the behaviour stays. crash_quarantine.cpp kept a list by time and its index among the decisions that use it; it is a class of its own now (completed_causes), 21 lines less there.

Measured: the unit tests of the quarantine pass unchanged.

--- a/packages/quarantine/include/tamarack/quarantine.hpp
+++ b/packages/quarantine/include/tamarack/quarantine.hpp
@@ -4,7 +4,8 @@
 //   causes              cause, causesOf
 //   calls               crash_guard, endpoint_info, endpoint_lookup,
 //                       endpoint_prober, crash_guard_listener
-//   quarantine          crash_quarantine, quarantine_refusal, quarantined_cause
+//   quarantine          crash_quarantine, quarantine_refusal, quarantined_cause,
+//                       completed_causes
 //   exchange of reports crash_report, endpoint_start, crash, sound_cause,
 //                       encode, decodeReport
 //
@@ -170,6 +171,24 @@
   time_ms Until = 0; // When this instance releases or released it.
 };
 
+// The causes of requests that were answered completely, each for SoundMemoryMs
+// after the last time. Keeps the MaxSoundMemory latest ones.
+class completed_causes {
+public:
+  void add(const cause &Cause, time_ms Now);
+  bool contains(const cause &Cause, time_ms Now) const;
+
+private:
+  struct completed_cause {
+    cause Cause;
+    time_ms CompletedAt = 0;
+  };
+
+  std::list<completed_cause> Latest; // Most recently completed first.
+  std::unordered_map<cause, std::list<completed_cause>::iterator, cause_hash>
+      Index;
+};
+
 // Decides which causes are in quarantine, from the observations of this
 // instance and the reports of the others.
 //
@@ -236,15 +255,8 @@
     crash Crash;
     time_ms LearntAt = 0;
   };
-  struct completed_cause {
-    cause Cause;
-    time_ms CompletedAt = 0;
-  };
-
-  bool isKnownSound(const cause &Cause, time_ms Now) const;
   bool hasEnoughCrashes(const cause &Cause, const suspected_cause &State) const;
   time_ms releaseAt(const cause &Cause, const suspected_cause &State) const;
-  void rememberCompleted(const cause &Cause, time_ms Now);
   void addCrash(std::string_view Reporter, const endpoint_start &Endpoint,
                 const cause &Cause, time_ms Now);
   bool isAmbiguous(const suspected_cause &State) const;
@@ -280,9 +292,7 @@
   std::size_t CausesWithMost = 0; // In quarantine.
   std::uint64_t LastSoundNumber;
   bool ReportChanged = false;
-  std::list<completed_cause> Completed; // Most recently completed first.
-  std::unordered_map<cause, std::list<completed_cause>::iterator, cause_hash>
-      CompletedIndex;
+  completed_causes Completed; // By requests of this instance.
 };
 
 //---------------------------------------------------------------------------
--- a/packages/quarantine/src/crash_quarantine.cpp
+++ b/packages/quarantine/src/crash_quarantine.cpp
@@ -61,16 +61,10 @@
 bool crash_quarantine::mayRetry(std::span<const cause> Causes,
                                 time_ms Now) const {
   return std::ranges::none_of(Causes, [&](const cause &Cause) {
-    return Suspected.contains(Cause) && !isKnownSound(Cause, Now);
+    return Suspected.contains(Cause) && !Completed.contains(Cause, Now);
   });
 }
 
-bool crash_quarantine::isKnownSound(const cause &Cause, time_ms Now) const {
-  const auto Found = CompletedIndex.find(Cause);
-  return Found != CompletedIndex.end() &&
-         Now - Found->second->CompletedAt < SoundMemoryMs;
-}
-
 // The reports of one other instance alone do not suffice for a part, which many
 // callers may use: it may be wrong. One caller's request often comes to the
 // same instance each time.
@@ -146,34 +140,19 @@
 void crash_quarantine::onResponseCompleted(std::span<const cause> Causes,
                                            time_ms Now) {
   for (const cause &Cause : Causes) {
-    rememberCompleted(Cause, Now);
+    Completed.add(Cause, Now);
     if (Suspected.contains(Cause))
       announceSound(Cause, Now);
   }
 }
 
-void crash_quarantine::rememberCompleted(const cause &Cause, time_ms Now) {
-  const auto Found = CompletedIndex.find(Cause);
-  if (Found != CompletedIndex.end()) {
-    Found->second->CompletedAt = Now;
-    Completed.splice(Completed.begin(), Completed, Found->second);
-    return;
-  }
-  Completed.push_front({Cause, Now});
-  CompletedIndex.emplace(Cause, Completed.begin());
-  if (Completed.size() > MaxSoundMemory) {
-    CompletedIndex.erase(Completed.back().Cause);
-    Completed.pop_back();
-  }
-}
-
 void crash_quarantine::onEndpointDied(const endpoint_start &Endpoint,
                                       std::span<const cause> Candidates,
                                       time_ms Now) {
   std::vector<cause> Causes;
   std::ranges::copy_if(
       Candidates, std::back_inserter(Causes),
-      [&](const cause &Cause) { return !isKnownSound(Cause, Now); });
+      [&](const cause &Cause) { return !Completed.contains(Cause, Now); });
   // Causes that other crashes have in common are kept first.
   std::stable_partition(
       Causes.begin(), Causes.end(),
@@ -271,7 +250,7 @@
             return Item.second.LearntAt;
           }));
   }
-  const bool IsSound = isKnownSound(Cause, Now);
+  const bool IsSound = Completed.contains(Cause, Now);
   const bool WasQuarantined = State.Quarantine.has_value();
   if (!IsSound && (WasQuarantined ? IsNew : hasEnoughCrashes(Cause, State)))
     startQuarantine(State, Now);
@@ -297,7 +276,7 @@
 
 void crash_quarantine::announceIfSound(const cause &Cause, time_ms Now) {
   const auto Found = Suspected.find(Cause);
-  if (Found == Suspected.end() || !isKnownSound(Cause, Now))
+  if (Found == Suspected.end() || !Completed.contains(Cause, Now))
     return;
   if (Found->second.Quarantine ||
       Found->second.Crashes.size() >= CrashesToAnnounce)
