Take the output to a caller out of frontend_session

What callers saw: nothing; the behaviour stays. The session kept two buffers, the write in progress and the text of responses beside its phases; they are caller_output now.

--- a/packages/edge/include/tamarack/edge.hpp
+++ b/packages/edge/include/tamarack/edge.hpp
@@ -223,6 +223,7 @@
   // Closes the connection if there are MaxSessions sessions already.
   void startSession(tcp::socket Socket);
   void acceptWaiting();
+  void forEachSession(const std::function<void(frontend_session &)> &Action);
 
   net::io_context &Context;
   const clock &Clock;
--- a/packages/edge/src/frontend_server.cpp
+++ b/packages/edge/src/frontend_server.cpp
@@ -74,28 +74,28 @@
   acceptWaiting();
   error_code Ignored;
   Acceptor.close(Ignored);
-  // A copy, because sessions remove themselves from Sessions when they close.
+  forEachSession([](frontend_session &Session) { Session.closeIfIdle(); });
+}
+
+// Goes through a copy, because sessions remove themselves from Sessions when
+// they close.
+void frontend_server::forEachSession(
+    const std::function<void(frontend_session &)> &Action) {
   const std::set<std::shared_ptr<frontend_session>> SessionsCopy = Sessions;
   for (const std::shared_ptr<frontend_session> &Session : SessionsCopy)
-    Session->closeIfIdle();
+    Action(*Session);
 }
 
 void frontend_server::giveUpCalls() {
-  const std::set<std::shared_ptr<frontend_session>> SessionsCopy = Sessions;
-  for (const std::shared_ptr<frontend_session> &Session : SessionsCopy)
-    Session->giveUp();
+  forEachSession([](frontend_session &Session) { Session.giveUp(); });
 }
 
 void frontend_server::onGrantsChanged() {
-  const std::set<std::shared_ptr<frontend_session>> SessionsCopy = Sessions;
-  for (const std::shared_ptr<frontend_session> &Session : SessionsCopy)
-    Session->onGrantsChanged();
+  forEachSession([](frontend_session &Session) { Session.onGrantsChanged(); });
 }
 
 void frontend_server::onOriginsRead() {
-  const std::set<std::shared_ptr<frontend_session>> SessionsCopy = Sessions;
-  for (const std::shared_ptr<frontend_session> &Session : SessionsCopy)
-    Session->onOriginsRead();
+  forEachSession([](frontend_session &Session) { Session.onOriginsRead(); });
 }
 
 std::size_t frontend_server::busySessionCount() const {
--- a/packages/edge/src/frontend_session.cpp
+++ b/packages/edge/src/frontend_session.cpp
@@ -1,8 +1,6 @@
 // One caller's connection and the call that is being served on it.
 #include "frontend_session.hpp"
 
-#include <sstream>
-
 namespace tamarack::edge {
 
 namespace {
@@ -11,11 +9,6 @@
 // Bytes of later requests that are buffered. Reading ahead stops at this size.
 constexpr std::size_t MaxReadAheadBytes = 64 * 1024;
 
-std::string formatChunk(std::string_view Bytes) {
-  return boost::beast::buffers_to_string(
-      http::make_chunk(net::const_buffer(Bytes.data(), Bytes.size())));
-}
-
 } // namespace
 
 frontend_session::frontend_session(frontend_server &Server, tcp::socket Socket)
@@ -37,10 +30,16 @@
 void frontend_session::startIdleTimer() {
   const int IdleMs = Server.isDraining() ? Server.Settings.DrainIdleTimeoutMs
                                          : Server.Limits.IdleTimeoutMs;
-  Timer.expires_after(std::chrono::milliseconds(IdleMs));
+  closeAfter(IdleMs);
+}
+
+// Closes the connection unless the timer is set again, or the phase has changed
+// by then.
+void frontend_session::closeAfter(int Ms) {
+  Timer.expires_after(std::chrono::milliseconds(Ms));
   const std::shared_ptr<frontend_session> Self = shared_from_this();
-  Timer.async_wait([Self](const error_code &Error) {
-    if (!Error && Self->Phase == phase::Idle)
+  Timer.async_wait([Self, Before = Phase](const error_code &Error) {
+    if (!Error && Self->Phase == Before)
       Self->close();
   });
 }
@@ -87,11 +86,7 @@
   Parser->header_limit(Server.Limits.MaxHeaderBytes);
   Parser->body_limit(Server.Limits.MaxBodyBytes);
   const std::shared_ptr<frontend_session> Self = shared_from_this();
-  Timer.expires_after(std::chrono::milliseconds(Server.Limits.HeaderTimeoutMs));
-  Timer.async_wait([Self](const error_code &Error) {
-    if (!Error && Self->Phase == phase::ReadingRequest)
-      Self->close();
-  });
+  closeAfter(Server.Limits.HeaderTimeoutMs);
   http::async_read_header(Socket, Buffer, *Parser,
                           [Self](const error_code &Error, std::size_t) {
                             Self->onRequestHead(Error);
@@ -132,11 +127,7 @@
     queueBytes("HTTP/1.1 100 Continue\r\n\r\n");
   const std::shared_ptr<frontend_session> Self = shared_from_this();
   // The idle timeout also limits the time for the body.
-  Timer.expires_after(std::chrono::milliseconds(Server.Limits.IdleTimeoutMs));
-  Timer.async_wait([Self](const error_code &Waited) {
-    if (!Waited && Self->Phase == phase::ReadingRequest)
-      Self->close();
-  });
+  closeAfter(Server.Limits.IdleTimeoutMs);
   http::async_read(Socket, Buffer, *Parser,
                    [Self](const error_code &ReadError, std::size_t) {
                      Self->onRequest(ReadError);
@@ -224,24 +215,6 @@
     std::exchange(Attempt, nullptr)->cancel();
 }
 
-std::string frontend_session::formatHead(const relay::response_head &Head,
-                                         bool Chunked, std::size_t Length) {
-  http::response_header<> Fields;
-  Fields.version(11);
-  Fields.result(static_cast<unsigned>(Head.Status));
-  for (const header_field &Field : Head.Fields)
-    Fields.insert(Field.Name, Field.Value);
-  if (Chunked)
-    Fields.set(http::field::transfer_encoding, "chunked");
-  else
-    Fields.set(http::field::content_length, std::to_string(Length));
-  if (!KeepAlive)
-    Fields.set(http::field::connection, "close");
-  std::ostringstream Out;
-  Out << Fields;
-  return std::move(Out).str();
-}
-
 void frontend_session::beginResponse(const relay::response_head &Head) {
   if (Server.isDraining())
     KeepAlive = false;
@@ -251,7 +224,7 @@
     // tell a truncated response from a complete one.
     KeepAlive = false;
   }
-  queueBytes(formatHead(Head, true, 0));
+  queueBytes(formatHead(Head, true, 0, KeepAlive));
 }
 
 void frontend_session::forwardEvents(std::string_view Bytes) {
@@ -259,15 +232,13 @@
     queueBytes(formatChunk(Bytes));
 }
 
-void frontend_session::endResponse() {
-  queueBytes(boost::beast::buffers_to_string(http::make_chunk_last()));
-}
+void frontend_session::endResponse() { queueBytes(formatLastChunk()); }
 
 void frontend_session::sendCompleteResponse(const relay::response_head &Head,
                                             std::string_view Body) {
   if (Server.isDraining())
     KeepAlive = false;
-  std::string Text = formatHead(Head, false, Body.size());
+  std::string Text = formatHead(Head, false, Body.size(), KeepAlive);
   if (!IsHeadRequest)
     Text.append(Body);
   queueBytes(std::move(Text));
@@ -338,7 +309,7 @@
 }
 
 bool frontend_session::canAcceptBody() {
-  return UnsentBytes.size() < Server.Settings.MaxUnsentBytes;
+  return Output.unsentSize() < Server.Settings.MaxUnsentBytes;
 }
 
 //---------------------------------------------------------------------------
@@ -348,25 +319,18 @@
 void frontend_session::queueBytes(std::string Bytes) {
   if (Phase == phase::Closed)
     return;
-  if (UnsentBytes.empty())
-    UnsentBytes = std::move(Bytes);
-  else
-    UnsentBytes.append(Bytes);
+  Output.append(std::move(Bytes));
   startWrite();
 }
 
 void frontend_session::startWrite() {
-  if (!BytesBeingSent.empty() || UnsentBytes.empty() || Phase == phase::Closed)
-    return;
-  BytesBeingSent.swap(UnsentBytes);
-  const std::shared_ptr<frontend_session> Self = shared_from_this();
-  net::async_write(
-      Socket, net::buffer(BytesBeingSent),
-      [Self](const error_code &Error, std::size_t) { Self->onWritten(Error); });
+  if (Phase != phase::Closed)
+    Output.startWrite(shared_from_this(),
+                      [this](const error_code &Error) { onWritten(Error); });
 }
 
 void frontend_session::onWritten(const error_code &Error) {
-  BytesBeingSent.clear();
+  Output.onWriteEnded();
   if (Phase == phase::Closed)
     return;
   if (Error) {
@@ -377,7 +341,7 @@
     }
     return close();
   }
-  if (!UnsentBytes.empty())
+  if (Output.hasUnsent())
     startWrite();
   else if (Phase == phase::Closing)
     beginLingeringClose();
@@ -390,13 +354,7 @@
 void frontend_session::writeResponse(response_message Message) {
   if (Server.isDraining())
     KeepAlive = false;
-  Message.keep_alive(KeepAlive);
-  Message.prepare_payload();
-  std::ostringstream Out;
-  Out << Message.base();
-  if (!IsHeadRequest)
-    Out << Message.body();
-  queueBytes(std::move(Out).str());
+  queueBytes(formatMessage(std::move(Message), KeepAlive, !IsHeadRequest));
 }
 
 //---------------------------------------------------------------------------
@@ -446,7 +404,7 @@
   ExchangeTimerDue = 0;
   Timer.cancel();
   ForwardRequest = {};
-  const bool IsSent = BytesBeingSent.empty() && UnsentBytes.empty();
+  const bool IsSent = Output.isSent();
   if (!KeepAlive) {
     Phase = phase::Closing;
     if (IsSent)
@@ -485,13 +443,7 @@
 void frontend_session::beginLingeringClose() {
   error_code Ignored;
   Socket.shutdown(tcp::socket::shutdown_send, Ignored);
-  const std::shared_ptr<frontend_session> Self = shared_from_this();
-  Timer.expires_after(
-      std::chrono::milliseconds(Server.Settings.LingeringCloseMs));
-  Timer.async_wait([Self](const error_code &Error) {
-    if (!Error)
-      Self->close();
-  });
+  closeAfter(Server.Settings.LingeringCloseMs);
   Buffer.consume(Buffer.size());
   readAhead();
 }
--- a/packages/edge/src/frontend_session.hpp
+++ b/packages/edge/src/frontend_session.hpp
@@ -1,6 +1,7 @@
 // One caller's connection and the call that is being served on it.
 #pragma once
 
+#include "caller_output.hpp"
 #include "endpoint_attempt.hpp"
 #include "tamarack/edge.hpp"
 
@@ -45,6 +46,7 @@
   bool hasUnambiguousFraming() const;
   void serveRequest();
   void startIdleTimer();
+  void closeAfter(int Ms);
 
   // relay::exchange_host
   void startAttempt(const relay::endpoint_choice &To,
@@ -72,8 +74,6 @@
   void startWrite();
   void onWritten(const error_code &Error);
   void writeResponse(response_message Message);
-  std::string formatHead(const relay::response_head &Head, bool Chunked,
-                         std::size_t Length);
 
   // Called after every event that was passed to the exchange.
   void afterExchangeEvent();
@@ -106,8 +106,7 @@
   std::unique_ptr<relay::exchange> Exchange;
   std::shared_ptr<endpoint_attempt> Attempt;
 
-  std::string UnsentBytes;    // Not passed to the socket yet.
-  std::string BytesBeingSent; // Of the pending write, else empty.
+  caller_output Output{Socket};
 };
 
 } // namespace tamarack::edge
--- a/packages/quarantine/include/tamarack/quarantine.hpp
+++ b/packages/quarantine/include/tamarack/quarantine.hpp
@@ -4,7 +4,8 @@
 //   causes              cause, causesOf
 //   calls               crash_guard, endpoint_info, endpoint_lookup,
 //                       endpoint_prober, crash_guard_listener
-//   quarantine          crash_quarantine, quarantine_refusal, quarantined_cause,
+//   quarantine          crash_quarantine, quarantine_refusal,
+//   quarantined_cause,
 //                       completed_causes
 //   exchange of reports crash_report, endpoint_start, crash, sound_cause,
 //                       encode, decodeReport
