Record streams more often while several versions serve

Change: while an instance keeps streams of two versions of one service, its record is written after 0.1 s instead of 0.5 s. The interval of report_writer is a parameter.

Measured: unit test of both intervals.

--- a/packages/follow/include/tamarack/follow.hpp
+++ b/packages/follow/include/tamarack/follow.hpp
@@ -174,7 +174,10 @@
 class report_writer {
 public:
   // WriterName must differ from the names of all other writers of the topic.
-  report_writer(keyed_store &Store, store_topic Topic, std::string WriterName);
+  // WriteIntervalMs: pause between two writes; the appends of a topic wait for
+  // each other.
+  report_writer(keyed_store &Store, store_topic Topic, std::string WriterName,
+                int WriteIntervalMs = 300);
 
   // Records that this writer may have stored are of this incarnation.
   bool hasWritten() const { return HasWritten; }
@@ -193,6 +196,7 @@
   keyed_store &Store;
   store_topic Topic;
   store_writer Writer;
+  int WriteIntervalMs;
   bool MayWrite = false;
   bool IsWriting = false;
   bool HasWritten = false;
--- a/packages/follow/src/report_writer.cpp
+++ b/packages/follow/src/report_writer.cpp
@@ -7,15 +7,13 @@
 
 namespace {
 
-// Between two writes: the appends of a topic wait for each other.
-constexpr int WriteIntervalMs = 300;
 constexpr int RetryIntervalMs = 1'000; // After a failure.
 
 } // namespace
 
 report_writer::report_writer(keyed_store &Store, store_topic Topic,
-                             std::string WriterName)
-    : Store(Store), Topic(Topic) {
+                             std::string WriterName, int WriteIntervalMs)
+    : Store(Store), Topic(Topic), WriteIntervalMs(WriteIntervalMs) {
   Writer.Name = std::move(WriterName);
 }
 
--- a/packages/streams/include/tamarack/streams.hpp
+++ b/packages/streams/include/tamarack/streams.hpp
@@ -80,6 +80,8 @@
   std::optional<software> find(std::uint64_t Key) const;
   void removeExpired(time_ms Now);
   std::vector<origin> origins(time_ms Now) const;
+  // True if streams of several versions of one service are kept.
+  bool isMixed() const;
   std::size_t size() const { return Streams.size(); }
 
 private:
@@ -93,10 +95,13 @@
   using stream_map = std::unordered_map<std::uint64_t, stream>;
 
   void remove(stream_map::iterator Item);
+  void uncount(const software &Software);
+  void setSoftware(stream &Stream, const software &Software);
   void makeRoom();
 
   register_settings Settings;
   stream_map Streams; // By key.
+  std::map<software, std::size_t> CountBySoftware;
   // Keys by account, oldest first.
   std::map<std::string, std::list<std::uint64_t>, std::less<>> KeysByAccount;
 };
@@ -116,6 +121,9 @@
 struct exchange_settings {
   register_settings Register;
   int WriteIntervalMs = 500; // Between two writes of the own record.
+  // The same while streams of several versions are kept: what a kill leaves
+  // unrecorded can't go on.
+  int MixedWriteIntervalMs = 100;
 };
 
 class origin_listener {
@@ -171,7 +179,7 @@
   bool HasUnwritten = false;   // The own record has changed.
   time_ms ReadStartedAt = -1;  // Of the read in progress or the last one.
   time_ms EndedReadStart = -1; // When the last read that has ended was started.
-  time_ms NextWriteAt = 0;
+  time_ms WrittenAt = 0;       // When the last write was begun.
   std::uint64_t Reads = 0;
 };
 
--- a/packages/streams/src/origin_exchange.cpp
+++ b/packages/streams/src/origin_exchange.cpp
@@ -12,7 +12,8 @@
                                  exchange_settings Settings)
     : Instance(Instance), Store(Store), Clock(Clock), Listener(Listener),
       Settings(Settings), Register(Settings.Register),
-      Writer(Store, store_topic::Streams, this->Instance) {}
+      Writer(Store, store_topic::Streams, this->Instance,
+             Settings.MixedWriteIntervalMs) {}
 
 relay::stream_origin origin_exchange::find(const relay::call &Call) {
   const relay::stream_origin Origin = lookUp(Call);
@@ -104,9 +105,11 @@
 void origin_exchange::tick(time_ms Now) {
   startRead(Now);
   Register.removeExpired(Now);
-  if (HasPrevious && HasUnwritten && Now >= NextWriteAt) {
+  const int IntervalMs = Register.isMixed() ? Settings.MixedWriteIntervalMs
+                                            : Settings.WriteIntervalMs;
+  if (HasPrevious && HasUnwritten && Now >= WrittenAt + IntervalMs) {
     HasUnwritten = false;
-    NextWriteAt = Now + Settings.WriteIntervalMs;
+    WrittenAt = Now;
     Writer.set(Instance, encode(Register.origins(Now)));
   }
   Writer.tick(Now);
--- a/packages/streams/src/origin_register.cpp
+++ b/packages/streams/src/origin_register.cpp
@@ -12,12 +12,13 @@
   if (Found != Streams.end()) {
     stream &Known = Found->second;
     if (Known.Software != Software)
-      Known.Software = {};
+      setSoftware(Known, {});
     Known.ExpiresAt = std::max(Known.ExpiresAt, BegunAt + Settings.KeepMs);
     return;
   }
   if (Streams.size() >= Settings.MaxStreams)
     makeRoom();
+  ++CountBySoftware[Software];
   std::list<std::uint64_t> &Keys = KeysByAccount[std::string(Account)];
   Keys.push_back(Key);
   Streams.emplace(Key,
@@ -25,6 +26,26 @@
                          BegunAt + Settings.KeepMs, std::prev(Keys.end())});
 }
 
+void origin_register::uncount(const software &Software) {
+  const auto Count = CountBySoftware.find(Software);
+  if (--Count->second == 0)
+    CountBySoftware.erase(Count);
+}
+
+void origin_register::setSoftware(stream &Stream, const software &Software) {
+  uncount(Stream.Software);
+  Stream.Software = Software;
+  ++CountBySoftware[Software];
+}
+
+bool origin_register::isMixed() const {
+  const auto IsSameService = [](const auto &A, const auto &B) {
+    return A.first.Service == B.first.Service;
+  };
+  return std::adjacent_find(CountBySoftware.begin(), CountBySoftware.end(),
+                            IsSameService) != CountBySoftware.end();
+}
+
 void origin_register::onDelivered(std::uint64_t Key, time_ms Now) {
   const auto Found = Streams.find(Key);
   if (Found == Streams.end())
@@ -61,6 +82,7 @@
 }
 
 void origin_register::remove(stream_map::iterator Item) {
+  uncount(Item->second.Software);
   const auto Account = KeysByAccount.find(Item->second.Account);
   Account->second.erase(Item->second.Position);
   if (Account->second.empty())
--- a/tests/unit/streams_test.cpp
+++ b/tests/unit/streams_test.cpp
@@ -260,6 +260,29 @@
   CHECK(Register.size() == 0);
 }
 
+TEST_CASE("records are written more often while versions are mixed",
+          "[streams]") {
+  manual_clock Clock;
+  queued_store Store;
+  instance A("a", Store, Clock, 1);
+  const auto WritesInASecond = [&](const std::string &Version) {
+    const int Before = Store.Appends;
+    for (std::uint64_t Key = 0; Key < 20; ++Key) {
+      Clock.Time += 50;
+      A.begin(static_cast<std::uint64_t>(Clock.Time), Version);
+      A.Exchange.tick(Clock.Time);
+      Store.run();
+    }
+    return Store.Appends - Before;
+  };
+  CHECK(WritesInASecond("v1") == 2);
+  CHECK(WritesInASecond("v2") >= 9);
+  // Until the streams of the other version can't be taken up any more.
+  Clock.Time += 70'000;
+  WritesInASecond("v2");
+  CHECK(WritesInASecond("v2") == 2);
+}
+
 TEST_CASE("records are encoded and decoded", "[streams]") {
   const std::vector<origin> Origins = {{1, {"s", "v1"}, 5},
                                        {~0ull, {"s", "v2"}, 0}};
