Count an outage of the store from the last read that it answered

The list of endpoints took the arrival of a page for the moment up to which the store was known to work. After a page that was long on its way an outage looked shorter than the 2 s in which entries expire: live endpoints whose entries had gone got no work until they had registered again, up to a heartbeat.

Change: the outage counts from the start of the last read that was answered.

--- a/packages/daemon/src/router.cpp
+++ b/packages/daemon/src/router.cpp
@@ -110,7 +110,9 @@
     Router.refreshEndpoints();
   }
   void onStoreResponse() override {
-    Router.Directory.onStoreResponse(Router.Clock.monotonic());
+    const time_ms Now = Router.Clock.monotonic();
+    Router.Directory.onStoreResponse(Now - Router.EndpointFollower.lastReadMs(),
+                                     Now);
   }
   void onStoreUnavailable() override { Router.Directory.onStoreUnavailable(); }
 
--- a/packages/follow/include/tamarack/follow.hpp
+++ b/packages/follow/include/tamarack/follow.hpp
@@ -120,7 +120,8 @@
   bool onEntry(const dispatch::endpoint_entry &Entry);
   void onRemoved(std::string_view Id, time_ms Now);
   void onStoreUnavailable() { StoreUnavailable = true; }
-  void onStoreResponse(time_ms Now);
+  // The store has answered a read that was sent at SentAt.
+  void onStoreResponse(time_ms SentAt, time_ms Now);
   // The store has come back from an older copy, which may lack live endpoints
   // and have those that are gone. A snapshot follows.
   void onEraChanged(time_ms Now);
@@ -159,7 +160,7 @@
   std::map<std::string, removed_endpoint, std::less<>> Removed;
   bool Changed = false; // Since the last call of update.
   bool StoreUnavailable = false;
-  time_ms LastResponseAt = 0; // Of the store.
+  time_ms LastAnsweredAt = 0; // When the last read that was answered was sent.
   time_ms OutageEndedAt = -1; // -1 if there was no outage that counts.
   bool IsCatchingUp = false;  // Records of the time of the outage may follow.
   bool IsReadingSnapshot = false;
--- a/packages/follow/src/endpoint_directory.cpp
+++ b/packages/follow/src/endpoint_directory.cpp
@@ -78,13 +78,13 @@
   Found->second.RemoveAt = OutageEndedAt + ReregistrationMs;
 }
 
-void endpoint_directory::onStoreResponse(time_ms Now) {
-  if (StoreUnavailable && Now - LastResponseAt >= MinExpiryMs) {
+void endpoint_directory::onStoreResponse(time_ms SentAt, time_ms Now) {
+  if (StoreUnavailable && Now - LastAnsweredAt >= MinExpiryMs) {
     expectReregistrations(Now);
     IsCatchingUp = true;
   }
   StoreUnavailable = false;
-  LastResponseAt = Now;
+  LastAnsweredAt = SentAt;
 }
 
 void endpoint_directory::expectReregistrations(time_ms Now) {
@@ -113,7 +113,7 @@
   OutageEndedAt = -1;
   for (auto &[Id, Item] : Listed)
     if (Item.RemoveAt >= 0)
-      Item.RemoveAt = LastResponseAt;
+      Item.RemoveAt = LastAnsweredAt;
 }
 
 void endpoint_directory::beginSnapshot() {
--- a/tests/unit/follow_test.cpp
+++ b/tests/unit/follow_test.cpp
@@ -255,7 +255,7 @@
 TEST_CASE("a copy of the store brings back no endpoint that has left",
           "[follow]") {
   endpoint_directory Directory;
-  Directory.onStoreResponse(0);
+  Directory.onStoreResponse(0, 0);
   for (const char *Id : {"gone", "leaving", "alive"})
     Directory.onEntry(entryOf(Id, 5));
   Directory.onCaughtUp();
@@ -318,11 +318,11 @@
 TEST_CASE("entries removed after a store outage get time to register again",
           "[follow]") {
   endpoint_directory Directory;
-  Directory.onStoreResponse(0);
+  Directory.onStoreResponse(0, 0);
   Directory.onEntry(entryOf("e", 1));
   Directory.onEntry(entryOf("leaving", 1, true));
   Directory.onStoreUnavailable();
-  Directory.onStoreResponse(5'000);
+  Directory.onStoreResponse(5'000, 5'000);
   Directory.onRemoved("e", 5'010);
   Directory.onRemoved("leaving", 5'010);
   Directory.update(5'010);
@@ -344,13 +344,13 @@
 TEST_CASE("entries removed while the others kept registering get no extra time",
           "[follow]") {
   endpoint_directory Directory;
-  Directory.onStoreResponse(0);
+  Directory.onStoreResponse(0, 0);
   const std::vector<std::string> Living = {"a", "b", "c", "d"};
   for (const std::string &Id : Living)
     Directory.onEntry(entryOf(Id, 1));
   Directory.onEntry(entryOf("gone", 1));
   Directory.onStoreUnavailable();
-  Directory.onStoreResponse(5'000);
+  Directory.onStoreResponse(5'000, 5'000);
   SECTION("the store went on accepting registrations") {
     Directory.onRemoved("gone", 5'000);
     for (const std::string &Id : Living)
@@ -382,10 +382,10 @@
 TEST_CASE("after a short outage removed entries get no extra time",
           "[follow]") {
   endpoint_directory Directory;
-  Directory.onStoreResponse(0);
+  Directory.onStoreResponse(0, 0);
   Directory.onEntry(entryOf("e", 1));
   Directory.onStoreUnavailable();
-  Directory.onStoreResponse(1'500);
+  Directory.onStoreResponse(1'500, 1'500);
   Directory.onRemoved("e", 1'500);
   CHECK(Directory.entries().empty());
 }
@@ -452,3 +452,19 @@
   CHECK_FALSE(peers::decodeRequest("x"));
   CHECK_FALSE(peers::decodeResponse(peers::encode(Request)));
 }
+
+// Guards against an outage that looks shorter because the last page before it
+// was long on its way.
+TEST_CASE("an outage lasts from the last read that was answered", "[follow]") {
+  endpoint_directory Directory;
+  Directory.onStoreResponse(0, 1'800);
+  Directory.onEntry(entryOf("a", 1));
+  Directory.onCaughtUp();
+  Directory.onStoreUnavailable();
+  Directory.onStoreResponse(2'900, 3'000);
+  Directory.onRemoved("a", 3'000);
+  Directory.update(3'000);
+  CHECK(Directory.entries().size() == 1);
+  Directory.update(3'000 + endpoint_directory::ReregistrationMs);
+  CHECK(Directory.entries().empty());
+}
