--- a/packages/peers/include/tamarack/peers.hpp
+++ b/packages/peers/include/tamarack/peers.hpp
@@ -152,9 +152,8 @@
 //
 // A shared page is as of the beginning of the first read, so it may be older
 // than the request by the duration of a read and ReuseMs; its StaleMs tells by
-// how much. Only the topics that
-// instances do not write are shared: grants and watermarks need a read that
-// begins after the instance's own last write.
+// how much. Only the topics that instances do not write are shared: the others
+// need a read that begins after the instance's own last write.
 class shared_read_store final : public keyed_store {
 public:
   static constexpr int ReuseMs = 500; // After the end of a read.
--- a/packages/relay/include/tamarack/relay.hpp
+++ b/packages/relay/include/tamarack/relay.hpp
@@ -176,8 +176,8 @@
   // account and of the request id of the attempt that began it.
   std::uint64_t StreamKey = 0;
   std::vector<service_option> RouteServices; // Of a stream that is taken up.
-  // Software that the endpoint must have, because it has sent a part of the
-  // stream already. Empty: any.
+  // Software that the endpoint must have, because it wrote the part of the
+  // stream that the caller has. Empty: any.
   std::string RequiredVersion;
   // Digest of account, method, host, target and body: the same for a request
   // that is sent again. 0 if not known.
