Satisfy the linter in packages/streams

What callers saw: nothing. clang-tidy 14 takes the code of a defaulted three-way comparison amiss; equality and an order are written out, a vector reserves its size.

--- a/packages/streams/include/tamarack/streams.hpp
+++ b/packages/streams/include/tamarack/streams.hpp
@@ -26,13 +26,13 @@
 #include "tamarack/ports.hpp"
 #include "tamarack/relay.hpp"
 
-#include <compare>
 #include <cstdint>
 #include <list>
 #include <map>
 #include <optional>
 #include <string>
 #include <string_view>
+#include <tuple>
 #include <unordered_map>
 #include <vector>
 
@@ -46,7 +46,10 @@
 struct software {
   std::string Service;
   std::string Version;
-  auto operator<=>(const software &) const = default;
+  bool operator==(const software &) const = default;
+  bool operator<(const software &Other) const {
+    return std::tie(Service, Version) < std::tie(Other.Service, Other.Version);
+  }
 };
 
 // Where one stream began.
--- a/packages/streams/src/origin_exchange.cpp
+++ b/packages/streams/src/origin_exchange.cpp
@@ -16,7 +16,7 @@
              Settings.MixedWriteIntervalMs) {}
 
 relay::stream_origin origin_exchange::find(const relay::call &Call) {
-  const relay::stream_origin Origin = lookUp(Call);
+  relay::stream_origin Origin = lookUp(Call);
   if (Origin.State != origin_state::Pending)
     return Origin;
   WantsRead = true;
--- a/packages/streams/src/records.cpp
+++ b/packages/streams/src/records.cpp
@@ -25,6 +25,7 @@
   for (const origin &Origin : Origins)
     BySoftware[Origin.Software].emplace_back(Origin.Key, Origin.AgeMs);
   std::vector<software_tuple> Rows;
+  Rows.reserve(BySoftware.size());
   for (auto &[Software, Streams] : BySoftware)
     Rows.emplace_back(Software.Service, Software.Version, std::move(Streams));
   return wire::pack(record_tuple(FormatVersion, std::move(Rows)));
