Fuzz the records of streams

What callers saw: nothing; a test. What instances read of each other's streams must be rejected or survive encoding, and fit the bounded register.

--- a/tests/fuzz/fuzz_reports.cpp
+++ b/tests/fuzz/fuzz_reports.cpp
@@ -1,9 +1,10 @@
-// Fuzzes what instances read of each other in the topic of grants: grants,
-// watermarks, reports on crashes and on limits. Any bytes must be rejected, or
+// Fuzzes what instances read of each other in the store: grants, watermarks,
+// reports on crashes and on limits, streams. Any bytes must be rejected, or
 // decode to a value that survives encoding and can be applied.
 #include "tamarack/grants.hpp"
 #include "tamarack/limits.hpp"
 #include "tamarack/quarantine.hpp"
+#include "tamarack/streams.hpp"
 
 #include <cmath>
 #include <cstdlib>
@@ -90,6 +91,23 @@
   }
 }
 
+void applyStreams(std::string_view Bytes) {
+  const std::optional<std::vector<streams::origin>> Origins =
+      streams::decodeOrigins(Bytes);
+  if (!Origins)
+    return;
+  const std::optional<std::vector<streams::origin>> Again =
+      streams::decodeOrigins(streams::encode(*Origins));
+  require(Again && Again->size() == Origins->size());
+  const streams::register_settings Settings;
+  streams::origin_register Register(Settings);
+  for (const streams::origin &Origin : *Origins)
+    Register.add(Origin.Key, "a", Origin.Software, -Origin.AgeMs);
+  require(Register.size() <= Settings.MaxStreams);
+  Register.removeExpired(Settings.KeepMs);
+  require(Register.size() == 0);
+}
+
 } // namespace
 
 extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t *Data,
@@ -99,5 +117,6 @@
   applyWatermark(Bytes);
   applyCrashReport(Bytes);
   applyLimitReport(Bytes);
+  applyStreams(Bytes);
   return 0;
 }
