--- a/tests/unit/platform_test.cpp
+++ b/tests/unit/platform_test.cpp
@@ -157,6 +157,79 @@
       document_error);
 }
 
+// Guards against a writer of odd entries that ends the process, or whose entry
+// is taken for an endpoint with other values than it has.
+TEST_CASE("an odd endpoint entry is an error and nothing else", "[platform]") {
+  const auto Rejects = [](const std::string &Old, const std::string &New) {
+    CHECK_THROWS_AS(decodeEndpointEntry("e", replaced(Entry, Old, New)),
+                    document_error);
+  };
+  SECTION("numbers that are too large") {
+    for (const char *Slots : {"4294967297", "2147483647", "-1", "0",
+                              "18446744073709551615", "1e300", "1e999"})
+      Rejects("\"slots\": 64", "\"slots\": " + std::string(Slots));
+    for (const char *Start : {"9223372036854775807", "18446744073709551615",
+                              "300000000000000000000", "-1"})
+      Rejects("1700000000000", Start);
+    for (const char *WarmUp : {"1e300", "-1", "\"a\"", "1e999"})
+      Rejects("\"coldLeftMs\": 0", "\"coldLeftMs\": " + std::string(WarmUp));
+    for (const char *Sequence :
+         {"9223372036854775807", "-5", "1e300", "18446744073709551615"})
+      Rejects("\"sequence\": 4", "\"sequence\": " + std::string(Sequence));
+  }
+  SECTION("a port out of range") {
+    for (const char *Port :
+         {"65536", "4294975376", "0", "-1", "99999999999999999999", "", "80x"})
+      Rejects("10.0.0.9:8080", "10.0.0.9:" + std::string(Port));
+  }
+  SECTION("texts that are too long or no UTF-8") {
+    Rejects("\"v1\"", '"' + std::string(300, 'v') + '"');
+    Rejects("\"v1\"", "\"\xff\xfe\"");
+    Rejects("{", "{ \"more\": \"" + std::string(1'000'000, 'x') + "\", ");
+  }
+  SECTION("deeply nested values") {
+    for (const std::size_t Levels : {30'000u, 100'000u, 1'000'000u}) {
+      CHECK_THROWS_AS(decodeEndpointEntry("e", std::string(Levels, '[')),
+                      document_error);
+      CHECK_THROWS_AS(decodeEndpointEntry("e", std::string(Levels, '[') +
+                                                   std::string(Levels, ']')),
+                      document_error);
+    }
+    // A value that no reader needs does no harm.
+    const std::string Nested =
+        std::string(20'000, '[') + std::string(20'000, ']');
+    CHECK(decodeEndpointEntry(
+              "e", replaced(Entry, "{", "{ \"more\": " + Nested + ", "))
+              .Slots == 64);
+  }
+  SECTION("ids that would change the header of a request") {
+    for (const std::string_view Id :
+         {"", "a b", "a\r\nX: y", "a\x01", "\xc3\xa9"})
+      CHECK_THROWS_AS(decodeEndpointEntry(Id, Entry), document_error);
+    CHECK_THROWS_AS(decodeEndpointEntry(std::string(300, 'i'), Entry),
+                    document_error);
+  }
+}
+
+TEST_CASE("an odd configuration is an error and nothing else", "[platform]") {
+  CHECK_THROWS_AS(decodeConfiguration(std::string(250'000, '[')),
+                  document_error);
+  for (const char *Version : {"1e300", "18446744073709551615", "-1", "\"7\""})
+    CHECK_THROWS_AS(
+        decodeConfiguration(replaced(Configuration, "\"version\": 7",
+                                     "\"version\": " + std::string(Version))),
+        document_error);
+  for (const char *Number : {"1e300", "18446744073709551615", "1e999"})
+    for (const char *Field :
+         {"\"timeoutMs\": 12000", "\"weight\": 90", "\"maxBodyBytes\": 1000",
+          "\"prepaid\": 3114066"}) {
+      const std::string Name(Field, std::string_view(Field).find(' '));
+      CHECK_THROWS_AS(
+          decodeConfiguration(replaced(Configuration, Field, Name + Number)),
+          document_error);
+    }
+}
+
 TEST_CASE("a request is decoded into a call", "[platform]") {
   codec_fixture Fixture;
   const edge::decoded_request Decoded = Fixture.decode();
