Let an odd entry of another writer not hide a live endpoint

Cause: the directory believed any entry with a later start or sequence, so that one entry with a start in the far future hid all later reports of its endpoint, also that it leaves; one without a start replaced a known start. Change: an endpoint that reports three times in a row is alive, and an entry that seems newer than these reports is not its own; an entry without the known start is not newer; an older report of the same start that says "leaving" counts. Listed and removed endpoints are kept in one table. The directory also takes what a response says about leaving, which nothing reads yet.

--- a/packages/follow/include/tamarack/follow.hpp
+++ b/packages/follow/include/tamarack/follow.hpp
@@ -99,12 +99,16 @@
 // The endpoints
 //---------------------------------------------------------------------------
 
-// The endpoints that the platform lists.
+// The endpoints that the platform lists, and which of them take no new work.
 //
 // Entries that disappeared during an outage of the store, or shortly after, are
 // kept until live endpoints have had time to register again. An outage that is
 // too short for entries to expire does not count, nor does one in which most
 // endpoints kept registering: then only this instance could not read.
+//
+// An endpoint that leaves says so in its entry, in its responses, or in both.
+// Once a response has said so it is leaving until it starts anew, whatever its
+// entries say.
 class endpoint_directory {
 public:
   static constexpr int MinExpiryMs = 2'000; // Shorter outages expire no entry.
@@ -115,9 +119,17 @@
   // If this share of the endpoints registered during an outage, the store was
   // available to them.
   static constexpr double RegisteringShare = 0.75;
+  // An endpoint that reports this often in a row is alive, and an entry that
+  // seems newer than these reports is not its own.
+  static constexpr int ReportsOfLife = 3;
 
   // True if the entry contains something new.
   bool onEntry(const dispatch::endpoint_entry &Entry);
+  // A response of the endpoint states that it takes no new work. StartedAt is
+  // the start that was known when the request was sent. Returns true if that is
+  // news.
+  bool onStatedLeaving(std::string_view Id, std::int64_t StartedAt,
+                       time_ms Now);
   void onRemoved(std::string_view Id, time_ms Now);
   void onStoreUnavailable() { StoreUnavailable = true; }
   // The store has answered a read that was sent at SentAt.
@@ -137,27 +149,31 @@
   std::vector<dispatch::endpoint_entry> entries() const;
 
 private:
-  struct listed_endpoint {
-    dispatch::endpoint_entry Entry;
+  // An endpoint that is listed, or was until a short time ago.
+  struct known_endpoint {
+    dispatch::endpoint_entry Entry; // The latest one.
+    bool IsListed = false;
+    bool StatesLeaving = false; // In a response.
     bool InSnapshot = false;    // Seen since beginSnapshot.
     bool HasRegistered = false; // Since the beginning of the last outage.
-    time_ms RemoveAt = -1; // End of the time to register again, -1 if listed.
-  };
-
-  // The latest entry of an endpoint that has been removed.
-  struct removed_endpoint {
-    dispatch::endpoint_entry Entry;
-    time_ms RemovedAt = 0;
+    time_ms RemoveAt = -1;  // End of the time to register again, -1 if none.
+    time_ms RemovedAt = -1; // If it is not listed.
+    // The last of the reports in a row that seem older than Entry.
+    dispatch::endpoint_entry Contradicting;
+    int ContradictingReports = 0;
   };
 
+  // True if the endpoint has published Entry after all that is known of it.
+  bool isInOrder(known_endpoint &Known, const dispatch::endpoint_entry &Entry);
+  bool isLive(known_endpoint &Known, const dispatch::endpoint_entry &Entry);
+  bool markLeaving(known_endpoint &Known);
   // True while endpoints may still have to register again after an outage.
   bool isReregistering(time_ms Now) const;
   void expectReregistrations(time_ms Now);
   bool haveMostRegistered() const; // Since the beginning of the last outage.
-  void erase(const std::string &Id, time_ms Now);
+  void unlist(known_endpoint &Known, time_ms Now);
 
-  std::map<std::string, listed_endpoint, std::less<>> Listed;
-  std::map<std::string, removed_endpoint, std::less<>> Removed;
+  std::map<std::string, known_endpoint, std::less<>> Endpoints; // By id.
   bool Changed = false; // Since the last call of update.
   bool StoreUnavailable = false;
   time_ms LastAnsweredAt = 0; // When the last read that was answered was sent.
--- a/packages/follow/src/endpoint_directory.cpp
+++ b/packages/follow/src/endpoint_directory.cpp
@@ -15,11 +15,12 @@
          A.Leaving == B.Leaving && A.StartedAt == B.StartedAt;
 }
 
-// True if the endpoint published Entry before Known.
+// True if the endpoint published Entry before Known. An entry that lacks the
+// known start is not its own.
 bool isOlder(const dispatch::endpoint_entry &Entry,
              const dispatch::endpoint_entry &Known) {
   if (Entry.StartedAt != Known.StartedAt)
-    return Entry.StartedAt != 0 && Entry.StartedAt < Known.StartedAt;
+    return Entry.StartedAt < Known.StartedAt;
   return Entry.Sequence < Known.Sequence;
 }
 
@@ -35,47 +36,95 @@
   return OutageEndedAt >= 0 && Now - OutageEndedAt < ReregistrationMs;
 }
 
-void endpoint_directory::erase(const std::string &Id, time_ms Now) {
-  const auto Found = Listed.find(Id);
-  Removed[Id] = {std::move(Found->second.Entry), Now};
-  Listed.erase(Found);
+void endpoint_directory::unlist(known_endpoint &Known, time_ms Now) {
+  Known.IsListed = false;
+  Known.RemoveAt = -1;
+  Known.RemovedAt = Now;
   Changed = true;
 }
 
+// True if Entry is one of several reports in a row that seem older than the
+// latest entry: another writer has left that one. Reports that were late on
+// their way are few, and stop.
+bool endpoint_directory::isLive(known_endpoint &Known,
+                                const dispatch::endpoint_entry &Entry) {
+  const bool IsNextReport = Known.ContradictingReports > 0 &&
+                            Entry.StartedAt == Known.Contradicting.StartedAt &&
+                            Entry.Sequence > Known.Contradicting.Sequence;
+  Known.ContradictingReports =
+      IsNextReport ? Known.ContradictingReports + 1 : 1;
+  Known.Contradicting = Entry;
+  return Known.ContradictingReports >= ReportsOfLife;
+}
+
+bool endpoint_directory::isInOrder(known_endpoint &Known,
+                                   const dispatch::endpoint_entry &Entry) {
+  // A snapshot may be of a copy of the store, from before the removal.
+  const bool IsLater = Known.IsListed || !IsReadingSnapshot
+                           ? !isOlder(Entry, Known.Entry)
+                           : isNewer(Entry, Known.Entry);
+  return IsLater || (!IsReadingSnapshot && isLive(Known, Entry));
+}
+
 bool endpoint_directory::onEntry(const dispatch::endpoint_entry &Entry) {
-  const auto Previous = Removed.find(Entry.Id);
-  if (Previous != Removed.end()) {
-    // A snapshot may be of a copy of the store, from before the removal.
-    const bool IsBack = IsReadingSnapshot
-                            ? isNewer(Entry, Previous->second.Entry)
-                            : !isOlder(Entry, Previous->second.Entry);
-    if (!IsBack)
-      return false;
-    Removed.erase(Previous);
-  }
-  listed_endpoint &Item = Listed[Entry.Id];
-  if (!Item.Entry.Id.empty() && isOlder(Entry, Item.Entry)) {
-    Item.InSnapshot = true;
-    return false;
+  const auto [Found, IsFirst] = Endpoints.try_emplace(Entry.Id);
+  known_endpoint &Known = Found->second;
+  const bool IsSameStart = Entry.StartedAt == Known.Entry.StartedAt;
+  if (!IsFirst && !isInOrder(Known, Entry)) {
+    Known.InSnapshot = Known.InSnapshot || Known.IsListed;
+    return IsSameStart && Entry.Leaving && markLeaving(Known);
   }
-  const bool IsNew = Item.RemoveAt >= 0 || !isSameState(Item.Entry, Entry);
+  Known.StatesLeaving = IsSameStart && Known.StatesLeaving;
+  dispatch::endpoint_entry Next = Entry;
+  Next.Leaving = Next.Leaving || Known.StatesLeaving;
+  const bool IsNew =
+      !Known.IsListed || Known.RemoveAt >= 0 || !isSameState(Known.Entry, Next);
   Changed = Changed || IsNew;
-  Item.Entry = Entry;
-  Item.InSnapshot = true;
+  Known.Entry = std::move(Next);
+  Known.ContradictingReports = 0;
+  Known.IsListed = true;
+  Known.InSnapshot = true;
   // An entry of a snapshot may be from before the outage.
-  Item.HasRegistered = Item.HasRegistered || !IsReadingSnapshot;
-  Item.RemoveAt = -1;
+  Known.HasRegistered = Known.HasRegistered || !IsReadingSnapshot;
+  Known.RemoveAt = -1;
   return IsNew;
 }
 
+// True if that is news.
+bool endpoint_directory::markLeaving(known_endpoint &Known) {
+  if (std::exchange(Known.Entry.Leaving, true))
+    return false;
+  Changed = Changed || Known.IsListed;
+  return true;
+}
+
+// A response may be of a later start than its request expected; the latest
+// known one is the safer guess.
+bool endpoint_directory::onStatedLeaving(std::string_view Id,
+                                         std::int64_t StartedAt, time_ms Now) {
+  const auto [Found, IsFirst] = Endpoints.try_emplace(std::string(Id));
+  known_endpoint &Known = Found->second;
+  if (IsFirst) {
+    Known.Entry.Id = Id;
+    Known.Entry.StartedAt = StartedAt;
+    Known.RemovedAt = Now;
+  }
+  const bool IsNews = !std::exchange(Known.StatesLeaving, true);
+  markLeaving(Known);
+  return IsNews;
+}
+
 void endpoint_directory::onRemoved(std::string_view Id, time_ms Now) {
-  const auto Found = Listed.find(Id);
-  if (Found == Listed.end() || Found->second.RemoveAt >= 0)
+  const auto Found = Endpoints.find(Id);
+  if (Found == Endpoints.end())
+    return;
+  known_endpoint &Known = Found->second;
+  if (!Known.IsListed || Known.RemoveAt >= 0)
     return;
   // An endpoint that was leaving does not register again.
-  if (!isReregistering(Now) || Found->second.Entry.Leaving)
-    return erase(Found->first, Now);
-  Found->second.RemoveAt = OutageEndedAt + ReregistrationMs;
+  if (!isReregistering(Now) || Known.Entry.Leaving)
+    return unlist(Known, Now);
+  Known.RemoveAt = OutageEndedAt + ReregistrationMs;
 }
 
 void endpoint_directory::onStoreResponse(time_ms SentAt, time_ms Now) {
@@ -89,8 +138,8 @@
 
 void endpoint_directory::expectReregistrations(time_ms Now) {
   OutageEndedAt = Now;
-  for (auto &[Id, Item] : Listed)
-    Item.HasRegistered = false;
+  for (auto &[Id, Known] : Endpoints)
+    Known.HasRegistered = false;
 }
 
 void endpoint_directory::onEraChanged(time_ms Now) {
@@ -99,11 +148,14 @@
 }
 
 bool endpoint_directory::haveMostRegistered() const {
-  const std::ptrdiff_t Registered =
-      std::count_if(Listed.begin(), Listed.end(),
-                    [](const auto &Item) { return Item.second.HasRegistered; });
+  std::size_t Listed = 0;
+  std::size_t Registered = 0;
+  for (const auto &[Id, Known] : Endpoints) {
+    Listed += Known.IsListed ? 1 : 0;
+    Registered += Known.IsListed && Known.HasRegistered ? 1 : 0;
+  }
   return static_cast<double>(Registered) >=
-         RegisteringShare * static_cast<double>(Listed.size());
+         RegisteringShare * static_cast<double>(Listed);
 }
 
 void endpoint_directory::onCaughtUp() {
@@ -111,45 +163,39 @@
     return;
   // The store was available to the endpoints, so those that are gone have left.
   OutageEndedAt = -1;
-  for (auto &[Id, Item] : Listed)
-    if (Item.RemoveAt >= 0)
-      Item.RemoveAt = LastAnsweredAt;
+  for (auto &[Id, Known] : Endpoints)
+    if (Known.RemoveAt >= 0)
+      Known.RemoveAt = LastAnsweredAt;
 }
 
 void endpoint_directory::beginSnapshot() {
   IsReadingSnapshot = true;
-  for (auto &[Id, Item] : Listed)
-    Item.InSnapshot = false;
+  for (auto &[Id, Known] : Endpoints)
+    Known.InSnapshot = false;
 }
 
 void endpoint_directory::endSnapshot(time_ms Now) {
   IsReadingSnapshot = false;
-  std::vector<std::string> Missing;
-  for (const auto &[Id, Item] : Listed)
-    if (!Item.InSnapshot)
-      Missing.push_back(Id);
-  for (const std::string &Id : Missing)
-    onRemoved(Id, Now);
+  for (const auto &[Id, Known] : Endpoints)
+    if (Known.IsListed && !Known.InSnapshot)
+      onRemoved(Id, Now);
 }
 
 bool endpoint_directory::update(time_ms Now) {
-  std::vector<std::string> Due;
-  for (const auto &[Id, Item] : Listed)
-    if (Item.RemoveAt >= 0 && Item.RemoveAt <= Now)
-      Due.push_back(Id);
-  for (const std::string &Id : Due)
-    erase(Id, Now);
-  std::erase_if(Removed, [Now](const auto &Item) {
-    return Now - Item.second.RemovedAt > LateReportMs;
+  for (auto &[Id, Known] : Endpoints)
+    if (Known.RemoveAt >= 0 && Known.RemoveAt <= Now)
+      unlist(Known, Now);
+  std::erase_if(Endpoints, [Now](const auto &Item) {
+    return !Item.second.IsListed && Now - Item.second.RemovedAt > LateReportMs;
   });
   return std::exchange(Changed, false);
 }
 
 std::vector<dispatch::endpoint_entry> endpoint_directory::entries() const {
   std::vector<dispatch::endpoint_entry> Result;
-  Result.reserve(Listed.size());
-  for (const auto &[Id, Item] : Listed)
-    Result.push_back(Item.Entry);
+  for (const auto &[Id, Known] : Endpoints)
+    if (Known.IsListed)
+      Result.push_back(Known.Entry);
   return Result;
 }
 
--- a/tests/unit/follow_test.cpp
+++ b/tests/unit/follow_test.cpp
@@ -429,6 +429,67 @@
   CHECK(Directory.entries()[0].Id == "b");
 }
 
+namespace {
+
+dispatch::endpoint_entry startedAt(dispatch::endpoint_entry Entry,
+                                   std::int64_t StartedAt) {
+  Entry.StartedAt = StartedAt;
+  return Entry;
+}
+
+} // namespace
+
+// Guards against one entry of another writer, with a start or a count of the
+// far future, that hides all later reports of a live endpoint.
+TEST_CASE("an endpoint that goes on reporting outlives an odd entry",
+          "[follow]") {
+  endpoint_directory Directory;
+  Directory.onEntry(startedAt(entryOf("e", 5), 1'000));
+  const bool IsStart = GENERATE(true, false);
+  dispatch::endpoint_entry Odd =
+      IsStart ? startedAt(entryOf("e", 1), 9'000'000)
+              : startedAt(entryOf("e", 9'000'000), 1'000);
+  Odd.Address = "10.0.0.2:2";
+  Directory.onEntry(Odd);
+  SECTION("while it is listed") {}
+  SECTION("after it was removed") { Directory.onRemoved("e", 10); }
+  for (std::int64_t Sequence = 6; Sequence < 9; ++Sequence)
+    Directory.onEntry(startedAt(entryOf("e", Sequence), 1'000));
+  REQUIRE(Directory.entries().size() == 1);
+  CHECK(Directory.entries()[0].Address == "10.0.0.1:1");
+  Directory.onEntry(startedAt(entryOf("e", 9, true), 1'000));
+  CHECK(Directory.entries()[0].Leaving);
+}
+
+// Guards against an endpoint that leaves unnoticed behind an odd entry.
+TEST_CASE("an odd entry does not hide that its endpoint leaves", "[follow]") {
+  endpoint_directory Directory;
+  Directory.onEntry(startedAt(entryOf("e", 9'000'000), 1'000));
+  Directory.update(0);
+  Directory.onEntry(startedAt(entryOf("e", 6, true), 1'000));
+  CHECK(Directory.update(0));
+  CHECK(Directory.entries()[0].Leaving);
+}
+
+TEST_CASE("an entry without the known start changes nothing", "[follow]") {
+  endpoint_directory Directory;
+  Directory.onEntry(startedAt(entryOf("e", 5), 1'000));
+  CHECK_FALSE(Directory.onEntry(entryOf("e", 6)));
+  CHECK(Directory.entries()[0].StartedAt == 1'000);
+}
+
+TEST_CASE("late reports of a former start don't replace the present one",
+          "[follow]") {
+  endpoint_directory Directory;
+  Directory.onEntry(startedAt(entryOf("e", 5), 1'000));
+  Directory.onEntry(startedAt(entryOf("e", 1), 2'000));
+  for (std::int64_t Report = 2; Report < 10; ++Report) {
+    Directory.onEntry(startedAt(entryOf("e", 4 + Report), 1'000));
+    Directory.onEntry(startedAt(entryOf("e", Report), 2'000));
+    CHECK(Directory.entries()[0].StartedAt == 2'000);
+  }
+}
+
 //---------------------------------------------------------------------------
 // Messages between instances
 //---------------------------------------------------------------------------
