Send nothing to an endpoint whose responses say that it leaves

Cause: nothing read the header with which an endpoint says in its responses that it takes no new work. Instances went by the list alone, which may say so later, never, or be of an older copy, and a removed entry that came back lost what was known of its endpoint. Change: the codec reads the statement, and the endpoint directory owns who leaves: until a later start, whatever the entries say. The list is passed on at once. A response that comes after a new start is listed counts for that start, the safer guess.

--- a/packages/daemon/src/router.cpp
+++ b/packages/daemon/src/router.cpp
@@ -22,6 +22,7 @@
 constexpr int MaxConfigurationAgeMs = 1'500;
 // Of calls for peers. A peer that has waited longer asks another instance.
 constexpr int MaxQueuedPeerCallMs = 400;
+constexpr std::size_t MaxLoggedTextBytes = 64; // Of what others have sent.
 
 // Pause between reads, long poll, pause after a failed read (all ms), and
 // whether only the newest version of a key matters.
@@ -93,6 +94,7 @@
       if (Router.Directory.onEntry(Entry) && Entry.Leaving)
         Router.Log.write("endpoint_leaving",
                          {{"endpoint", std::string_view(Entry.Id)},
+                          {"from", "list"},
                           {"sequence", Entry.Sequence}});
     } catch (const platform::document_error &Error) {
       Router.Metrics.counterOf("tamarack_unreadable_records_total").add();
@@ -191,7 +193,8 @@
       CrashGuard(LimitGate, Quarantine, EndpointProber, ListedEndpoints,
                  QuarantineLog),
       CrashReports(Settings.Instance, Store, Quarantine),
-      ShutdownGate(CrashGuard), Codec(LoadBalancer, Limiter, Random, *this),
+      ShutdownGate(CrashGuard),
+      Codec(LoadBalancer, *this, Limiter, Random, *this),
       Grants(Settings.Instance, Random.next() | 1, Settings.PeerAddress,
              adapters::readBootId(), {}, Clock),
       LostRecords(Store, store_topic::Grants, Settings.Instance + ".lost"),
@@ -343,6 +346,29 @@
             {{"count", static_cast<std::int64_t>(Entries.size())}});
 }
 
+// No later than now: the next request must not go there.
+void router::onLeavingStated(const relay::endpoint_choice &Source,
+                             time_ms Now) {
+  if (!Directory.onStatedLeaving(Source.Endpoint, Source.StartedAt, Now))
+    return;
+  Log.write("endpoint_leaving",
+            {{"endpoint", std::string_view(Source.Endpoint)},
+             {"from", "response"},
+             {"started_at", Source.StartedAt},
+             {"endpoints_read_ms_ago", ageOf(EndpointFollower)}});
+  refreshEndpoints();
+}
+
+void router::onStatementUnreadable(const relay::endpoint_choice &Source,
+                                   std::string_view Field,
+                                   std::string_view Text) {
+  Metrics.counterOf("tamarack_statements_unreadable_total").add();
+  Log.write("statement_unreadable",
+            {{"endpoint", std::string_view(Source.Endpoint)},
+             {"field", Field},
+             {"text", Text.substr(0, MaxLoggedTextBytes)}});
+}
+
 //---------------------------------------------------------------------------
 // Signals and shutdown
 //---------------------------------------------------------------------------
--- a/packages/daemon/src/router.hpp
+++ b/packages/daemon/src/router.hpp
@@ -29,6 +29,7 @@
                      private peers::peer_service_listener,
                      private platform::store_call_listener,
                      private platform::configuration_freshness,
+                     private dispatch::endpoint_statement_listener,
                      private store_era_listener,
                      private streams::origin_listener {
 public:
@@ -74,6 +75,13 @@
   // platform::configuration_freshness
   bool isConfigurationCurrent() const override;
 
+  // dispatch::endpoint_statement_listener
+  void onLeavingStated(const relay::endpoint_choice &Source,
+                       time_ms Now) override;
+  void onStatementUnreadable(const relay::endpoint_choice &Source,
+                             std::string_view Field,
+                             std::string_view Text) override;
+
   // store_era_listener
   void onEraChanged(std::uint64_t Before, std::uint64_t Era) override;
   void onFormerEra(std::uint64_t Stated, std::uint64_t Era) override;
--- a/packages/dispatch/include/tamarack/dispatch.hpp
+++ b/packages/dispatch/include/tamarack/dispatch.hpp
@@ -1,7 +1,7 @@
 // Load balancing: chooses an endpoint for each call by its estimated cost.
 //
 // Contents:
-//   endpoints        endpoint_entry, load_report
+//   endpoints        endpoint_entry, load_report, endpoint_statement_listener
 //   prompt cache     prompt_cache
 //   retries          retry_limits, fleet_retry_budget
 //   load balancing   cost_weights, load_balancer, an implementation of
@@ -56,6 +56,20 @@
   int Slots = 0;   // Requests that it processes concurrently.
 };
 
+// Receives what endpoints state in their responses about the requests that they
+// want.
+class endpoint_statement_listener {
+public:
+  virtual ~endpoint_statement_listener() = default;
+  // Source takes no new work.
+  virtual void onLeavingStated(const relay::endpoint_choice &Source,
+                               time_ms Now) = 0;
+  // A field of a response of Source has a value that can't be read.
+  virtual void onStatementUnreadable(const relay::endpoint_choice &Source,
+                                     std::string_view Field,
+                                     std::string_view Text) = 0;
+};
+
 //---------------------------------------------------------------------------
 // Prompt cache
 //---------------------------------------------------------------------------
@@ -156,8 +170,6 @@
   void setRetryLimits(const retry_limits &To) { RetryLimits = To; }
   void onLoadReport(std::string_view Endpoint, const load_report &Load,
                     time_ms Now);
-  // The endpoint itself reports that it takes no new work.
-  void onLeaving(std::string_view Endpoint);
   void onRequest(std::string_view Service); // Once for each caller's request.
 
   std::optional<relay::endpoint_choice>
@@ -182,9 +194,8 @@
 private:
   struct endpoint_state {
     endpoint_entry Entry;
-    bool IsListed = true;        // In the platform's current list.
-    bool ReportsLeaving = false; // In a response, or another endpoint responded
-                                 // at its address.
+    bool IsListed = true;     // In the platform's current list.
+    bool IsMisplaced = false; // Another endpoint responded at its address.
     prompt_cache Cache{0};
     load_report Load;                // The last one received.
     time_ms LoadReceivedAt = -1;     // -1 before the first report.
--- a/packages/dispatch/src/load_balancer.cpp
+++ b/packages/dispatch/src/load_balancer.cpp
@@ -69,7 +69,7 @@
       const relay::service *Service =
           Table ? Table->findService(Entry.Service) : nullptr;
       State.Cache = prompt_cache(Service ? Service->KvCacheTokens : 0);
-      State.ReportsLeaving = false;
+      State.IsMisplaced = false;
       State.Penalty = 0;
       State.ConnectFailuresInRow = 0;
       State.AvoidUntil = 0;
@@ -107,11 +107,6 @@
   State->EndedSinceReport = 0;
 }
 
-void load_balancer::onLeaving(std::string_view Endpoint) {
-  if (endpoint_state *State = findEndpoint(Endpoint))
-    State->ReportsLeaving = true;
-}
-
 void load_balancer::onRequest(std::string_view Service) {
   RetryBudgets[std::string(Service)].onRequest(RetryLimits);
 }
@@ -154,7 +149,7 @@
 
 bool load_balancer::acceptsCall(const endpoint_state &State,
                                 const relay::call &Call) const {
-  if (State.Entry.Leaving || State.ReportsLeaving || !State.IsListed)
+  if (State.Entry.Leaving || State.IsMisplaced || !State.IsListed)
     return false;
   if (!Call.RequiredVersion.empty() &&
       Call.RequiredVersion != State.Entry.Version)
@@ -248,7 +243,7 @@
   if (Best == nullptr)
     return std::nullopt;
   return relay::endpoint_choice{Best->Entry.Id, Best->Entry.Address, 0,
-                                Best->Entry.Version};
+                                Best->Entry.Version, Best->Entry.StartedAt};
 }
 
 void load_balancer::onSent(const relay::call &Call, std::string_view Endpoint,
@@ -300,7 +295,7 @@
     addPenalty(*State, BrokenPenalty, Now);
     break;
   case relay::attempt_outcome::Misplaced:
-    State->ReportsLeaving = true;
+    State->IsMisplaced = true;
     break;
   case relay::attempt_outcome::Unreached:
     ++State->ConnectFailuresInRow;
--- a/packages/relay/include/tamarack/relay.hpp
+++ b/packages/relay/include/tamarack/relay.hpp
@@ -197,6 +197,8 @@
   // Of what was known of the endpoint's rate limit when it was chosen.
   std::uint64_t LimitVersion = 0;
   std::string Version = {}; // Of the endpoint's software, empty if unknown.
+  std::int64_t StartedAt =
+      0; // Unix ms, 0 if unknown: which run of the endpoint.
 };
 
 // How an attempt at an endpoint ended.
--- a/stand_ins/runner.cpp
+++ b/stand_ins/runner.cpp
@@ -24,6 +24,7 @@
 //   delay_ms   duration of each execution
 //   event_ms   pause before each event of a stream
 //   leave      above 0: registers as draining
+//   say_leaving above 0: responses have Server-Leaving
 //   limit_milli limit that responses state in Server-Limit, in requests per
 //              1,000 s; 0 for none
 //   crash_part id of a prompt part, in decimal; 0 for none. On a request with
@@ -177,6 +178,8 @@
     }
     Response.set("Attempt-Id", AttemptId);
     stateLimit(Response);
+    if (controlValue("say_leaving") > 0)
+      Response.set("Server-Leaving", "1");
     if (Request.get("Expect-Instance", Settings.Id) != Settings.Id) {
       Response.set("Instance-Id", Settings.Id);
       return sendText(Response, 421, "{}");
--- a/tests/process/scenarios.py
+++ b/tests/process/scenarios.py
@@ -20,6 +20,7 @@
 import prompt_scenarios
 import request_scenarios
 import shutdown_scenarios
+import statement_scenarios
 import version_scenarios
 from harness import (Fleet, client_tls_context, create_certificates, http,
                      new_request_key, wait_until)
@@ -647,7 +648,7 @@
      + delayed_stop_scenarios.SCENARIOS + prompt_scenarios.SCENARIOS
      + limit_scenarios.SCENARIOS + request_scenarios.SCENARIOS
      + drill_scenarios.SCENARIOS + configuration_scenarios.SCENARIOS
-     + version_scenarios.SCENARIOS)
+     + version_scenarios.SCENARIOS + statement_scenarios.SCENARIOS)
 
 
 def read_known_red():
--- a/tests/unit/dispatch_test.cpp
+++ b/tests/unit/dispatch_test.cpp
@@ -128,8 +128,16 @@
   Fixture.Balancer.setEndpoints(List, 0);
   for (std::uint64_t OwnPart = 0; OwnPart < 20; ++OwnPart)
     CHECK(Fixture.choose(callOf(OwnPart, OwnPart)) == "e1");
-  Fixture.Balancer.onLeaving("e1");
-  CHECK(Fixture.choose(callOf(1, 1)).empty());
+  const relay::call Call = callOf(1, 1);
+  Fixture.send(Call);
+  SECTION("the last one leaves too") {
+    List[1].Leaving = true;
+    Fixture.Balancer.setEndpoints(List, 0);
+  }
+  SECTION("another endpoint responds at its address") {
+    Fixture.Balancer.onEnded(Call, "e1", relay::attempt_outcome::Misplaced, 0);
+  }
+  CHECK(Fixture.choose(Call).empty());
 }
 
 // Guards against a stream that goes on at another version.
@@ -215,7 +223,15 @@
   Fixture.Balancer.setEndpoints(List, 0);
   const relay::call Call = callOf(2, 3);
   Fixture.send(Call);
-  Fixture.Balancer.onLeaving("e0");
+  SECTION("by the list") {
+    List[0].Leaving = true;
+    Fixture.Balancer.setEndpoints(List, 5);
+  }
+  SECTION("by a response of another endpoint at its address") {
+    Fixture.Balancer.onEnded(Call, "e0", relay::attempt_outcome::Misplaced, 5);
+  }
+  REQUIRE(Fixture.choose(Call, 5).empty());
+  List[0].Leaving = false;
   List[0].StartedAt = 2;
   Fixture.Balancer.setEndpoints(List, 10);
   CHECK(Fixture.choose(Call, 10) == "e0");
--- a/tests/unit/follow_test.cpp
+++ b/tests/unit/follow_test.cpp
@@ -461,6 +461,56 @@
   CHECK(Directory.entries()[0].Leaving);
 }
 
+// Guards against an endpoint that gets work although its responses say that it
+// takes none: the list may say so later, never, or be of an older copy.
+TEST_CASE("an endpoint whose response says that it leaves is leaving",
+          "[follow]") {
+  endpoint_directory Directory;
+  Directory.onEntry(startedAt(entryOf("e", 5), 1'000));
+  Directory.update(0);
+  CHECK(Directory.onStatedLeaving("e", 1'000, 10));
+  CHECK_FALSE(Directory.onStatedLeaving("e", 1'000, 20));
+  CHECK(Directory.update(20));
+  const auto IsLeaving = [&Directory] {
+    return Directory.entries().at(0).Leaving;
+  };
+  CHECK(IsLeaving());
+  SECTION("whatever its entry says") {
+    Directory.onEntry(startedAt(entryOf("e", 6), 1'000));
+    CHECK(IsLeaving());
+  }
+  SECTION("also when its entry was gone and comes back") {
+    Directory.onRemoved("e", 30);
+    CHECK(Directory.entries().empty());
+    Directory.onEntry(startedAt(entryOf("e", 7), 1'000));
+    CHECK(IsLeaving());
+  }
+  SECTION("also in a copy of the store") {
+    Directory.onEraChanged(30);
+    Directory.beginSnapshot();
+    Directory.onEntry(startedAt(entryOf("e", 3), 1'000));
+    Directory.endSnapshot(40);
+    Directory.update(10'000);
+    CHECK(IsLeaving());
+  }
+  SECTION("until it starts anew") {
+    Directory.onEntry(startedAt(entryOf("e", 1), 2'000));
+    CHECK_FALSE(IsLeaving());
+    Directory.onEntry(startedAt(entryOf("e", 8), 1'000));
+    CHECK_FALSE(IsLeaving());
+  }
+  SECTION("a response that is late counts for the start that is known") {
+    Directory.onEntry(startedAt(entryOf("e", 1), 2'000));
+    Directory.onStatedLeaving("e", 1'000, 50);
+    CHECK(IsLeaving());
+  }
+  SECTION("also if its first entry comes later") {
+    Directory.onStatedLeaving("f", 3'000, 60);
+    Directory.onEntry(startedAt(entryOf("f", 1), 3'000));
+    CHECK(Directory.entries().at(1).Leaving);
+  }
+}
+
 // Guards against an endpoint that leaves unnoticed behind an odd entry.
 TEST_CASE("an odd entry does not hide that its endpoint leaves", "[follow]") {
   endpoint_directory Directory;
--- a/tests/unit/platform_test.cpp
+++ b/tests/unit/platform_test.cpp
@@ -60,6 +60,22 @@
   double PerSecond = -1;
 };
 
+// Keeps what responses state about the requests that their endpoint wants.
+class recording_statement_listener final
+    : public dispatch::endpoint_statement_listener {
+public:
+  void onLeavingStated(const relay::endpoint_choice &Source, time_ms) override {
+    Leaving.emplace_back(Source.Endpoint, Source.StartedAt);
+  }
+  void onStatementUnreadable(const relay::endpoint_choice &,
+                             std::string_view Field,
+                             std::string_view Text) override {
+    Unreadable.emplace_back(Field, Text);
+  }
+  std::vector<std::pair<std::string, std::int64_t>> Leaving;
+  std::vector<std::pair<std::string, std::string>> Unreadable;
+};
+
 class switched_freshness final : public configuration_freshness {
 public:
   bool isConfigurationCurrent() const override { return IsCurrent; }
@@ -69,7 +85,7 @@
 struct codec_fixture {
   codec_fixture()
       : Random(1), LoadBalancer("z", {}, Random),
-        Codec(LoadBalancer, LimitListener, Random, Freshness) {
+        Codec(LoadBalancer, Statements, LimitListener, Random, Freshness) {
     Codec.setRouteTable(decodeConfiguration(Configuration));
     Request.method(edge::http::verb::post);
     Request.target("/a/x?q=1");
@@ -86,6 +102,7 @@
 
   tests::seeded_random Random;
   dispatch::load_balancer LoadBalancer;
+  recording_statement_listener Statements;
   recording_limit_listener LimitListener;
   switched_freshness Freshness;
   platform_codec Codec;
@@ -456,6 +473,34 @@
 
 // Guards against a limit that is misread: a wrong number would be obeyed by the
 // whole fleet.
+TEST_CASE("an endpoint states in its responses that it leaves", "[platform]") {
+  codec_fixture Fixture;
+  relay::endpoint_choice Source;
+  Source.Endpoint = "e1";
+  Source.StartedAt = 7;
+  edge::response_fields Fields;
+  Fields.result(GENERATE(200u, 404u, 500u, 503u));
+  SECTION("with any status") {
+    Fields.set("Server-Leaving", " 1");
+    Fixture.Codec.recordEndpointState(Source, Fields, 10);
+    REQUIRE(Fixture.Statements.Leaving.size() == 1);
+    CHECK(Fixture.Statements.Leaving[0] ==
+          std::pair<std::string, std::int64_t>("e1", 7));
+  }
+  SECTION("but not in a response of another endpoint") {
+    Fields.result(421);
+    Fields.set("Server-Leaving", "1");
+    Fixture.Codec.recordEndpointState(Source, Fields, 10);
+    CHECK(Fixture.Statements.Leaving.empty());
+  }
+  SECTION("a value that is not known says nothing") {
+    Fields.set("Server-Leaving", GENERATE("", "0", "yes", "1, 1"));
+    Fixture.Codec.recordEndpointState(Source, Fields, 10);
+    CHECK(Fixture.Statements.Leaving.empty());
+    CHECK(Fixture.Statements.Unreadable.size() == 1);
+  }
+}
+
 TEST_CASE("the limit that an endpoint states is read or rejected",
           "[platform]") {
   using limits::statement_form;
