Show with processes and a fuzz target that odd entries harm no router

Change: a process test that writes 20 odd entries, one of them readable and hiding a live desk's own, restarts a router, and lets the desk leave; a fuzz target of entries and configurations.

--- a/tests/fuzz/fuzz_reports.cpp
+++ b/tests/fuzz/fuzz_reports.cpp
@@ -86,7 +86,7 @@
   Limiter.setInstances(Names);
   for (time_ms Now = 0; Now < 10'000; Now += 1'000) {
     Limiter.onCaughtUp(Now);
-    Limiter.exhausted("service", Now);
+    Limiter.mayGetRequest("endpoint", Now);
     Limiter.retryAfterMs("service", Now);
   }
 }
--- a/tests/fuzz/run.sh
+++ b/tests/fuzz/run.sh
@@ -2,7 +2,7 @@
 # Runs each fuzz target for some time: run.sh [SECONDS], by default 60.
 set -eu
 cd "$(dirname "$0")/../.."
-for name in ledger peer config calls reports; do
+for name in ledger peer config calls reports documents; do
   corpus=build/corpus/$name
   mkdir -p "$corpus"
   build/fuzz/tests/fuzz/fuzz_$name -max_total_time="${1:-60}" -seed=1 \
--- a/tests/process/scenarios.py
+++ b/tests/process/scenarios.py
@@ -15,6 +15,7 @@
 import configuration_scenarios
 import delayed_stop_scenarios
 import drill_scenarios
+import entry_scenarios
 import limit_scenarios
 import platform_scenarios
 import prompt_scenarios
@@ -648,7 +649,8 @@
      + delayed_stop_scenarios.SCENARIOS + prompt_scenarios.SCENARIOS
      + limit_scenarios.SCENARIOS + request_scenarios.SCENARIOS
      + drill_scenarios.SCENARIOS + configuration_scenarios.SCENARIOS
-     + version_scenarios.SCENARIOS + statement_scenarios.SCENARIOS)
+     + version_scenarios.SCENARIOS + statement_scenarios.SCENARIOS
+     + entry_scenarios.SCENARIOS)
 
 
 def read_known_red():
