--- a/bench/engine.cpp
+++ b/bench/engine.cpp
@@ -75,8 +75,20 @@
   return Call;
 }
 
+class unrestricted final : public dispatch::endpoint_restriction {
+public:
+  bool mayGetRequest(std::string_view, time_ms) override { return true; }
+};
+
+class silent_availability_listener final
+    : public dispatch::availability_listener {
+public:
+  void onWithheld(std::string_view, dispatch::withheld_reason, int) override {}
+};
+
 struct load_balancer_fixture {
-  explicit load_balancer_fixture(int Count) : LoadBalancer("z", {}, Random) {
+  explicit load_balancer_fixture(int Count)
+      : LoadBalancer("z", {}, Restriction, Random, Listener) {
     const std::shared_ptr<relay::route_table> Table =
         std::make_shared<relay::route_table>();
     relay::service Service;
@@ -98,6 +110,8 @@
   }
 
   seeded_random Random;
+  unrestricted Restriction;
+  silent_availability_listener Listener;
   dispatch::load_balancer LoadBalancer;
 };
 
--- a/packages/daemon/src/exchange_driver.cpp
+++ b/packages/daemon/src/exchange_driver.cpp
@@ -36,6 +36,7 @@
   case attempt_outcome::Misplaced:
     return attempt_result::Refused;
   case attempt_outcome::Cancelled:
+  case attempt_outcome::Withdrawn:
     return attempt_result::Cancelled;
   case attempt_outcome::Failed:
   case attempt_outcome::Broken:
--- a/packages/daemon/src/router.cpp
+++ b/packages/daemon/src/router.cpp
@@ -183,9 +183,11 @@
                     StoreEra, *this),
       SharedReads(PeerCallStore, Clock),
       PeerService(SharedReads, Store, StoreEra, Clock, *this),
-      LoadBalancer(Settings.Zone, Settings.RetryLimits, Random),
-      Placement(LoadBalancer, Log, Metrics), LimitLog(Log, Metrics),
-      Limiter(Settings.Instance, LimitLog),
+      LimitLog(Log, Metrics), Limiter(Settings.Instance, LimitLog),
+      AvailabilityLog(Log, Metrics),
+      LoadBalancer(Settings.Zone, Settings.RetryLimits, Limiter, Random,
+                   AvailabilityLog),
+      Placement(LoadBalancer, Log, Metrics),
       LimitGate(Placement, Limiter, LimitLog),
       LimitReports(Settings.Instance, Store, Limiter),
       Quarantine(Settings.Instance, Random.next()), QuarantineLog(Log, Metrics),
@@ -359,6 +361,11 @@
   refreshEndpoints();
 }
 
+void router::onPauseStated(const relay::endpoint_choice &Source, int DurationMs,
+                           time_ms Now) {
+  LoadBalancer.onPauseStated(Source.Endpoint, DurationMs, Now);
+}
+
 void router::onStatementUnreadable(const relay::endpoint_choice &Source,
                                    std::string_view Field,
                                    std::string_view Text) {
--- a/packages/daemon/src/router.hpp
+++ b/packages/daemon/src/router.hpp
@@ -2,6 +2,7 @@
 // the store. Everything runs on one thread with one event loop.
 #pragma once
 
+#include "availability_log.hpp"
 #include "crash_report_exchange.hpp"
 #include "endpoint_probe.hpp"
 #include "limit_log.hpp"
@@ -78,6 +79,8 @@
   // dispatch::endpoint_statement_listener
   void onLeavingStated(const relay::endpoint_choice &Source,
                        time_ms Now) override;
+  void onPauseStated(const relay::endpoint_choice &Source, int DurationMs,
+                     time_ms Now) override;
   void onStatementUnreadable(const relay::endpoint_choice &Source,
                              std::string_view Field,
                              std::string_view Text) override;
@@ -148,10 +151,11 @@
   platform::platform_store PeerCallStore;
   peers::shared_read_store SharedReads;
   peers::peer_store_service PeerService;
-  dispatch::load_balancer LoadBalancer;
-  logged_placement Placement;
   limit_log LimitLog;
   limits::endpoint_limiter Limiter;
+  availability_log AvailabilityLog;
+  dispatch::load_balancer LoadBalancer;
+  logged_placement Placement;
   limits::limit_gate LimitGate;
   limit_report_exchange LimitReports;
   quarantine::crash_quarantine Quarantine;
@@ -184,9 +188,9 @@
   time_ms LastTickDueAt = -1;
   time_ms LastTickAt = -1;
   std::shared_ptr<const relay::route_table> RouteTable;
-  bool IsNewestVersionUnreadable = false;     // The table is an older one.
-  store_writer WatermarkWriter;               // Writes under Settings.Instance.
-  store_writer GrantWriter;                   // Writes under Settings.Instance.
+  bool IsNewestVersionUnreadable = false; // The table is an older one.
+  store_writer WatermarkWriter;    // Writes under Settings.Instance.
+  store_writer GrantWriter;        // Writes under Settings.Instance.
   bool IsWatermarkRecoveryInProgress = false; // A store call is in flight.
   bool IsPreviousWatermarkKnown = false;
   // Monotonic time of a failed write, else -1. The next watermark is written
--- a/packages/daemon/src/router_reports.cpp
+++ b/packages/daemon/src/router_reports.cpp
@@ -33,6 +33,13 @@
   return "{topic=\"" + std::string(nameOf(Topic)) + "\"}";
 }
 
+// True if no endpoint could get the call.
+bool isUnplaced(const relay::exchange_report &Report) {
+  return Report.Error == relay::error_kind::NoEndpoint ||
+         Report.Error == relay::error_kind::Overloaded ||
+         Report.Error == relay::error_kind::StreamVersionGone;
+}
+
 } // namespace
 
 void router::onStoreCall(const platform::store_call_report &Report) {
@@ -210,6 +217,8 @@
   if (Report.Error == relay::error_kind::BudgetExhausted ||
       Report.Error == relay::error_kind::BudgetUnavailable)
     logBudgetRefusal(Call);
+  if (isUnplaced(Report))
+    AvailabilityLog.writeUnplaced(Call, LoadBalancer.survey(Call, Now), Now);
   if (Report.Origin)
     logTakeUp(Call, Report);
   if (Report.FirstByteAt > 0)
@@ -229,6 +238,7 @@
                      {"last_end", relay::toString(Report.LastOutcome)},
                      {"first_version", std::string_view(Report.FirstVersion)},
                      {"last_version", std::string_view(Report.LastVersion)},
+                     {"version_certain", std::int64_t(Report.IsVersionCertain)},
                      {"caller_gone", std::int64_t(Report.CallerDisconnected)},
                      {"broken_off", std::int64_t(Report.ResponseAborted)},
                      {"given_up_at_stop", std::int64_t(Report.GivenUpAtStop)},
--- a/packages/dispatch/include/tamarack/dispatch.hpp
+++ b/packages/dispatch/include/tamarack/dispatch.hpp
@@ -2,10 +2,12 @@
 //
 // Contents:
 //   endpoints        endpoint_entry, load_report, endpoint_statement_listener
+//   availability     withheld_reason, endpoint_restriction,
+//                    endpoint_availability
 //   prompt cache     prompt_cache
 //   retries          retry_limits, fleet_retry_budget
-//   load balancing   cost_weights, load_balancer, an implementation of
-//                    relay::placement
+//   load balancing   cost_weights, placement_survey, availability_listener,
+//                    load_balancer, an implementation of relay::placement
 //   shutdown         shutdown_schedule, shutdown_gate
 //
 // Nothing here is thread-safe or reads a clock; times are monotonic ms.
@@ -64,12 +66,93 @@
   // Source takes no new work.
   virtual void onLeavingStated(const relay::endpoint_choice &Source,
                                time_ms Now) = 0;
+  // Source has turned a request away and wants none from this instance for so
+  // long.
+  virtual void onPauseStated(const relay::endpoint_choice &Source,
+                             int DurationMs, time_ms Now) = 0;
   // A field of a response of Source has a value that can't be read.
   virtual void onStatementUnreadable(const relay::endpoint_choice &Source,
                                      std::string_view Field,
                                      std::string_view Text) = 0;
 };
 
+//---------------------------------------------------------------------------
+// Availability
+//---------------------------------------------------------------------------
+
+// Why an endpoint gets no request of this instance now.
+enum class withheld_reason {
+  None,        // It may get one.
+  Unlisted,    // The platform does not list it any more.
+  Leaving,     // It takes no new work, by the list or its own responses.
+  Misplaced,   // Another endpoint responded at its address.
+  Paused,      // It asked this instance for a pause, which lasts or has just
+               // ended.
+  Limited,     // The share of this instance of its rate limit is used up.
+  Unreachable, // Several attempts in a row failed to connect.
+};
+
+inline constexpr std::size_t WithheldReasons = 7;
+
+std::string_view toString(withheld_reason Reason);
+
+// A rule from outside that may withhold requests from endpoints.
+class endpoint_restriction {
+public:
+  virtual ~endpoint_restriction() = default;
+  virtual bool mayGetRequest(std::string_view Endpoint, time_ms Now) = 0;
+};
+
+// What decides whether one run of an endpoint may get requests of this
+// instance, except for its rate limit.
+//
+// After a pause the first requests go out by steps: one, and after each
+// response twice as many at once.
+class endpoint_availability {
+public:
+  // A new run: nothing of before holds. Requests in flight end still.
+  void reset();
+  void setListed(bool To) { IsListed = To; }
+  void setLeaving(bool To) { IsLeaving = To; }
+  // The endpoint wants no requests before this time. An earlier, longer pause
+  // goes on.
+  void pauseUntil(time_ms Until);
+  // Slots: requests at once with which the steps after a pause end.
+  void setSlots(int To) { Slots = To; }
+
+  void onSent(const relay::call &Call);
+  void onFirstByte(const relay::call &Call);
+  void onEnded(const relay::call &Call, relay::attempt_outcome Outcome,
+               time_ms Now);
+
+  withheld_reason reason(time_ms Now) const;
+  // False if a request that was to go there must not be sent any more.
+  bool mayStillSend(time_ms Now) const;
+  bool isListed() const { return IsListed; }
+  bool isLeaving() const { return IsLeaving || IsMisplaced; }
+  // True for some time after a failure to connect. After that time one call at
+  // a time tests the endpoint, until one of them gets a response.
+  bool isAvoided(time_ms Now) const;
+  time_ms pausedUntil() const { return PausedUntil; } // 0 if never.
+  int inFlight() const { return InFlight; }
+  // The state must be kept although the endpoint is not listed.
+  bool isNeeded(time_ms Now) const { return InFlight > 0 || PausedUntil > Now; }
+
+private:
+  void onAnswered(const relay::call &Call);
+
+  bool IsListed = true;     // In the platform's current list.
+  bool IsLeaving = false;   // By the list or by a response.
+  bool IsMisplaced = false; // Another endpoint responded at its address.
+  int Slots = 1;            // Requests that it processes concurrently.
+  int InFlight = 0;         // Requests of this instance.
+  time_ms PausedUntil = 0;
+  int ResumeWindow = 0; // Requests at once after a pause, 0 if unbounded.
+  std::set<const relay::call *> Unanswered; // Sent since the last pause.
+  int ConnectFailuresInRow = 0;
+  time_ms AvoidUntil = 0; // After a failure to connect.
+};
+
 //---------------------------------------------------------------------------
 // Prompt cache
 //---------------------------------------------------------------------------
@@ -156,10 +239,30 @@
                                    // endpoint probably has.
 };
 
+// Why the endpoints of a service get or don't get one call now.
+struct placement_survey {
+  int Available = 0; // Might get it.
+  int Busy = 0;      // Have too many requests.
+  int OtherVersions = 0;
+  int Withheld[WithheldReasons] = {}; // By withheld_reason.
+  time_ms FirstPauseEnd = 0;          // 0 if there is no pause.
+};
+
+// For logs.
+class availability_listener {
+public:
+  virtual ~availability_listener() = default;
+  // The endpoint gets no requests from now on. DurationMs: 0 if not known.
+  virtual void onWithheld(std::string_view Endpoint, withheld_reason Reason,
+                          int DurationMs) = 0;
+};
+
 // Chooses the endpoint with the lowest estimated cost for each call.
 class load_balancer final : public relay::placement {
 public:
-  load_balancer(std::string Zone, retry_limits Limits, random_source &Random);
+  load_balancer(std::string Zone, retry_limits Limits,
+                endpoint_restriction &Restriction, random_source &Random,
+                availability_listener &Listener);
 
   // Replaces the complete list of endpoints. An entry whose StartedAt changed
   // is a new endpoint.
@@ -170,11 +273,16 @@
   void setRetryLimits(const retry_limits &To) { RetryLimits = To; }
   void onLoadReport(std::string_view Endpoint, const load_report &Load,
                     time_ms Now);
+  // The endpoint has asked this instance for a pause of so long.
+  void onPauseStated(std::string_view Endpoint, int DurationMs, time_ms Now);
   void onRequest(std::string_view Service); // Once for each caller's request.
 
   std::optional<relay::endpoint_choice>
   choose(const relay::call &Call, const std::set<std::string> &Tried,
          time_ms Now) override;
+  bool mayStillSend(const relay::call &Call,
+                    const relay::endpoint_choice &Target, time_ms ConnectedAt,
+                    time_ms Now) const override;
   void onSent(const relay::call &Call, std::string_view Endpoint,
               time_ms Now) override;
   void onFirstByte(const relay::call &Call, std::string_view Endpoint,
@@ -183,6 +291,7 @@
                relay::attempt_outcome End, time_ms Now) override;
   bool tryRetry(std::string_view Service, time_ms Now) override;
   relay::placement_refusal refusal(const relay::call &Call) const override;
+  placement_survey survey(const relay::call &Call, time_ms Now) const;
 
   std::size_t endpointCount() const { return Endpoints.size(); }
   // Nullptr if the endpoint is not known.
@@ -194,19 +303,15 @@
 private:
   struct endpoint_state {
     endpoint_entry Entry;
-    bool IsListed = true;     // In the platform's current list.
-    bool IsMisplaced = false; // Another endpoint responded at its address.
+    endpoint_availability Availability;
     prompt_cache Cache{0};
     load_report Load;                // The last one received.
     time_ms LoadReceivedAt = -1;     // -1 before the first report.
     int SentSinceReport = 0;         // Requests of this instance.
     int EndedSinceReport = 0;        // Requests of this instance.
-    int InFlight = 0;                // Requests of this instance.
     double PendingPrefillTokens = 0; // Sent without a first response byte yet.
     double Penalty = 0; // 0 if healthy, up to 1 for repeated failures.
     time_ms PenaltyUpdatedAt = 0;
-    int ConnectFailuresInRow = 0;
-    time_ms AvoidUntil = 0; // After a failure to connect.
     time_ms WarmUpUntil = 0;
   };
 
@@ -218,18 +323,28 @@
   double estimatedRequests(const endpoint_state &State) const;
   double currentPenalty(const endpoint_state &State, time_ms Now) const;
   void addPenalty(endpoint_state &State, double Amount, time_ms Now);
-  static bool isAvoided(const endpoint_state &State, time_ms Now);
-  static bool isUnreachable(const endpoint_state &State, time_ms Now);
-  bool acceptsCall(const endpoint_state &State, const relay::call &Call) const;
+  withheld_reason reasonOf(const endpoint_state &State, time_ms Now) const;
+  static bool isRightVersion(const endpoint_state &State,
+                             const relay::call &Call);
+  bool isBusy(const endpoint_state &State) const;
+  // Until the endpoints that asked for a pause get requests again, empty if the
+  // call is refused for another reason.
+  std::optional<int> pauseRetryAfterMs(const relay::call &Call) const;
+  // Spreads what all instances would do at the same moment.
+  int spread(int MaxMs) const;
   // True if no endpoint of the version that the call needs takes new work.
   bool isVersionGone(const relay::call &Call) const;
   endpoint_state *findEndpoint(std::string_view Endpoint);
+  const endpoint_state *findEndpoint(std::string_view Endpoint) const;
   bool isEngine(std::string_view Service) const;
 
   std::string Zone;
   retry_limits RetryLimits;
+  endpoint_restriction &Restriction;
   random_source &Random;
+  availability_listener &Listener;
   cost_weights Weights;
+  time_ms LastChoiceAt = 0;
   std::optional<int> InstanceCount; // Empty until setInstanceCount.
   std::shared_ptr<const relay::route_table> Table;
   std::map<std::string, endpoint_state, std::less<>> Endpoints; // By id.
--- a/packages/dispatch/src/load_balancer.cpp
+++ b/packages/dispatch/src/load_balancer.cpp
@@ -10,12 +10,6 @@
 
 namespace {
 
-// An endpoint is avoided after a failure to connect. The time doubles with each
-// further failure in a row, up to the maximum.
-constexpr int FirstAvoidMs = 500;
-constexpr int MaxAvoidMs = 1'500;
-// Connect failures in a row after which an endpoint counts as unreachable.
-constexpr int UnreachableAfter = 2;
 // Added to an endpoint's penalty, of which the maximum is 1.
 constexpr double FailedPenalty = 0.2; // For an error response.
 constexpr double BrokenPenalty = 0.3; // For a refusal or a broken connection.
@@ -27,6 +21,13 @@
 constexpr int MaxQueuedPerSlot = 3;   // Waiting requests of a plain service.
 constexpr int ServiceRetryAfterMs = 300;
 constexpr int EngineRetryAfterMs = 600;
+// Instances whose pause ends at the same moment come back spread over this time
+// each, up to the maximum.
+constexpr int PauseSpreadPerInstanceMs = 10;
+constexpr int MaxPauseSpreadMs = 2'000;
+constexpr int MinPauseRetryAfterMs = 50;
+// Callers that were refused because of a pause come back spread over this time.
+constexpr int CallerSpreadMs = 300;
 
 // Tokens of the prompt parts that other requests may share: all but the last
 // part.
@@ -40,8 +41,11 @@
 } // namespace
 
 load_balancer::load_balancer(std::string Zone, retry_limits Limits,
-                             random_source &Random)
-    : Zone(std::move(Zone)), RetryLimits(Limits), Random(Random) {}
+                             endpoint_restriction &Restriction,
+                             random_source &Random,
+                             availability_listener &Listener)
+    : Zone(std::move(Zone)), RetryLimits(Limits), Restriction(Restriction),
+      Random(Random), Listener(Listener) {}
 
 void load_balancer::setTable(
     std::shared_ptr<const relay::route_table> NewTable) {
@@ -59,7 +63,7 @@
 void load_balancer::setEndpoints(std::span<const endpoint_entry> Entries,
                                  time_ms Now) {
   for (auto &[Id, State] : Endpoints)
-    State.IsListed = false;
+    State.Availability.setListed(false);
   EndpointsByService.clear();
   for (const endpoint_entry &Entry : Entries) {
     endpoint_state &State = Endpoints[Entry.Id];
@@ -69,18 +73,19 @@
       const relay::service *Service =
           Table ? Table->findService(Entry.Service) : nullptr;
       State.Cache = prompt_cache(Service ? Service->KvCacheTokens : 0);
-      State.IsMisplaced = false;
+      State.Availability.reset();
       State.Penalty = 0;
-      State.ConnectFailuresInRow = 0;
-      State.AvoidUntil = 0;
       State.WarmUpUntil = Now + Entry.WarmUpMs;
     }
     State.Entry = Entry;
-    State.IsListed = true;
+    State.Availability.setListed(true);
+    State.Availability.setLeaving(Entry.Leaving);
+    State.Availability.setSlots(Entry.Slots);
     EndpointsByService[Entry.Service].push_back(Entry.Id);
   }
-  std::erase_if(Endpoints, [](const auto &Item) {
-    return !Item.second.IsListed && Item.second.InFlight == 0;
+  std::erase_if(Endpoints, [Now](const auto &Item) {
+    const endpoint_availability &Availability = Item.second.Availability;
+    return !Availability.isListed() && !Availability.isNeeded(Now);
   });
 }
 
@@ -90,10 +95,33 @@
   return Found == Endpoints.end() ? nullptr : &Found->second;
 }
 
+const load_balancer::endpoint_state *
+load_balancer::findEndpoint(std::string_view Endpoint) const {
+  const auto Found = Endpoints.find(Endpoint);
+  return Found == Endpoints.end() ? nullptr : &Found->second;
+}
+
 const endpoint_entry *
 load_balancer::findEntry(std::string_view Endpoint) const {
-  const auto Found = Endpoints.find(Endpoint);
-  return Found == Endpoints.end() ? nullptr : &Found->second.Entry;
+  const endpoint_state *State = findEndpoint(Endpoint);
+  return State == nullptr ? nullptr : &State->Entry;
+}
+
+int load_balancer::spread(int MaxMs) const {
+  return static_cast<int>(Random.next() % static_cast<unsigned>(MaxMs));
+}
+
+void load_balancer::onPauseStated(std::string_view Endpoint, int DurationMs,
+                                  time_ms Now) {
+  endpoint_state *State = findEndpoint(Endpoint);
+  if (State == nullptr || DurationMs <= 0)
+    return;
+  const bool IsNew = State->Availability.pausedUntil() <= Now;
+  const int SpreadMs = std::min(MaxPauseSpreadMs, InstanceCount.value_or(1) *
+                                                      PauseSpreadPerInstanceMs);
+  State->Availability.pauseUntil(Now + DurationMs + spread(SpreadMs));
+  if (IsNew)
+    Listener.onWithheld(Endpoint, withheld_reason::Paused, DurationMs);
 }
 
 void load_balancer::onLoadReport(std::string_view Endpoint,
@@ -117,7 +145,7 @@
 double load_balancer::estimatedRequests(const endpoint_state &State) const {
   const int Estimate = State.Load.Running + State.Load.Waiting +
                        State.SentSinceReport - State.EndedSinceReport;
-  return std::max(State.InFlight, Estimate);
+  return std::max(State.Availability.inFlight(), Estimate);
 }
 
 double load_balancer::currentPenalty(const endpoint_state &State,
@@ -132,32 +160,25 @@
   State.PenaltyUpdatedAt = Now;
 }
 
-// True for some time after a failure to connect. After that time one call at a
-// time probes the endpoint, until one of them gets a response.
-bool load_balancer::isAvoided(const endpoint_state &State, time_ms Now) {
-  if (State.AvoidUntil > Now)
-    return true;
-  return State.ConnectFailuresInRow > 0 && State.InFlight > 0;
+withheld_reason load_balancer::reasonOf(const endpoint_state &State,
+                                        time_ms Now) const {
+  const withheld_reason Reason = State.Availability.reason(Now);
+  if (Reason == withheld_reason::None &&
+      !Restriction.mayGetRequest(State.Entry.Id, Now))
+    return withheld_reason::Limited;
+  return Reason;
 }
 
-// True if several attempts in a row failed to connect: no call waits for one
-// more attempt.
-bool load_balancer::isUnreachable(const endpoint_state &State, time_ms Now) {
-  return State.ConnectFailuresInRow >= UnreachableAfter &&
-         isAvoided(State, Now);
+bool load_balancer::isRightVersion(const endpoint_state &State,
+                                   const relay::call &Call) {
+  return Call.RequiredVersion.empty() ||
+         Call.RequiredVersion == State.Entry.Version;
 }
 
-bool load_balancer::acceptsCall(const endpoint_state &State,
-                                const relay::call &Call) const {
-  if (State.Entry.Leaving || State.IsMisplaced || !State.IsListed)
-    return false;
-  if (!Call.RequiredVersion.empty() &&
-      Call.RequiredVersion != State.Entry.Version)
-    return false;
-  if (isEngine(Call.Service))
-    return estimatedRequests(State) < 2.0 * State.Entry.Slots;
-  return estimatedRequests(State) <
-         (1.0 + MaxQueuedPerSlot) * State.Entry.Slots;
+bool load_balancer::isBusy(const endpoint_state &State) const {
+  const double RequestsPerSlot =
+      isEngine(State.Entry.Service) ? 2.0 : 1.0 + MaxQueuedPerSlot;
+  return estimatedRequests(State) >= RequestsPerSlot * State.Entry.Slots;
 }
 
 // All instances prefer the same endpoint for the shared parts of a prompt,
@@ -216,14 +237,15 @@
 std::optional<relay::endpoint_choice>
 load_balancer::choose(const relay::call &Call,
                       const std::set<std::string> &Tried, time_ms Now) {
+  LastChoiceAt = Now;
   const auto Members = EndpointsByService.find(Call.Service);
   if (Members == EndpointsByService.end())
     return std::nullopt;
   std::vector<const endpoint_state *> Candidates;
   for (const std::string &Id : Members->second) {
     const endpoint_state &State = Endpoints.find(Id)->second;
-    if (!Tried.contains(Id) && acceptsCall(State, Call) &&
-        !isUnreachable(State, Now))
+    if (!Tried.contains(Id) && isRightVersion(State, Call) && !isBusy(State) &&
+        reasonOf(State, Now) == withheld_reason::None)
       Candidates.push_back(&State);
   }
   const endpoint_state *Preferred = preferredEndpoint(Call, Candidates);
@@ -233,7 +255,7 @@
     const double Noise =
         NoiseMs * static_cast<double>(Random.next() % 1024) / 1024;
     double Cost = cost(Call, *State, State == Preferred, Now) + Noise;
-    if (isAvoided(*State, Now))
+    if (State->Availability.isAvoided(Now))
       Cost += AvoidCostMs;
     if (Best == nullptr || Cost < BestCost) {
       Best = State;
@@ -246,12 +268,20 @@
                                 Best->Entry.Version, Best->Entry.StartedAt};
 }
 
+bool load_balancer::mayStillSend(const relay::call &Call,
+                                 const relay::endpoint_choice &Target, time_ms,
+                                 time_ms Now) const {
+  const endpoint_state *State = findEndpoint(Target.Endpoint);
+  return State != nullptr && State->Entry.StartedAt == Target.StartedAt &&
+         isRightVersion(*State, Call) && State->Availability.mayStillSend(Now);
+}
+
 void load_balancer::onSent(const relay::call &Call, std::string_view Endpoint,
                            time_ms) {
   endpoint_state *State = findEndpoint(Endpoint);
   if (State == nullptr)
     return;
-  ++State->InFlight;
+  State->Availability.onSent(Call);
   ++State->SentSinceReport;
   if (Call.Prompt.empty())
     return;
@@ -268,19 +298,24 @@
   State->PendingPrefillTokens =
       std::max(0.0, State->PendingPrefillTokens -
                         static_cast<double>(Call.PromptTokens));
-  State->ConnectFailuresInRow = 0;
+  State->Availability.onFirstByte(Call);
   State->Penalty = currentPenalty(*State, Now) * 0.7;
   State->PenaltyUpdatedAt = Now;
 }
 
-void load_balancer::onEnded(const relay::call &, std::string_view Endpoint,
+void load_balancer::onEnded(const relay::call &Call, std::string_view Endpoint,
                             relay::attempt_outcome End, time_ms Now) {
   endpoint_state *State = findEndpoint(Endpoint);
   if (State == nullptr)
     return;
-  --State->InFlight;
+  const withheld_reason Before = State->Availability.reason(Now);
+  State->Availability.onEnded(Call, End, Now);
+  const withheld_reason Reason = State->Availability.reason(Now);
+  if (Reason != Before && (Reason == withheld_reason::Misplaced ||
+                           Reason == withheld_reason::Unreachable))
+    Listener.onWithheld(Endpoint, Reason, 0);
   ++State->EndedSinceReport;
-  if (State->InFlight == 0)
+  if (State->Availability.inFlight() == 0)
     State->PendingPrefillTokens = 0;
   switch (End) {
   case relay::attempt_outcome::Good:
@@ -291,17 +326,16 @@
     addPenalty(*State, FailedPenalty, Now);
     break;
   case relay::attempt_outcome::Refused:
+    // The pause that the endpoint asked for is enough.
+    if (Reason != withheld_reason::Paused)
+      addPenalty(*State, BrokenPenalty, Now);
+    break;
   case relay::attempt_outcome::Broken:
     addPenalty(*State, BrokenPenalty, Now);
     break;
   case relay::attempt_outcome::Misplaced:
-    State->IsMisplaced = true;
-    break;
   case relay::attempt_outcome::Unreached:
-    ++State->ConnectFailuresInRow;
-    State->AvoidUntil =
-        Now + std::min(MaxAvoidMs, FirstAvoidMs << std::min(
-                                       3, State->ConnectFailuresInRow - 1));
+  case relay::attempt_outcome::Withdrawn:
     break;
   }
 }
@@ -317,7 +351,8 @@
   return std::none_of(Endpoints.begin(), Endpoints.end(),
                       [&Call](const auto &Item) {
                         const endpoint_state &State = Item.second;
-                        return State.IsListed && !State.Entry.Leaving &&
+                        return State.Availability.isListed() &&
+                               !State.Availability.isLeaving() &&
                                State.Entry.Service == Call.Service &&
                                State.Entry.Version == Call.RequiredVersion;
                       });
@@ -326,24 +361,65 @@
 relay::placement_refusal load_balancer::refusal(const relay::call &Call) const {
   if (isVersionGone(Call))
     return {relay::error_kind::StreamVersionGone, 0};
+  if (const std::optional<int> RetryAfterMs = pauseRetryAfterMs(Call))
+    return {relay::error_kind::Overloaded, *RetryAfterMs};
   return {relay::error_kind::NoEndpoint,
           isEngine(Call.Service) ? EngineRetryAfterMs : ServiceRetryAfterMs};
 }
 
+placement_survey load_balancer::survey(const relay::call &Call,
+                                       time_ms Now) const {
+  placement_survey Survey;
+  const auto Members = EndpointsByService.find(Call.Service);
+  if (Members == EndpointsByService.end())
+    return Survey;
+  for (const std::string &Id : Members->second) {
+    const endpoint_state &State = Endpoints.find(Id)->second;
+    const withheld_reason Reason = reasonOf(State, Now);
+    if (!isRightVersion(State, Call))
+      ++Survey.OtherVersions;
+    else if (Reason != withheld_reason::None)
+      ++Survey.Withheld[static_cast<std::size_t>(Reason)];
+    else
+      ++(isBusy(State) ? Survey.Busy : Survey.Available);
+    if (Reason == withheld_reason::Paused) {
+      const time_ms End = std::max(Now, State.Availability.pausedUntil());
+      Survey.FirstPauseEnd =
+          Survey.FirstPauseEnd == 0 ? End : std::min(Survey.FirstPauseEnd, End);
+    }
+  }
+  return Survey;
+}
+
+// A pause is the reason if no endpoint would get the call otherwise.
+std::optional<int>
+load_balancer::pauseRetryAfterMs(const relay::call &Call) const {
+  const placement_survey Survey = survey(Call, LastChoiceAt);
+  const int Paused =
+      Survey.Withheld[static_cast<std::size_t>(withheld_reason::Paused)];
+  if (Paused == 0 || Survey.Available > 0 || Survey.Busy > 0)
+    return std::nullopt;
+  const time_ms WaitMs = Survey.FirstPauseEnd - LastChoiceAt;
+  return static_cast<int>(std::max<time_ms>(MinPauseRetryAfterMs, WaitMs)) +
+         spread(CallerSpreadMs);
+}
+
 std::string load_balancer::describe(std::string_view Endpoint,
                                     time_ms Now) const {
-  const auto Found = Endpoints.find(Endpoint);
-  if (Found == Endpoints.end())
+  const endpoint_state *State = findEndpoint(Endpoint);
+  if (State == nullptr)
     return "unknown";
-  const endpoint_state &State = Found->second;
-  char Text[160];
+  const std::string Reason(toString(reasonOf(*State, Now)));
+  char Text[192];
   std::snprintf(Text, sizeof Text,
-                "running=%.0f own=%d load_age_ms=%lld penalty=%.2f avoid=%d",
-                estimatedRequests(State), State.InFlight,
-                State.LoadReceivedAt < 0
+                "running=%.0f own=%d load_age_ms=%lld penalty=%.2f avoid=%d "
+                "withheld=%s",
+                estimatedRequests(*State), State->Availability.inFlight(),
+                State->LoadReceivedAt < 0
                     ? -1LL
-                    : static_cast<long long>(Now - State.LoadReceivedAt),
-                currentPenalty(State, Now), State.AvoidUntil > Now ? 1 : 0);
+                    : static_cast<long long>(Now - State->LoadReceivedAt),
+                currentPenalty(*State, Now),
+                State->Availability.isAvoided(Now) ? 1 : 0, Reason.c_str());
   return Text;
 }
 
--- a/packages/edge/src/endpoint_attempt.cpp
+++ b/packages/edge/src/endpoint_attempt.cpp
@@ -81,6 +81,7 @@
       std::exchange(Self->Listener, nullptr)->onUnreached(Self.get());
       return;
     }
+    Self->Connection->ConnectedAt = Self->Clock.sinceBoot();
     applySocketOptions(Self->Connection->Socket,
                        {Self->Pool.settings().TcpUserTimeoutMs});
     Self->send();
@@ -90,6 +91,8 @@
 void endpoint_attempt::send() {
   if (Listener == nullptr)
     return;
+  if (!Listener->maySend(this, Connection->ConnectedAt))
+    return withdraw();
   IsWriting = true;
   ++Connection->RequestCount;
   const std::shared_ptr<endpoint_attempt> Self = shared_from_this();
@@ -108,6 +111,11 @@
   readHead();
 }
 
+void endpoint_attempt::withdraw() {
+  Connection->close();
+  std::exchange(Listener, nullptr)->onWithdrawn(this);
+}
+
 void endpoint_attempt::readHead() {
   Parser.emplace();
   Parser->header_limit(MaxHeadBytes);
@@ -165,6 +173,7 @@
   const std::shared_ptr<endpoint_attempt> Self = shared_from_this();
   relay::response_head Head = Codec.decodeResponseHead(Fields);
   Head.EndsWithConnection = Parser->need_eof();
+  Head.ConnectedAt = Connection->ConnectedAt;
   Listener->onHead(this, std::move(Head));
   readBody();
 }
--- a/packages/edge/src/endpoint_attempt.hpp
+++ b/packages/edge/src/endpoint_attempt.hpp
@@ -28,16 +28,21 @@
   bool IsIdle = false;            // The connection is in the pool.
   time_ms LastUsed = 0;           // Monotonic time of the last release.
   time_ms ExpiresAt = 0;          // Monotonic; while idle.
+  time_ms ConnectedAt = 0;        // When it was opened, by sinceBoot.
   std::uint64_t RequestCount = 0; // Requests sent on this connection.
 };
 
 // Receives the progress of an attempt. Not called from within start() or
-// cancel(). onUnreached, onEnd and onBroken are the last call.
+// cancel(). onUnreached, onWithdrawn, onEnd and onBroken are the last call.
 class attempt_listener {
 public:
   virtual ~attempt_listener() = default;
   // No connection was made; nothing was sent.
   virtual void onUnreached(const endpoint_attempt *Source) = 0;
+  // A connection is ready, which was opened at ConnectedAt, by sinceBoot. False
+  // if the request must not be sent any more; onWithdrawn follows.
+  virtual bool maySend(const endpoint_attempt *Source, time_ms ConnectedAt) = 0;
+  virtual void onWithdrawn(const endpoint_attempt *Source) = 0;
   virtual void onHead(const endpoint_attempt *Source,
                       relay::response_head Head) = 0;
   virtual void onBody(const endpoint_attempt *Source,
@@ -63,10 +68,12 @@
   void cancel();
   // Continues to read the body after canAcceptBody() returned false.
   void resume();
+  const relay::endpoint_choice &target() const { return Target; }
 
 private:
   void connect();
   void send();
+  void withdraw();
   void readHead();
   void readHeadPrefix();
   void onHead(const error_code &Error);
--- a/packages/edge/src/frontend_session.cpp
+++ b/packages/edge/src/frontend_session.cpp
@@ -276,6 +276,21 @@
   afterExchangeEvent();
 }
 
+bool frontend_session::maySend(const endpoint_attempt *Source,
+                               time_ms ConnectedAt) {
+  return Exchange && Source == Attempt.get() &&
+         Server.Placement.mayStillSend(Exchange->request(), Source->target(),
+                                       ConnectedAt, now());
+}
+
+void frontend_session::onWithdrawn(const endpoint_attempt *Source) {
+  if (!Exchange || Source != Attempt.get())
+    return;
+  Attempt.reset();
+  Exchange->onWithdrawn(now());
+  afterExchangeEvent();
+}
+
 void frontend_session::onHead(const endpoint_attempt *Source,
                               relay::response_head Head) {
   if (!Exchange || Source != Attempt.get())
--- a/packages/limits/include/tamarack/limits.hpp
+++ b/packages/limits/include/tamarack/limits.hpp
@@ -296,7 +296,8 @@
 };
 
 // Decides which endpoints may get a request of this instance now.
-class endpoint_limiter final : public limit_statement_listener {
+class endpoint_limiter final : public limit_statement_listener,
+                               public dispatch::endpoint_restriction {
 public:
   endpoint_limiter(std::string Instance, limiter_listener &Listener);
 
@@ -322,9 +323,8 @@
     return Register.versionOf(Endpoint);
   }
   void onSent(std::string_view Endpoint, time_ms Now);
-  // Endpoints of the service that may not get a request now.
-  std::vector<std::string_view> exhausted(std::string_view Service,
-                                          time_ms Now);
+  // False if the endpoint may not get a request now.
+  bool mayGetRequest(std::string_view Endpoint, time_ms Now) override;
   // When to come back, if no endpoint of the service may get a request now.
   std::optional<int> retryAfterMs(std::string_view Service, time_ms Now);
   const request_pacer *findPacer(std::string_view Endpoint) const;
--- a/packages/limits/src/endpoint_limiter.cpp
+++ b/packages/limits/src/endpoint_limiter.cpp
@@ -209,16 +209,11 @@
     Found->second.onSent(Now);
 }
 
-std::vector<std::string_view>
-endpoint_limiter::exhausted(std::string_view Service, time_ms Now) {
-  std::vector<std::string_view> Result;
-  const auto Limited = LimitedByService.find(Service);
-  if (Limited == LimitedByService.end())
-    return Result;
-  for (const std::string &Endpoint : Limited->second)
-    if (!Pacers.find(Endpoint)->second.maySend(Now))
-      Result.push_back(Endpoint);
-  return Result;
+bool endpoint_limiter::mayGetRequest(std::string_view Endpoint, time_ms Now) {
+  if (Pacers.empty())
+    return true;
+  const auto Found = Pacers.find(Endpoint);
+  return Found == Pacers.end() || Found->second.maySend(Now);
 }
 
 std::optional<int> endpoint_limiter::retryAfterMs(std::string_view Service,
--- a/packages/limits/src/limit_gate.cpp
+++ b/packages/limits/src/limit_gate.cpp
@@ -1,4 +1,4 @@
-// Keeps calls from endpoints whose limit is used up.
+// Counts the requests of the limits, and refuses calls if all are used up.
 #include "tamarack/limits.hpp"
 
 namespace tamarack::limits {
@@ -13,16 +13,8 @@
 limit_gate::choose(const relay::call &Call, const std::set<std::string> &Tried,
                    time_ms Now) {
   LastChoiceAt = Now;
-  const std::vector<std::string_view> Exhausted =
-      Limiter.exhausted(Call.Service, Now);
-  std::optional<relay::endpoint_choice> Choice;
-  if (Exhausted.empty()) {
-    Choice = placement_decorator::choose(Call, Tried, Now);
-  } else {
-    std::set<std::string> Excluded = Tried;
-    Excluded.insert(Exhausted.begin(), Exhausted.end());
-    Choice = placement_decorator::choose(Call, Excluded, Now);
-  }
+  std::optional<relay::endpoint_choice> Choice =
+      placement_decorator::choose(Call, Tried, Now);
   if (Choice)
     Choice->LimitVersion = Limiter.versionOf(Choice->Endpoint);
   return Choice;
--- a/packages/relay/include/tamarack/relay.hpp
+++ b/packages/relay/include/tamarack/relay.hpp
@@ -211,6 +211,7 @@
   Unreached, // No connection, nothing sent.
   Refused,   // The endpoint reported that it did not execute the call.
   Misplaced, // Another endpoint responded at that address.
+  Withdrawn, // Nothing sent: the endpoint may not get the call any more.
   Cancelled, // Ended by this side.
 };
 
@@ -238,6 +239,20 @@
   // RequiredVersion, can take the call now.
   virtual std::optional<endpoint_choice>
   choose(const call &Call, const std::set<std::string> &Tried, time_ms Now) = 0;
+  // Called when the connection for an attempt is ready; it was opened at
+  // ConnectedAt, by clock::sinceBoot. False if Target may not get the call any
+  // more: nothing is sent then.
+  virtual bool mayStillSend(const call &, const endpoint_choice & /*Target*/,
+                            time_ms /*ConnectedAt*/, time_ms /*Now*/) const {
+    return true;
+  }
+  // True if a response that arrives now on a connection that was opened at
+  // ConnectedAt certainly comes from the run and version that Source names.
+  virtual bool isVersionCertain(const endpoint_choice & /*Source*/,
+                                time_ms /*ConnectedAt*/) const {
+    return true;
+  }
+  // An attempt begins. Each ends with onEnded.
   virtual void onSent(const call &Call, std::string_view Endpoint,
                       time_ms Now) = 0;
   virtual void onFirstByte(const call &Call, std::string_view Endpoint,
@@ -261,6 +276,10 @@
   std::optional<endpoint_choice> choose(const call &Call,
                                         const std::set<std::string> &Tried,
                                         time_ms Now) override;
+  bool mayStillSend(const call &Call, const endpoint_choice &Target,
+                    time_ms ConnectedAt, time_ms Now) const override;
+  bool isVersionCertain(const endpoint_choice &Source,
+                        time_ms ConnectedAt) const override;
   void onSent(const call &Call, std::string_view Endpoint,
               time_ms Now) override;
   void onFirstByte(const call &Call, std::string_view Endpoint,
@@ -314,7 +333,8 @@
 public:
   virtual ~stream_origins() = default;
   virtual stream_origin find(const call &Call) = 0;
-  // The caller is sent the first event, from an endpoint of Version.
+  // The caller is sent the first event, from an endpoint of Version; empty if
+  // that is not certain.
   virtual void onBegun(const call &Call, std::string_view Version) = 0;
   virtual void onDelivered(const call &Call) = 0; // Sent to its end.
 };
@@ -341,7 +361,8 @@
   bool NotRun = false;    // The endpoint reports that it did not run the call.
   bool Misplaced = false; // From another endpoint than the expected one.
   bool Unusable = false;  // Must not be forwarded to the caller.
-  bool EndsWithConnection = false;  // Neither a length nor chunks.
+  bool EndsWithConnection = false; // Neither a length nor chunks.
+  time_ms ConnectedAt = 0; // When its connection was opened, by sinceBoot.
   std::vector<header_field> Fields; // Forwarded unchanged.
 };
 
@@ -353,7 +374,7 @@
 public:
   virtual ~exchange_host() = default;
   // Sends the call to an endpoint. Progress is reported through the exchange's
-  // onUnreached, onHead, onBody, onEnd and onBroken.
+  // onUnreached, onWithdrawn, onHead, onBody, onEnd and onBroken.
   virtual void startAttempt(const endpoint_choice &To,
                             const send_options &Options) = 0;
   // Drops the current attempt; the endpoint sees its connection close.
@@ -490,7 +511,7 @@
                                    // own response.
   int Status = 0;                  // HTTP status of the final response.
   int Attempts = 0; // Sends that reached, or may have reached, an endpoint.
-  int UnreachedEndpoints = 0;
+  int UnreachedEndpoints = 0; // Nothing was sent to them.
   bool CallerDisconnected = false;
   bool ResponseAborted = false;
   bool GivenUpAtStop = false; // The process ended before the call.
@@ -499,7 +520,8 @@
   std::string LastEndpoint; // Of the last attempt.
   std::string FirstVersion; // Of the endpoint that sent the first event, empty
                             // if none was forwarded.
-  std::string LastVersion;  // Of the endpoint of the last attempt.
+  bool IsVersionCertain = true; // FirstVersion.
+  std::string LastVersion;      // Of the endpoint of the last attempt.
   // Of a stream that the caller takes up.
   std::optional<origin_state> Origin;
   time_ms OriginFoundAt = 0; // When the look-up ended, 0 if there was none.
@@ -525,6 +547,9 @@
   void onOriginsRead(time_ms Now);
   // The current attempt could not connect; nothing was sent.
   void onUnreached(time_ms Now);
+  // placement::mayStillSend was false for the current attempt; nothing was
+  // sent.
+  void onWithdrawn(time_ms Now);
   void onHead(response_head Head, time_ms Now);
   void onBody(std::string_view Bytes, time_ms Now);
   void onEnd(time_ms Now);    // The endpoint's response ended normally.
@@ -557,6 +582,8 @@
   void reserveTokens(time_ms Now);
   void startNextAttempt(time_ms Now);
   bool tryRetry(time_ms Now);
+  void replaceUnsent(attempt_outcome Outcome, time_ms Now);
+  void beginStream();
   // Keeps Bytes more of the current attempt's response; false if it is too
   // large.
   bool keepBytes(std::size_t Bytes, std::size_t Limit);
@@ -588,6 +615,7 @@
   state State = state::New;
   exchange_report Report;
   std::set<std::string> TriedEndpoints;
+  endpoint_choice Target;     // Of the current attempt.
   response_head Head;         // Of the current attempt.
   std::string Body;           // Of a response that is not a stream.
   event_stream_parser Parser; // Of the current attempt.
--- a/packages/relay/src/exchange.cpp
+++ b/packages/relay/src/exchange.cpp
@@ -145,6 +145,7 @@
   releaseBytes();
   if (!StreamBegun)
     Reader.restart();
+  Target = *Choice;
   Report.LastEndpoint = Choice->Endpoint;
   Report.LastVersion = Choice->Version;
   ++Report.Attempts;
@@ -180,6 +181,9 @@
     return false;
   if (Call.Deadline - Now < MinAttemptMs)
     return false;
+  // Nobody knows where the stream may go on.
+  if (StreamBegun && !Report.IsVersionCertain)
+    return false;
   TriedEndpoints.insert(Report.LastEndpoint);
   if (!Placement.choose(Call, TriedEndpoints, Now))
     return false;
@@ -187,9 +191,18 @@
 }
 
 void exchange::onUnreached(time_ms Now) {
-  if (State != state::AwaitingHead)
-    return;
-  endAttempt(attempt_outcome::Unreached, Now);
+  if (State == state::AwaitingHead)
+    replaceUnsent(attempt_outcome::Unreached, Now);
+}
+
+void exchange::onWithdrawn(time_ms Now) {
+  if (State == state::AwaitingHead)
+    replaceUnsent(attempt_outcome::Withdrawn, Now);
+}
+
+// Nothing was sent, so another endpoint costs neither an attempt nor a retry.
+void exchange::replaceUnsent(attempt_outcome Outcome, time_ms Now) {
+  endAttempt(Outcome, Now);
   --Report.Attempts;
   if (++Report.UnreachedEndpoints <= MaxUnreachedEndpoints)
     return startNextAttempt(Now);
@@ -280,18 +293,28 @@
     onBroken(Now);
 }
 
+void exchange::beginStream() {
+  StreamBegun = true;
+  // The version of a stream that is taken up was certain when the call was
+  // sent.
+  Report.IsVersionCertain =
+      !Call.RequiredVersion.empty() ||
+      Placement.isVersionCertain(Target, Head.ConnectedAt);
+  Report.FirstVersion = Report.LastVersion;
+  // What two versions write does not fit together.
+  Call.RequiredVersion = Report.FirstVersion;
+  if (Call.StreamKey != 0)
+    Origins.onBegun(Call, Report.IsVersionCertain ? Report.FirstVersion
+                                                  : std::string_view());
+  Host.beginResponse(Head);
+}
+
 void exchange::forwardEvents(std::string_view Events, time_ms Now) {
   if (Events.empty())
     return;
   recordFirstByte(Now);
   if (!StreamBegun) {
-    StreamBegun = true;
-    Report.FirstVersion = Report.LastVersion;
-    // What two versions write does not fit together.
-    Call.RequiredVersion = Report.FirstVersion;
-    if (Call.StreamKey != 0)
-      Origins.onBegun(Call, Report.FirstVersion);
-    Host.beginResponse(Head);
+    beginStream();
   }
   Host.forwardEvents(Events);
 }
--- a/packages/relay/src/placement_decorator.cpp
+++ b/packages/relay/src/placement_decorator.cpp
@@ -14,6 +14,17 @@
   return Inner.choose(Call, Tried, Now);
 }
 
+bool placement_decorator::mayStillSend(const call &Call,
+                                       const endpoint_choice &Target,
+                                       time_ms ConnectedAt, time_ms Now) const {
+  return Inner.mayStillSend(Call, Target, ConnectedAt, Now);
+}
+
+bool placement_decorator::isVersionCertain(const endpoint_choice &Source,
+                                           time_ms ConnectedAt) const {
+  return Inner.isVersionCertain(Source, ConnectedAt);
+}
+
 void placement_decorator::onSent(const call &Call, std::string_view Endpoint,
                                  time_ms Now) {
   Inner.onSent(Call, Endpoint, Now);
--- a/packages/relay/src/route_table.cpp
+++ b/packages/relay/src/route_table.cpp
@@ -55,6 +55,8 @@
     return "refused";
   case attempt_outcome::Misplaced:
     return "misplaced";
+  case attempt_outcome::Withdrawn:
+    return "withdrawn";
   case attempt_outcome::Cancelled:
     return "cancelled";
   }
--- a/stand_ins/runner.cpp
+++ b/stand_ins/runner.cpp
@@ -14,7 +14,7 @@
 //                   requests have used up some
 //
 // Values of /control that give the number of requests affected next:
-//   shed       gets 503 with Not-Executed, without an execution
+//   shed       gets 503 with Not-Executed, without an execution; see pause_ms
 //   lose       is executed, but the connection is closed without a response
 //   unsigned   gets a response without Server-Stamp
 //   alien      gets a response with a different Attempt-Id
@@ -24,6 +24,7 @@
 //   delay_ms   duration of each execution
 //   event_ms   pause before each event of a stream
 //   leave      above 0: registers as draining
+//   pause_ms   above 0: 503 of shed has Retry-After
 //   say_leaving above 0: responses have Server-Leaving
 //   limit_milli limit that responses state in Server-Limit, in requests per
 //              1,000 s; 0 for none
@@ -186,6 +187,8 @@
     }
     if (consumeFault("shed")) {
       Response.set("Not-Executed", "1");
+      if (const std::int64_t PauseMs = controlValue("pause_ms"); PauseMs > 0)
+        Response.set("Retry-After", std::to_string(PauseMs / 1'000.0));
       return sendText(Response, 503, "{}");
     }
     countExecution(Request, AttemptId);
--- a/tests/process/statement_scenarios.py
+++ b/tests/process/statement_scenarios.py
@@ -59,6 +59,69 @@
             assert set(counts) == {200}, (kind, counts)
 
 
+def pause(fleet, names, seconds):
+    """Makes runners turn all requests away and ask for a pause."""
+    for name in names:
+        fleet.control(fleet.runner_url(name), shed=1_000_000,
+                      pause_ms=int(seconds * 1000))
+
+
+def an_endpoint_that_asks_for_a_pause_gets_it():
+    """A desk turns requests away and asks each router for a pause.
+
+    Guards against routers that ask it again before the end, by first tries,
+    retries or requests that waited, and against a desk that is left out after
+    its pause.
+    """
+    length = 3
+    with PlatformFleet(routers=ROUTERS) as fleet:
+        with Traffic(fleet, [lookups()]) as traffic:
+            time.sleep(1)
+            pause(fleet, ["desk-0"], length)
+            time.sleep(SETTLE_S)
+            paused_at = time.time()
+            time.sleep(length - 2 * SETTLE_S)
+            during = late_arrivals(fleet, "desk-0", paused_at)
+            fleet.control(fleet.runner_url("desk-0"), shed=0)
+            time.sleep(3)
+            after = late_arrivals(fleet, "desk-0", paused_at + length)
+        statuses = collections.Counter(
+            r.status for r in traffic.results["lookup"])
+        print(f"during the pause: {during}, after it: {len(after)}, "
+              f"{statuses}", flush=True)
+        assert len(during) <= 2 * ROUTERS, during
+        assert len(after) >= 20, after
+        assert set(statuses) == {200}, statuses
+
+
+def callers_are_told_at_once_when_a_pause_of_all_endpoints_ends():
+    """All desks ask for a pause. Guards against callers that wait in vain."""
+    length = 4
+    with PlatformFleet(routers=ROUTERS) as fleet:
+        desks = [name for name in fleet.runners if name.startswith("desk")]
+        with Traffic(fleet, [lookups()]) as traffic:
+            time.sleep(1)
+            pause(fleet, desks, length)
+            time.sleep(SETTLE_S)
+            known_at = time.monotonic()
+            arrived_at = time.time()
+            time.sleep(length / 2)
+            known = [r for r in traffic.results["lookup"]
+                     if r.sent_at > known_at]
+            late = [t for name in desks
+                    for t in late_arrivals(fleet, name, arrived_at)]
+        refused = [r for r in known if r.status == 503]
+        advice = [float(r.retry_after) for r in refused]
+        print(f"{len(refused)} of {len(known)} refused, advice "
+              f"{min(advice)} to {max(advice)} s, late: {late}", flush=True)
+        assert len(refused) == len(known) > 0, len(refused)
+        assert all(r.took < SETTLE_S for r in refused)
+        assert all(1 < seconds < length + 1 for seconds in advice), advice
+        assert len(late) <= 2 * ROUTERS * len(desks), late
+
+
 SCENARIOS = [
+    an_endpoint_that_asks_for_a_pause_gets_it,
+    callers_are_told_at_once_when_a_pause_of_all_endpoints_ends,
     an_endpoint_whose_answers_say_that_it_leaves_gets_no_new_work,
 ]
--- a/tests/unit/dispatch_test.cpp
+++ b/tests/unit/dispatch_test.cpp
@@ -54,7 +54,7 @@
 
 struct dispatch_fixture {
   explicit dispatch_fixture(std::uint64_t Seed, std::int64_t KvTokens = 400'000)
-      : Random(Seed), Balancer("z", Limits, Random) {
+      : Random(Seed), Balancer("z", Limits, Restriction, Random, Listener) {
     Balancer.setTable(tableOf(KvTokens));
   }
 
@@ -69,7 +69,17 @@
     return Endpoint;
   }
 
+  std::string mayStillSend(const std::string &Endpoint, std::int64_t StartedAt,
+                           const relay::call &Call, time_ms Now) const {
+    relay::endpoint_choice Target;
+    Target.Endpoint = Endpoint;
+    Target.StartedAt = StartedAt;
+    return Balancer.mayStillSend(Call, Target, 0, Now) ? "yes" : "no";
+  }
+
   tests::seeded_random Random;
+  tests::listed_restriction Restriction;
+  tests::recording_availability_listener Listener;
   load_balancer Balancer;
 };
 
@@ -276,3 +286,171 @@
   Fixture.Balancer.setInstanceCount(Instances);
   CHECK(Fixture.Balancer.tryRetry("s", 0));
 }
+
+//---------------------------------------------------------------------------
+// Pauses
+//---------------------------------------------------------------------------
+
+// Guards against an endpoint that gets requests in a time for which it has
+// asked for none, or never gets one again.
+TEST_CASE("an endpoint that asks for a pause gets nothing until its end",
+          "[dispatch]") {
+  dispatch_fixture Fixture(1);
+  Fixture.Balancer.setEndpoints(entries(2), 0);
+  const relay::call Call = callOf(1, 1);
+  Fixture.Balancer.onSent(Call, "e0", 0);
+  Fixture.Balancer.onPauseStated("e0", 2'000, 0);
+  Fixture.Balancer.onEnded(Call, "e0", relay::attempt_outcome::Refused, 0);
+  REQUIRE(Fixture.Listener.Withheld.size() == 1);
+  CHECK(Fixture.Listener.Withheld[0].second == withheld_reason::Paused);
+  const auto IsChosen = [&Fixture](time_ms Now) {
+    for (std::uint64_t Part = 0; Part < 40; ++Part)
+      if (Fixture.choose(callOf(Part, Part), Now) == "e0")
+        return true;
+    return false;
+  };
+  for (time_ms Now = 0; Now < 2'000; Now += 100)
+    CHECK_FALSE(IsChosen(Now));
+  SECTION("at its end") { CHECK(IsChosen(2'100)); }
+  SECTION("a shorter pause that is asked for later changes nothing") {
+    Fixture.Balancer.onPauseStated("e0", 100, 500);
+    CHECK_FALSE(IsChosen(1'900));
+    CHECK(IsChosen(2'100));
+  }
+  SECTION("a longer one does") {
+    Fixture.Balancer.onPauseStated("e0", 5'000, 500);
+    CHECK_FALSE(IsChosen(5'400));
+    CHECK(IsChosen(5'700));
+  }
+  SECTION("no pause ends none") {
+    Fixture.Balancer.onPauseStated("e0", 0, 500);
+    CHECK_FALSE(IsChosen(1'900));
+  }
+  SECTION("a good response of before changes nothing") {
+    const relay::call Earlier = callOf(3, 3);
+    Fixture.Balancer.onSent(Earlier, "e0", 0);
+    Fixture.Balancer.onFirstByte(Earlier, "e0", 100);
+    Fixture.Balancer.onEnded(Earlier, "e0", relay::attempt_outcome::Good, 200);
+    CHECK_FALSE(IsChosen(1'900));
+  }
+  SECTION("it lasts while the endpoint is not listed") {
+    const std::vector<endpoint_entry> List = entries(2);
+    Fixture.Balancer.setEndpoints(std::span(List).last(1), 100);
+    Fixture.Balancer.setEndpoints(List, 200);
+    CHECK_FALSE(IsChosen(1'900));
+  }
+  SECTION("a new start ends it") {
+    std::vector<endpoint_entry> List = entries(2);
+    List[0].StartedAt = 2;
+    Fixture.Balancer.setEndpoints(List, 100);
+    CHECK(IsChosen(200));
+  }
+}
+
+// Guards against requests that were chosen before a statement arrived, and go
+// out after it because their connection took time or the process stood still.
+TEST_CASE("a request that waited for its connection may be withdrawn",
+          "[dispatch]") {
+  dispatch_fixture Fixture(1);
+  std::vector<endpoint_entry> List = entries(2);
+  Fixture.Balancer.setEndpoints(List, 0);
+  const relay::call Call = callOf(1, 1);
+  CHECK(Fixture.mayStillSend("e0", 1, Call, 10) == "yes");
+  SECTION("the endpoint asked for a pause") {
+    Fixture.Balancer.onPauseStated("e0", 2'000, 20);
+    CHECK(Fixture.mayStillSend("e0", 1, Call, 30) == "no");
+    CHECK(Fixture.mayStillSend("e0", 1, Call, 2'200) == "yes");
+  }
+  SECTION("it leaves") {
+    List[0].Leaving = true;
+    Fixture.Balancer.setEndpoints(List, 20);
+    CHECK(Fixture.mayStillSend("e0", 1, Call, 30) == "no");
+  }
+  SECTION("it is gone") {
+    Fixture.Balancer.setEndpoints(std::span(List).last(1), 20);
+    CHECK(Fixture.mayStillSend("e0", 1, Call, 30) == "no");
+  }
+  SECTION("it has started anew") {
+    List[0].StartedAt = 2;
+    Fixture.Balancer.setEndpoints(List, 20);
+    CHECK(Fixture.mayStillSend("e0", 1, Call, 30) == "no");
+    CHECK(Fixture.mayStillSend("e0", 2, Call, 30) == "yes");
+  }
+  SECTION("its one test request after a pause is sent") {
+    Fixture.Balancer.onPauseStated("e0", 100, 20);
+    Fixture.Balancer.onSent(Call, "e0", 300);
+    CHECK(Fixture.mayStillSend("e0", 1, Call, 310) == "yes");
+  }
+}
+
+// Guards against all callers that waited going to an endpoint at the moment at
+// which its pause ends.
+TEST_CASE("after a pause requests go out by steps", "[dispatch]") {
+  dispatch_fixture Fixture(1);
+  Fixture.Balancer.setEndpoints(entries(1), 0);
+  Fixture.Balancer.onPauseStated("e0", 1'000, 0);
+  std::vector<relay::call> Calls(64, callOf(1, 1));
+  std::size_t Sent = 0;
+  const auto SendAll = [&](time_ms Now) {
+    int Count = 0;
+    for (; Sent < Calls.size() && !Fixture.choose(Calls[Sent], Now).empty();
+         ++Sent, ++Count)
+      Fixture.Balancer.onSent(Calls[Sent], "e0", Now);
+    return Count;
+  };
+  REQUIRE(SendAll(1'100) == 1);
+  SECTION("each response lets twice as many out") {
+    Fixture.Balancer.onFirstByte(Calls[0], "e0", 1'200);
+    CHECK(SendAll(1'200) == 2);
+    Fixture.Balancer.onFirstByte(Calls[1], "e0", 1'300);
+    CHECK(SendAll(1'300) == 3);
+  }
+  SECTION("one that got no response is followed by one") {
+    Fixture.Balancer.onEnded(Calls[0], "e0", relay::attempt_outcome::Broken,
+                             1'200);
+    CHECK(SendAll(1'200) == 1);
+  }
+  SECTION("one that is turned away is followed by none") {
+    Fixture.Balancer.onPauseStated("e0", 1'000, 1'200);
+    Fixture.Balancer.onEnded(Calls[0], "e0", relay::attempt_outcome::Refused,
+                             1'200);
+    CHECK(SendAll(1'300) == 0);
+  }
+}
+
+// Guards against callers that wait or come back in vain while all endpoints of
+// a service want no requests.
+TEST_CASE("while all endpoints pause, callers are told when the first one ends",
+          "[dispatch]") {
+  dispatch_fixture Fixture(1);
+  Fixture.Balancer.setEndpoints(entries(3), 0);
+  const relay::call Call = callOf(1, 1);
+  Fixture.Balancer.onPauseStated("e0", 4'000, 0);
+  Fixture.Balancer.onPauseStated("e1", 2'000, 0);
+  REQUIRE(Fixture.choose(Call, 100) == "e2");
+  Fixture.Balancer.onPauseStated("e2", 9'000, 0);
+  std::set<int> Advice;
+  for (int Caller = 0; Caller < 50; ++Caller) {
+    CHECK(Fixture.choose(Call, 500).empty());
+    const relay::placement_refusal Refusal = Fixture.Balancer.refusal(Call);
+    CHECK(Refusal.Kind == relay::error_kind::Overloaded);
+    CHECK(Refusal.RetryAfterMs >= 1'500);
+    CHECK(Refusal.RetryAfterMs < 2'000);
+    Advice.insert(Refusal.RetryAfterMs);
+  }
+  CHECK(Advice.size() > 10);
+  const placement_survey Survey = Fixture.Balancer.survey(Call, 500);
+  CHECK(Survey.Withheld[static_cast<std::size_t>(withheld_reason::Paused)] ==
+        3);
+}
+
+TEST_CASE("a limit that is used up withholds requests from its endpoint",
+          "[dispatch]") {
+  dispatch_fixture Fixture(1);
+  Fixture.Balancer.setEndpoints(entries(2), 0);
+  Fixture.Restriction.Withheld = {"e0"};
+  const relay::call Call = callOf(1, 1);
+  CHECK(Fixture.choose(Call) == "e1");
+  Fixture.Restriction.Withheld = {"e0", "e1"};
+  CHECK(Fixture.choose(Call).empty());
+}
--- a/tests/unit/endpoint_attempt_test.cpp
+++ b/tests/unit/endpoint_attempt_test.cpp
@@ -103,15 +103,23 @@
   }
 };
 
-enum class attempt_end { None, Unreached, Complete, Broken };
+enum class attempt_end { None, Unreached, Withdrawn, Complete, Broken };
 
 class recording_listener final : public attempt_listener {
 public:
   void onUnreached(const endpoint_attempt *) override {
     End = attempt_end::Unreached;
   }
+  bool maySend(const endpoint_attempt *, time_ms At) override {
+    ConnectedAt = At;
+    return MaySend;
+  }
+  void onWithdrawn(const endpoint_attempt *) override {
+    End = attempt_end::Withdrawn;
+  }
   void onHead(const endpoint_attempt *, relay::response_head Head) override {
     Status = Head.Status;
+    HeadConnectedAt = Head.ConnectedAt;
   }
   void onBody(const endpoint_attempt *, std::string_view Bytes) override {
     Body.append(Bytes);
@@ -122,8 +130,11 @@
   }
   bool canAcceptBody() override { return true; }
 
+  bool MaySend = true;
   attempt_end End = attempt_end::None;
   int Status = 0;
+  time_ms ConnectedAt = 0;     // As of maySend.
+  time_ms HeadConnectedAt = 0; // As of the head.
   std::string Body;
 };
 
@@ -235,6 +246,24 @@
             .run() == attempt_end::Broken);
 }
 
+// Guards against a request that goes out although its endpoint may not get it
+// any more when the connection is ready.
+TEST_CASE("a request that may not be sent any more is withdrawn", "[edge]") {
+  attempt_fixture Fixture({UnframedHead, "", server_end::Close});
+  Fixture.Listener.MaySend = false;
+  CHECK(Fixture.run() == attempt_end::Withdrawn);
+  CHECK(Fixture.Listener.Status == 0);
+  CHECK(Fixture.Pool.idleCount() == 0);
+}
+
+TEST_CASE("a head tells when its connection was opened", "[edge]") {
+  attempt_fixture Fixture({UnframedHead, "", server_end::Close});
+  const time_ms Before = Fixture.Clock.sinceBoot();
+  REQUIRE(Fixture.run() == attempt_end::Complete);
+  CHECK(Fixture.Listener.HeadConnectedAt >= Before);
+  CHECK(Fixture.Listener.HeadConnectedAt == Fixture.Listener.ConnectedAt);
+}
+
 // Guards against idle connections that keep the buffer of a large head.
 TEST_CASE("an idle connection keeps no buffer", "[edge]") {
   attempt_fixture Fixture(
--- a/tests/unit/fakes.hpp
+++ b/tests/unit/fakes.hpp
@@ -1,6 +1,7 @@
 // Fakes of the interfaces in ports.hpp for unit tests.
 #pragma once
 
+#include "tamarack/dispatch.hpp"
 #include "tamarack/ports.hpp"
 
 #include <random>
@@ -27,6 +28,26 @@
   std::mt19937_64 Engine;
 };
 
+// Withholds requests from the endpoints that the test names.
+class listed_restriction final : public dispatch::endpoint_restriction {
+public:
+  bool mayGetRequest(std::string_view Endpoint, time_ms) override {
+    return !Withheld.contains(std::string(Endpoint));
+  }
+  std::set<std::string> Withheld;
+};
+
+// Keeps which endpoints get no requests, and why.
+class recording_availability_listener final
+    : public dispatch::availability_listener {
+public:
+  void onWithheld(std::string_view Endpoint, dispatch::withheld_reason Reason,
+                  int) override {
+    Withheld.emplace_back(Endpoint, Reason);
+  }
+  std::vector<std::pair<std::string, dispatch::withheld_reason>> Withheld;
+};
+
 // Keeps what the store's responses say about its era.
 class recording_era_listener final : public store_era_listener {
 public:
--- a/tests/unit/limits_test.cpp
+++ b/tests/unit/limits_test.cpp
@@ -488,13 +488,10 @@
   void sendRequest(instance &Instance) {
     endpoint_limiter &Limiter = *Instance.Limiter;
     Limiter.onRequest(Service, Now);
-    const std::vector<std::string_view> Exhausted =
-        Limiter.exhausted(Service, Now);
     std::vector<std::string> Choices;
     std::vector<std::string> Limited;
     for (const dispatch::endpoint_entry &Entry : Entries) {
-      if (std::find(Exhausted.begin(), Exhausted.end(), Entry.Id) !=
-          Exhausted.end())
+      if (!Limiter.mayGetRequest(Entry.Id, Now))
         continue;
       Choices.push_back(Entry.Id);
       if (Limiter.findPacer(Entry.Id) != nullptr)
--- a/tests/unit/platform_test.cpp
+++ b/tests/unit/platform_test.cpp
@@ -67,12 +67,17 @@
   void onLeavingStated(const relay::endpoint_choice &Source, time_ms) override {
     Leaving.emplace_back(Source.Endpoint, Source.StartedAt);
   }
+  void onPauseStated(const relay::endpoint_choice &, int DurationMs,
+                     time_ms) override {
+    PausesMs.push_back(DurationMs);
+  }
   void onStatementUnreadable(const relay::endpoint_choice &,
                              std::string_view Field,
                              std::string_view Text) override {
     Unreadable.emplace_back(Field, Text);
   }
   std::vector<std::pair<std::string, std::int64_t>> Leaving;
+  std::vector<int> PausesMs;
   std::vector<std::pair<std::string, std::string>> Unreadable;
 };
 
@@ -84,7 +89,8 @@
 
 struct codec_fixture {
   codec_fixture()
-      : Random(1), LoadBalancer("z", {}, Random),
+      : Random(1),
+        LoadBalancer("z", {}, Restriction, Random, AvailabilityListener),
         Codec(LoadBalancer, Statements, LimitListener, Random, Freshness) {
     Codec.setRouteTable(decodeConfiguration(Configuration));
     Request.method(edge::http::verb::post);
@@ -101,6 +107,8 @@
   edge::decoded_request decode() { return Codec.decodeRequest(Request, 1'000); }
 
   tests::seeded_random Random;
+  tests::listed_restriction Restriction;
+  tests::recording_availability_listener AvailabilityListener;
   dispatch::load_balancer LoadBalancer;
   recording_statement_listener Statements;
   recording_limit_listener LimitListener;
@@ -501,6 +509,41 @@
   }
 }
 
+TEST_CASE("the pause that an endpoint asks for is read or rejected",
+          "[platform]") {
+  codec_fixture Fixture;
+  const relay::endpoint_choice Source;
+  edge::response_fields Fields;
+  Fields.result(503);
+  const auto Record = [&](const char *Text) {
+    Fields.set("Retry-After", Text);
+    Fixture.Codec.recordEndpointState(Source, Fields, 10);
+  };
+  SECTION("seconds, also with decimals") {
+    Record("2");
+    Record("0.25");
+    Record("0");
+    CHECK(Fixture.Statements.PausesMs == std::vector<int>{2'000, 250, 0});
+  }
+  SECTION("an hour at most") {
+    Record("1e300");
+    CHECK(Fixture.Statements.PausesMs == std::vector<int>{3'600'000});
+  }
+  SECTION("anything else is unreadable") {
+    for (const char *Text : {"-1", "soon", "", "1e999", "nan", "2 s",
+                             "Wed, 21 Oct 2026 07:28:00 GMT"})
+      Record(Text);
+    CHECK(Fixture.Statements.PausesMs.empty());
+    CHECK(Fixture.Statements.Unreadable.size() == 7);
+  }
+  SECTION("other responses ask for no pause") {
+    Fields.result(GENERATE(200u, 429u, 500u, 421u));
+    Record("2");
+    CHECK(Fixture.Statements.PausesMs.empty());
+    CHECK(Fixture.Statements.Unreadable.empty());
+  }
+}
+
 TEST_CASE("the limit that an endpoint states is read or rejected",
           "[platform]") {
   using limits::statement_form;
--- a/tests/unit/relay_test.cpp
+++ b/tests/unit/relay_test.cpp
@@ -43,6 +43,9 @@
     }
     return std::nullopt;
   }
+  bool isVersionCertain(const endpoint_choice &Source, time_ms) const override {
+    return !Uncertain.contains(Source.Endpoint);
+  }
   std::string versionOf(const std::string &Name) const {
     const auto Found = Versions.find(Name);
     return Found == Versions.end() ? "" : Found->second;
@@ -66,7 +69,8 @@
   }
 
   std::vector<std::string> Endpoints = {"e1", "e2", "e3"};
-  std::map<std::string, std::string> Versions; // By endpoint.
+  std::map<std::string, std::string> Versions; // By endpoint, as listed.
+  std::set<std::string> Uncertain; // Endpoints that may run another version.
   int RetriesLeft = 100;
   int SentAttempts = 0;
   std::vector<attempt_outcome> Outcomes;
@@ -364,6 +368,39 @@
   CHECK(Fixture.Host.FinalResponses <= 1);
 }
 
+// Guards against a stream that is taken for one of the listed version although
+// its endpoint has started again in another one.
+TEST_CASE("a stream of an uncertain version goes on nowhere", "[relay]") {
+  call Call = callOf(call_kind::ResumableStream);
+  Call.StreamKey = 7;
+  exchange_fixture Fixture(Call);
+  Fixture.Placement.Uncertain = {"e1"};
+  Fixture.Exchange.start(Start);
+  Fixture.Exchange.onHead(headOf(200), Start + 10);
+  Fixture.Exchange.onBody("id: 1\ndata: a\n\n", Start + 11);
+  CHECK(Fixture.Origins.BegunVersions == std::vector<std::string>{""});
+  Fixture.Exchange.onBroken(Start + 20);
+  CHECK(Fixture.Host.AbortedResponses == 1);
+  CHECK_FALSE(Fixture.Exchange.report().IsVersionCertain);
+}
+
+// Guards against a call that is lost, or runs twice, because its endpoint may
+// not get it any more when its connection is ready.
+TEST_CASE("a withdrawn attempt costs neither an attempt nor a retry",
+          "[relay]") {
+  exchange_fixture Fixture(callOf(call_kind::NotRepeatable, 1));
+  Fixture.Placement.RetriesLeft = 0;
+  Fixture.Exchange.start(Start);
+  Fixture.Exchange.onWithdrawn(Start + 10);
+  CHECK(Fixture.Host.AttemptedEndpoints ==
+        std::vector<std::string>{"e1", "e2"});
+  Fixture.Exchange.onWithdrawn(Start + 20);
+  Fixture.Exchange.onWithdrawn(Start + 30);
+  CHECK(Fixture.Host.RefusedWith == error_kind::NoEndpoint);
+  CHECK(Fixture.Exchange.report().Attempts == 0);
+  CHECK(Fixture.Budget.Billed == 0);
+}
+
 TEST_CASE("events that don't continue the response are never forwarded",
           "[relay]") {
   exchange_fixture Fixture(callOf(call_kind::ResumableStream));
@@ -574,9 +611,10 @@
   Timer,
   Unusable,
   BudgetChanged,
-  ForcedStop
+  ForcedStop,
+  Withdrawn
 };
-constexpr int StepCount = 13;
+constexpr int StepCount = 14;
 
 // What the endpoints did, tracked independently of the exchange.
 struct endpoint_model {
@@ -587,6 +625,22 @@
   std::set<std::string> EventVersions; // Of endpoints that sent events.
 };
 
+// The version that an endpoint runs: not the listed one if that is uncertain.
+std::string actualVersion(const exchange_fixture &Fixture,
+                          const std::string &Endpoint) {
+  const bool IsListed = !Fixture.Placement.Uncertain.contains(Endpoint);
+  return (IsListed ? "" : "other than ") +
+         Fixture.Placement.versionOf(Endpoint);
+}
+
+// True if placement::mayStillSend would be false: the call is bound to a
+// version, and it is not certain that its endpoint runs it.
+bool isBoundElsewhere(const exchange_fixture &Fixture) {
+  return !Fixture.Exchange.request().RequiredVersion.empty() &&
+         Fixture.Placement.Uncertain.contains(
+             Fixture.Host.AttemptedEndpoints.back());
+}
+
 void apply(exchange_fixture &Fixture, endpoint_model &Model, step Step,
            time_ms Now) {
   exchange &Exchange = Fixture.Exchange;
@@ -599,8 +653,17 @@
       Exchange.onUnreached(Now);
     }
     break;
-  case step::Head:
+  case step::Withdrawn:
     if (InFlight && !Responding) {
+      Fixture.Host.InFlight = false; // Nothing was sent.
+      Exchange.onWithdrawn(Now);
+    }
+    break;
+  case step::Head:
+    if (InFlight && !Responding && isBoundElsewhere(Fixture)) {
+      Fixture.Host.InFlight = false;
+      Exchange.onWithdrawn(Now);
+    } else if (InFlight && !Responding) {
       ++Model.MayHaveRun;
       Responding = true;
       Exchange.onHead(headOf(200), Now);
@@ -629,7 +692,7 @@
     if (InFlight && Responding) {
       ++Model.Event;
       Model.EventVersions.insert(
-          Fixture.Placement.versionOf(Fixture.Host.AttemptedEndpoints.back()));
+          actualVersion(Fixture, Fixture.Host.AttemptedEndpoints.back()));
       Exchange.onBody(Model.SentHalfEvent
                           ? "ta: x\n\n"
                           : "id: " + std::to_string(Model.Event) +
@@ -686,6 +749,9 @@
     exchange_fixture Fixture(callOf(Kind, MaxAttempts));
     Fixture.Placement.RetriesLeft = *rc::gen::inRange(0, 4);
     Fixture.Placement.Versions = {{"e1", "v1"}, {"e2", "v2"}, {"e3", "v1"}};
+    for (const std::string &Endpoint : Fixture.Placement.Endpoints)
+      if (*rc::gen::inRange(0, 3) == 0)
+        Fixture.Placement.Uncertain.insert(Endpoint);
     if (*rc::gen::inRange(0, 4) == 0)
       Fixture.Budget.Result = reserve_result::Pending;
     const std::vector<int> Schedule =
