Bind a stream to a version only where the version is certain

Cause: an endpoint that starts again under its id and address in another version is known by its entry only. Change: a version is certain if the list is younger than the time for which an endpoint serves after it is listed as leaving (new setting leave-notice-ms), or if the connection was opened before a list that still names the run: a connection ends with its process. It is asked when the first event comes and again right before a bound call is sent, also after a stand-still. A stream of an uncertain version is recorded as such and goes on nowhere. After an outage the list counts as old until endpoints have had time to register again.

--- a/packages/daemon/src/router.cpp
+++ b/packages/daemon/src/router.cpp
@@ -109,6 +109,8 @@
   }
   void onCaughtUp(std::uint64_t) override {
     Router.Directory.onCaughtUp();
+    if (!Router.Directory.isReregistering(Router.Clock.monotonic()))
+      Router.EndpointsKnownAsOf = Router.EndpointFollower.knownAsOf();
     Router.refreshEndpoints();
   }
   void onStoreResponse() override {
@@ -195,7 +197,8 @@
       CrashGuard(LimitGate, Quarantine, EndpointProber, ListedEndpoints,
                  QuarantineLog),
       CrashReports(Settings.Instance, Store, Quarantine),
-      ShutdownGate(CrashGuard),
+      VersionGate(CrashGuard, *this, Clock, Settings.LeaveNoticeMs),
+      ShutdownGate(VersionGate),
       Codec(LoadBalancer, *this, Limiter, Random, *this),
       Grants(Settings.Instance, Random.next() | 1, Settings.PeerAddress,
              adapters::readBootId(), {}, Clock),
@@ -366,6 +369,16 @@
   LoadBalancer.onPauseStated(Source.Endpoint, DurationMs, Now);
 }
 
+std::optional<streams::listed_version>
+router::find(std::string_view Endpoint) const {
+  const dispatch::endpoint_entry *Entry = LoadBalancer.findEntry(Endpoint);
+  if (Entry == nullptr)
+    return std::nullopt;
+  return streams::listed_version{Entry->StartedAt, Entry->Version};
+}
+
+time_ms router::knownAsOf() const { return EndpointsKnownAsOf; }
+
 void router::onStatementUnreadable(const relay::endpoint_choice &Source,
                                    std::string_view Field,
                                    std::string_view Text) {
--- a/packages/daemon/src/router.hpp
+++ b/packages/daemon/src/router.hpp
@@ -31,6 +31,7 @@
                      private platform::store_call_listener,
                      private platform::configuration_freshness,
                      private dispatch::endpoint_statement_listener,
+                     private streams::listed_versions,
                      private store_era_listener,
                      private streams::origin_listener {
 public:
@@ -85,6 +86,11 @@
                              std::string_view Field,
                              std::string_view Text) override;
 
+  // streams::listed_versions
+  std::optional<streams::listed_version>
+  find(std::string_view Endpoint) const override;
+  time_ms knownAsOf() const override;
+
   // store_era_listener
   void onEraChanged(std::uint64_t Before, std::uint64_t Era) override;
   void onFormerEra(std::uint64_t Stated, std::uint64_t Era) override;
@@ -164,6 +170,7 @@
   listed_endpoints ListedEndpoints;
   quarantine::crash_guard CrashGuard;
   crash_report_exchange CrashReports;
+  streams::version_gate VersionGate;
   dispatch::shutdown_gate ShutdownGate;
   platform::platform_codec Codec;
   grants::grant_holder Grants;
@@ -189,6 +196,7 @@
   time_ms LastTickAt = -1;
   std::shared_ptr<const relay::route_table> RouteTable;
   bool IsNewestVersionUnreadable = false; // The table is an older one.
+  time_ms EndpointsKnownAsOf = -1; // See streams::listed_versions::knownAsOf.
   store_writer WatermarkWriter;    // Writes under Settings.Instance.
   store_writer GrantWriter;        // Writes under Settings.Instance.
   bool IsWatermarkRecoveryInProgress = false; // A store call is in flight.
--- a/packages/daemon/src/router_settings.cpp
+++ b/packages/daemon/src/router_settings.cpp
@@ -33,6 +33,9 @@
   Set.addDecimal("repeat-window-s", "10", 0.1, 3600,
                  "window of --repeat-slack, s");
   Set.addDecimal("grace-s", "8", 1, 86400, "longest graceful shutdown, s");
+  Set.addNumber("leave-notice-ms", "2000", 600, 3600000,
+                "shortest time that an endpoint serves after it is listed as "
+                "leaving, ms");
   Set.addNumber("log-lines", "200", 1, 1000000,
                 "most log lines per event and second");
 }
@@ -83,6 +86,7 @@
       static_cast<int>(Set.getDecimal("repeat-window-s") * MsPerSecond);
   Settings.ShutdownGraceMs =
       static_cast<int>(Set.getDecimal("grace-s") * MsPerSecond);
+  Settings.LeaveNoticeMs = static_cast<int>(Set.getNumber("leave-notice-ms"));
   Settings.MaxLogLinesPerSecond = static_cast<int>(Set.getNumber("log-lines"));
   return true;
 }
--- a/packages/daemon/src/router_settings.hpp
+++ b/packages/daemon/src/router_settings.hpp
@@ -19,6 +19,8 @@
   std::string MetricsAddress;             // host:port that serves metrics.
   std::string StoreAddress;               // host:port of the platform's store.
   dispatch::retry_limits RetryLimits;
+  // An endpoint serves at least so long after the list says that it leaves.
+  int LeaveNoticeMs = 2'000;
   int ShutdownGraceMs = 8'000;    // From the stop signal to the forced stop.
   int MaxLogLinesPerSecond = 200; // For each event.
 };
--- a/packages/follow/include/tamarack/follow.hpp
+++ b/packages/follow/include/tamarack/follow.hpp
@@ -147,6 +147,9 @@
   // last call of update.
   bool update(time_ms Now);
   std::vector<dispatch::endpoint_entry> entries() const;
+  // True while endpoints may still have to register again after an outage: the
+  // store may not list those that have started in the meantime.
+  bool isReregistering(time_ms Now) const;
 
 private:
   // An endpoint that is listed, or was until a short time ago.
@@ -167,8 +170,6 @@
   bool isInOrder(known_endpoint &Known, const dispatch::endpoint_entry &Entry);
   bool isLive(known_endpoint &Known, const dispatch::endpoint_entry &Entry);
   bool markLeaving(known_endpoint &Known);
-  // True while endpoints may still have to register again after an outage.
-  bool isReregistering(time_ms Now) const;
   void expectReregistrations(time_ms Now);
   bool haveMostRegistered() const; // Since the beginning of the last outage.
   void unlist(known_endpoint &Known, time_ms Now);
--- a/packages/streams/include/tamarack/streams.hpp
+++ b/packages/streams/include/tamarack/streams.hpp
@@ -6,6 +6,7 @@
 //                    implementation of relay::stream_origins
 //   one instance     software, origin, origin_register
 //   records          encode, decodeOrigins
+//   endpoints        listed_version, listed_versions, version_gate
 //
 // Each instance stores the streams that it began, and that callers may take up
 // still, as one record under its own name, within moments of their first
@@ -17,7 +18,8 @@
 // What is not known is refused: a stream that began after its instance's last
 // write before it died, and one that is looked up while the store is
 // unavailable. That only one version serves now proves nothing, since the
-// version that began the stream may have left a moment ago.
+// version that began the stream may have left a moment ago. What is not certain
+// is refused too: see version_gate.
 //
 // Nothing here is thread-safe; times are monotonic ms.
 #pragma once
@@ -55,7 +57,8 @@
 // Where one stream began.
 struct origin {
   std::uint64_t Key = 0; // See relay::call::StreamKey.
-  software Software;     // Empty if two began streams of this key.
+  software Software;     // Empty if two began streams of this key, or if it
+                         // is not certain which one did.
   int AgeMs = 0;         // Since the first event.
 };
 
@@ -186,4 +189,56 @@
   std::uint64_t Reads = 0;
 };
 
+//---------------------------------------------------------------------------
+// Endpoints
+//---------------------------------------------------------------------------
+
+// What the list says about one endpoint.
+struct listed_version {
+  std::int64_t StartedAt = 0; // Unix ms.
+  std::string Version;        // Of its software.
+};
+
+// The list of endpoints, as this instance knows it.
+class listed_versions {
+public:
+  virtual ~listed_versions() = default;
+  // Nothing if the endpoint is not listed.
+  virtual std::optional<listed_version>
+  find(std::string_view Endpoint) const = 0;
+  // All that was listed before this time is known, by clock::sinceBoot; -1 if
+  // nothing is known.
+  virtual time_ms knownAsOf() const = 0;
+};
+
+// Decorates a placement: knows whether the version that the list names for an
+// endpoint is certainly the one that serves there, and sends a stream that is
+// bound to a version nowhere else.
+//
+// An endpoint may start again under its id and address in another version, and
+// only its entry tells. An instance that was cut off, or stood still, has an
+// old list. A version is certain in two cases:
+//   - The list is younger than the time for which an endpoint serves after it
+//     is listed as leaving: then the endpoint has not started anew since.
+//   - The connection was opened before the list was read that still names the
+//     run: a connection ends with the process that accepted it.
+class version_gate final : public relay::placement_decorator {
+public:
+  // LeaveNoticeMs: an endpoint serves at least so long after it is listed as
+  // leaving.
+  version_gate(relay::placement &Inner, const listed_versions &List,
+               const clock &Clock, int LeaveNoticeMs);
+
+  bool mayStillSend(const relay::call &Call,
+                    const relay::endpoint_choice &Target, time_ms ConnectedAt,
+                    time_ms Now) const override;
+  bool isVersionCertain(const relay::endpoint_choice &Source,
+                        time_ms ConnectedAt) const override;
+
+private:
+  const listed_versions &List;
+  const clock &Clock;
+  int MaxListAgeMs;
+};
+
 } // namespace tamarack::streams
--- a/packages/streams/src/origin_exchange.cpp
+++ b/packages/streams/src/origin_exchange.cpp
@@ -42,8 +42,10 @@
 
 void origin_exchange::onBegun(const relay::call &Call,
                               std::string_view Version) {
-  Register.add(Call.StreamKey, Call.Account,
-               {Call.Service, std::string(Version)}, Clock.monotonic());
+  const software Software = Version.empty()
+                                ? software()
+                                : software{Call.Service, std::string(Version)};
+  Register.add(Call.StreamKey, Call.Account, Software, Clock.monotonic());
   HasUnwritten = true;
 }
 
--- a/stand_ins/keyed_store.cpp
+++ b/stand_ins/keyed_store.cpp
@@ -9,7 +9,9 @@
 //                        of all topics, but not the newest ones of their keys;
 //                        kb_per_s=N sends responses at this rate on each
 //                        connection, 0 at full speed; copy=1 keeps a copy of
-//                        all topics; restore=1 goes back to the copy
+//                        all topics; restore=1 goes back to the copy;
+//                        servers_down=1 refuses all calls for keyed.servers as
+//                        mode down does, 0 serves them again
 //   GET  /stats          number of calls, next offset of each topic
 //
 // An append with "at" gets 412 unless "at" is the next offset. An append with
@@ -112,7 +114,9 @@
       Rate = KbPerSecond;
       // Operators are served in every mode, which affects instances only.
       if (!Request.has("X-Operator"))
-        Mode = ActiveMode;
+        Mode = AreServersDown && queryParameter(Uri, "topic") == "keyed.servers"
+                   ? mode::Down
+                   : ActiveMode;
     }
     if (Mode == mode::Down)
       return sendText(Response, 503, "{}");
@@ -170,6 +174,7 @@
       ActiveMode = mode::Silent;
     if (NewMode == "lost")
       ActiveMode = mode::Lost;
+    AreServersDown = queryNumber(Uri, "servers_down", AreServersDown) == 1;
     KbPerSecond = queryNumber(Uri, "kb_per_s", KbPerSecond);
     if (queryNumber(Uri, "trim", 0) == 1)
       for (auto &[Name, Topic] : Topics) {
@@ -330,6 +335,7 @@
   std::map<std::string, topic> Copy;   // Of Topics, for a restore.
   std::uint64_t Era = 0;
   mode ActiveMode = mode::Ok;
+  bool AreServersDown = false;
   std::int64_t KbPerSecond = 0; // Rate of responses, 0: full speed.
   std::uint64_t Calls = 0;      // All but /control and /stats.
 };
--- a/tests/process/version_scenarios.py
+++ b/tests/process/version_scenarios.py
@@ -227,7 +227,38 @@
         assert set(executions) == {"r3"}, executions
 
 
+def an_instance_out_of_step_joins_no_two_versions():
+    """Engines start again in another version while no router reads the list.
+
+    Their ids and ports stay, so that the list of the routers names the version
+    before. Streams are broken off, by their endpoint within a response and by
+    their router for the caller. Guards against streams that go on at an engine
+    of another version, because the router takes it for one of theirs.
+    """
+    with PlatformFleet(routers=2, engines=4, desks=1,
+                       repeat_slack=1_000) as fleet, \
+            concurrent.futures.ThreadPoolExecutor(STREAMS) as pool:
+        fleet.control(fleet.store, servers_down=1)
+        start_in_version(fleet, ["engine-0", "engine-1"], "v2")
+        time.sleep(3)  # The lists of the routers are old now.
+
+        def kill():
+            for name in ("engine-0", "engine-2"):
+                fleet.processes[name].kill()
+        streams = break_off_streams(fleet, pool, kill)
+        began = set().union(*(versions_of(one.data) for one in streams))
+        assert began == {"v1", "v2"}, began
+        statuses = list(pool.map(
+            lambda n: streams[n].is_whole() or streams[n].take_up(
+                f"router-{(n + 1) % 2}"), range(len(streams))))
+        mixed = [one.id for one in streams if len(versions_of(one.data)) > 1]
+        print(f"{len(streams)} streams, statuses {statuses}, mixed {mixed}",
+              flush=True)
+        assert not mixed, mixed
+
+
 SCENARIOS = [
+    an_instance_out_of_step_joins_no_two_versions,
     a_response_holds_events_of_one_version,
     streams_are_taken_up_at_their_version_after_all_routers_were_killed,
     a_stream_whose_version_has_left_is_refused,
--- a/tests/unit/streams_test.cpp
+++ b/tests/unit/streams_test.cpp
@@ -375,3 +375,115 @@
   // What is not known began shortly before a kill.
   CHECK(Known > Asked * 2 / 3);
 }
+
+//---------------------------------------------------------------------------
+// The versions of endpoints
+//---------------------------------------------------------------------------
+
+namespace {
+
+class fixed_list final : public listed_versions {
+public:
+  std::optional<listed_version> find(std::string_view Endpoint) const override {
+    const auto Found = Entries.find(Endpoint);
+    if (Found == Entries.end())
+      return std::nullopt;
+    return Found->second;
+  }
+  time_ms knownAsOf() const override { return KnownAsOf; }
+
+  std::map<std::string, listed_version, std::less<>> Entries = {
+      {"e", {1'000, "v1"}}};
+  time_ms KnownAsOf = -1;
+};
+
+// Sends everything; what the gate decides is all that is tested.
+class willing_placement final : public relay::placement {
+public:
+  std::optional<relay::endpoint_choice>
+  choose(const relay::call &, const std::set<std::string> &, time_ms) override {
+    return std::nullopt;
+  }
+  void onSent(const relay::call &, std::string_view, time_ms) override {}
+  void onFirstByte(const relay::call &, std::string_view, time_ms) override {}
+  void onEnded(const relay::call &, std::string_view, relay::attempt_outcome,
+               time_ms) override {}
+  bool tryRetry(std::string_view, time_ms) override { return false; }
+  relay::placement_refusal refusal(const relay::call &) const override {
+    return {};
+  }
+};
+
+constexpr int LeaveNoticeMs = 2'000;
+
+struct gate_fixture {
+  bool isCertain(time_ms ConnectedAt) const {
+    return Gate.isVersionCertain(Choice, ConnectedAt);
+  }
+
+  manual_clock Clock{100'000};
+  fixed_list List;
+  willing_placement Inner;
+  version_gate Gate{Inner, List, Clock, LeaveNoticeMs};
+  relay::endpoint_choice Choice{"e", "10.0.0.1:1", 0, "v1", 1'000};
+};
+
+} // namespace
+
+// Guards against an instance that was out of step while an endpoint started
+// again, under its id and address, in another version.
+TEST_CASE("a version is certain by a recent list or an older connection",
+          "[streams]") {
+  gate_fixture Fixture;
+  const time_ms Now = Fixture.Clock.Time;
+  SECTION("nothing is known") { CHECK_FALSE(Fixture.isCertain(0)); }
+  SECTION("the list is recent") {
+    Fixture.List.KnownAsOf = Now - 1'000;
+    CHECK(Fixture.isCertain(Now));
+  }
+  SECTION("the list is old, and so is the connection") {
+    Fixture.List.KnownAsOf = Now - 30'000;
+    CHECK(Fixture.isCertain(Now - 40'000));
+  }
+  SECTION("the list is old, the connection is not") {
+    Fixture.List.KnownAsOf = Now - LeaveNoticeMs;
+    CHECK_FALSE(Fixture.isCertain(Now));
+    // An endpoint that starts is listed a little later.
+    CHECK_FALSE(Fixture.isCertain(Fixture.List.KnownAsOf - 100));
+  }
+  SECTION("the list names another start or version, or none") {
+    Fixture.List.KnownAsOf = Now;
+    Fixture.List.Entries["e"] =
+        GENERATE(listed_version{2'000, "v1"}, listed_version{1'000, "v2"});
+    CHECK_FALSE(Fixture.isCertain(0));
+    Fixture.List.Entries.clear();
+    CHECK_FALSE(Fixture.isCertain(0));
+  }
+}
+
+TEST_CASE("only a stream that is bound to a version needs a certain one",
+          "[streams]") {
+  gate_fixture Fixture;
+  const time_ms Now = Fixture.Clock.Time;
+  relay::call Call = callOf(1);
+  CHECK(Fixture.Gate.mayStillSend(Call, Fixture.Choice, Now, Now));
+  Call.RequiredVersion = "v1";
+  CHECK_FALSE(Fixture.Gate.mayStillSend(Call, Fixture.Choice, Now, Now));
+  Fixture.List.KnownAsOf = Now;
+  CHECK(Fixture.Gate.mayStillSend(Call, Fixture.Choice, Now, Now));
+  // The instance stands still between the choice and the send.
+  Fixture.Clock.Time += 5'000;
+  CHECK_FALSE(Fixture.Gate.mayStillSend(Call, Fixture.Choice, Now, Now));
+}
+
+TEST_CASE("a stream of an uncertain version is known as such everywhere",
+          "[streams]") {
+  manual_clock Clock;
+  queued_store Store;
+  instance First("a", Store, Clock, 1);
+  First.begin(7, "");
+  First.write();
+  instance Second("b", Store, Clock, 1);
+  CHECK(First.find(7).State == origin_state::Ambiguous);
+  CHECK(Second.find(7).State == origin_state::Ambiguous);
+}
