Let a late copy of a response reach no caller who chose the same id

Cause: a response is matched to its request by the id that the caller chose. Change: a connection remembers the ids of its last 16 requests, as hashes, and carries none of them again. Result: "a late copy of a response never reaches another caller" fails without the check (the second caller gets the body of the first) and passes with it.

--- a/packages/edge/src/connection_pool.cpp
+++ b/packages/edge/src/connection_pool.cpp
@@ -1,6 +1,8 @@
 // Idle connections to endpoints.
 #include "endpoint_attempt.hpp"
 
+#include <algorithm>
+
 namespace tamarack::edge {
 
 namespace {
@@ -8,6 +10,12 @@
 // Bytes that were received and not parsed yet. The parser needs a whole head,
 // line of a chunk or trailer at once, and sets no limit for the last two.
 constexpr std::size_t MaxUnparsedBytes = 128 * 1024;
+// Requests on a connection until no copy of a response is expected any more.
+constexpr std::size_t MaxRecentIds = 16;
+
+std::size_t hashOf(std::string_view Id) {
+  return std::hash<std::string_view>()(Id);
+}
 
 } // namespace
 
@@ -30,6 +38,18 @@
       });
 }
 
+bool endpoint_connection::hasCarried(std::string_view Id) const {
+  return std::find(RecentIds.begin(), RecentIds.end(), hashOf(Id)) !=
+         RecentIds.end();
+}
+
+void endpoint_connection::addRequest(std::string_view Id) {
+  ++RequestCount;
+  RecentIds.push_back(hashOf(Id));
+  if (RecentIds.size() > MaxRecentIds)
+    RecentIds.erase(RecentIds.begin());
+}
+
 void endpoint_connection::close() {
   error_code Ignored; // The connection is not used any more.
   Socket.close(Ignored);
--- a/packages/edge/src/endpoint_attempt.cpp
+++ b/packages/edge/src/endpoint_attempt.cpp
@@ -47,6 +47,9 @@
 void endpoint_attempt::start(bool OnlyRecentConnection) {
   Connection = Pool.acquireIdle(Target.Address, OnlyRecentConnection);
   const std::shared_ptr<endpoint_attempt> Self = shared_from_this();
+  // Callers choose the ids of their requests, and may use one twice.
+  if (Connection && Connection->hasCarried(Call.Id))
+    std::exchange(Connection, nullptr)->close();
   if (Connection)
     net::post(Context, [Self] { Self->send(); });
   else
@@ -94,7 +97,7 @@
   if (!Listener->maySend(this, Connection->ConnectedAt))
     return withdraw();
   IsWriting = true;
-  ++Connection->RequestCount;
+  Connection->addRequest(Call.Id);
   const std::shared_ptr<endpoint_attempt> Self = shared_from_this();
   http::async_write(Connection->Socket, Request,
                     [Self](const error_code &Error, std::size_t) {
--- a/packages/edge/src/endpoint_attempt.hpp
+++ b/packages/edge/src/endpoint_attempt.hpp
@@ -20,15 +20,21 @@
   // once the connection is used again.
   void watchWhileIdle();
   void close();
+  // True if a response to a request of this id may be one to an earlier one.
+  bool hasCarried(std::string_view Id) const;
+  void addRequest(std::string_view Id);
 
   tcp::socket Socket;
   boost::beast::flat_buffer Buffer;
   connection_pool &Pool;
   std::string Address;
-  bool IsIdle = false;            // The connection is in the pool.
-  time_ms LastUsed = 0;           // Monotonic time of the last release.
-  time_ms ExpiresAt = 0;          // Monotonic; while idle.
-  time_ms ConnectedAt = 0;        // When it was opened, by sinceBoot.
+  bool IsIdle = false;     // The connection is in the pool.
+  time_ms LastUsed = 0;    // Monotonic time of the last release.
+  time_ms ExpiresAt = 0;   // Monotonic; while idle.
+  time_ms ConnectedAt = 0; // When it was opened, by sinceBoot.
+  // Hashes of the ids of the last requests, of which late copies of responses
+  // may come; the newest one is the last.
+  std::vector<std::size_t> RecentIds;
   std::uint64_t RequestCount = 0; // Requests sent on this connection.
 };
 
--- a/tests/unit/endpoint_attempt_test.cpp
+++ b/tests/unit/endpoint_attempt_test.cpp
@@ -264,6 +264,97 @@
   CHECK(Fixture.Listener.HeadConnectedAt == Fixture.Listener.ConnectedAt);
 }
 
+namespace {
+
+// Responds to each request with its body, on any number of connections. The
+// second request of a connection is first answered with a copy of the response
+// to the first one.
+class copying_server {
+public:
+  explicit copying_server(net::io_context &Context)
+      : Acceptor(Context, {net::ip::make_address("127.0.0.1"), 0}) {
+    accept();
+  }
+  std::string address() const {
+    return "127.0.0.1:" + std::to_string(Acceptor.local_endpoint().port());
+  }
+
+private:
+  struct connection {
+    explicit connection(tcp::socket Socket) : Socket(std::move(Socket)) {}
+    tcp::socket Socket;
+    boost::beast::flat_buffer Buffer;
+    request_message Request;
+    std::string FirstResponse;
+    std::string Response;
+  };
+
+  void accept() {
+    Acceptor.async_accept([this](const error_code &Error, tcp::socket Socket) {
+      if (Error)
+        return;
+      serve(std::make_shared<connection>(std::move(Socket)));
+      accept();
+    });
+  }
+  void serve(const std::shared_ptr<connection> &Connection) {
+    Connection->Request = {};
+    http::async_read(Connection->Socket, Connection->Buffer,
+                     Connection->Request,
+                     [this, Connection](const error_code &Error, std::size_t) {
+                       if (!Error)
+                         respond(Connection);
+                     });
+  }
+  void respond(const std::shared_ptr<connection> &Connection) {
+    const std::string &Body = Connection->Request.body();
+    Connection->Response =
+        Connection->FirstResponse + "HTTP/1.1 200 OK\r\nAttempt-Id: " +
+        std::string(Connection->Request["Attempt-Id"]) +
+        "\r\nContent-Length: " + std::to_string(Body.size()) + "\r\n\r\n" +
+        Body;
+    Connection->FirstResponse = Connection->Response;
+    net::async_write(Connection->Socket, net::buffer(Connection->Response),
+                     [this, Connection](const error_code &Error, std::size_t) {
+                       if (!Error)
+                         serve(Connection);
+                     });
+  }
+
+  tcp::acceptor Acceptor;
+};
+
+} // namespace
+
+// Guards against a late copy of a response that a later caller gets for its
+// own, because both callers chose the same id for their requests.
+TEST_CASE("a late copy of a response never reaches another caller", "[edge]") {
+  net::io_context Context;
+  adapters::system_clock Clock;
+  connection_pool Pool(Context, Clock, {});
+  attempt_id_codec Codec;
+  copying_server Server(Context);
+  const auto Fetch = [&](const std::string &Id, const std::string &Body) {
+    recording_listener Listener;
+    relay::call Call;
+    Call.Id = Id;
+    request_message Request(http::verb::post, "/x", 11);
+    Request.set("Attempt-Id", Id);
+    Request.body() = Body;
+    Request.prepare_payload();
+    const std::shared_ptr<endpoint_attempt> Attempt =
+        std::make_shared<endpoint_attempt>(
+            Context, Clock, Pool, Codec, Listener, Call,
+            relay::endpoint_choice{"e", Server.address()}, std::move(Request));
+    Attempt->start(false);
+    while (Listener.End == attempt_end::None)
+      Context.run_one_for(std::chrono::milliseconds(50));
+    return Listener.Body;
+  };
+  CHECK(Fetch("a", "of the first caller") == "of the first caller");
+  CHECK(Fetch(GENERATE("a", "b"), "of the second") == "of the second");
+}
+
 // Guards against idle connections that keep the buffer of a large head.
 TEST_CASE("an idle connection keeps no buffer", "[edge]") {
   attempt_fixture Fixture(
