Cut no caller that pauses for some seconds while it reads

Cause: TCP_USER_TIMEOUT of 2.5 s also counts the time for which the peer's window is full. Change: 10 s on connections of callers; endpoints, the store and peers keep 2.5 s. Streams end at their deadline all the same.

--- a/packages/edge/src/frontend_session.cpp
+++ b/packages/edge/src/frontend_session.cpp
@@ -9,6 +9,9 @@
 // Bytes of later requests that are buffered. Reading ahead stops at this size.
 constexpr std::size_t MaxReadAheadBytes = 64 * 1024;
 
+// A sound caller may pause for some seconds while it reads.
+constexpr int CallerTcpUserTimeoutMs = 10'000;
+
 } // namespace
 
 frontend_session::frontend_session(frontend_server &Server, tcp::socket Socket)
@@ -22,7 +25,7 @@
 //---------------------------------------------------------------------------
 
 void frontend_session::start() {
-  applySocketOptions(Socket, {});
+  applySocketOptions(Socket, {CallerTcpUserTimeoutMs});
   startIdleTimer();
   readAhead();
 }
--- a/packages/edge/src/sockets.hpp
+++ b/packages/edge/src/sockets.hpp
@@ -7,7 +7,8 @@
 
 struct socket_options {
   // A connection breaks when sent bytes or keepalive probes stay
-  // unacknowledged for this time (TCP_USER_TIMEOUT).
+  // unacknowledged, or when the peer takes no bytes, for this time
+  // (TCP_USER_TIMEOUT).
   int TcpUserTimeoutMs = 2'500;
 };
 
--- a/tests/unit/frontend_test.cpp
+++ b/tests/unit/frontend_test.cpp
@@ -294,6 +294,26 @@
   CHECK(Frontend.runUntil([&] { return Frontend.Server.sessionCount() == 0; }));
 }
 
+// Guards against a response that is cut because its caller pauses: with a full
+// window, TCP counts the pause as silence.
+TEST_CASE("a caller that pauses while it reads gets the whole response",
+          "[edge]") {
+  constexpr std::size_t ResponseBytes = 32u << 20; // More than sockets buffer.
+  constexpr std::chrono::seconds Pause(4);
+  frontend_fixture Frontend;
+  Frontend.Codec.ResponseBytes = ResponseBytes;
+  test_caller Caller(Frontend);
+  Caller.send(formatRequest("/x"));
+  REQUIRE(
+      Frontend.runUntil([&] { return Frontend.Codec.Targets.size() == 1; }));
+  Frontend.runFor(Pause);
+  Frontend.runUntil([&] {
+    Caller.receive();
+    return Caller.IsClosed || Caller.bodyBytes() == ResponseBytes;
+  });
+  CHECK(Caller.bodyBytes() == ResponseBytes);
+}
+
 // Guards against a request that has been received whole but is handled only
 // when further bytes arrive.
 TEST_CASE("requests that arrive together are all answered", "[edge]") {
