Refuse token counts and loads out of range

Cause: numbers of tokens of up to 2^63 were taken, whose sum overflows; a prompt part and a load were cut to 32 bits, so that 4,294,967,297 running requests looked like one.

--- a/packages/dispatch/src/load_balancer.cpp
+++ b/packages/dispatch/src/load_balancer.cpp
@@ -143,9 +143,11 @@
 // what this instance has sent and ended since, and at least the requests of
 // this instance that are in flight.
 double load_balancer::estimatedRequests(const endpoint_state &State) const {
-  const int Estimate = State.Load.Running + State.Load.Waiting +
-                       State.SentSinceReport - State.EndedSinceReport;
-  return std::max(State.Availability.inFlight(), Estimate);
+  const double Reported = static_cast<double>(State.Load.Running) +
+                          static_cast<double>(State.Load.Waiting);
+  return std::max<double>(State.Availability.inFlight(),
+                          Reported + State.SentSinceReport -
+                              State.EndedSinceReport);
 }
 
 double load_balancer::currentPenalty(const endpoint_state &State,
--- a/tests/unit/platform_test.cpp
+++ b/tests/unit/platform_test.cpp
@@ -379,6 +379,17 @@
     Fixture.Request.set("Token-Count", "1,2,3");
     CHECK(Fixture.decode().Refusal == error_kind::InvalidRequest);
   }
+  SECTION("numbers of tokens out of range") {
+    Fixture.Request.set("Token-Count",
+                        GENERATE("9000000000000000000,9000000000000000000",
+                                 "2147483648,1", "1,2147483648", "-1,5",
+                                 "99999999999999999999,1"));
+    CHECK(Fixture.decode().Refusal == error_kind::InvalidRequest);
+  }
+  SECTION("a prompt part of too many tokens") {
+    Fixture.Request.set("Prompt-Prefix", "a1:4294967297");
+    CHECK(Fixture.decode().Refusal == error_kind::InvalidRequest);
+  }
   SECTION("malformed prompt parts") {
     Fixture.Request.set("Prompt-Prefix", "zz:1");
     CHECK(Fixture.decode().Refusal == error_kind::InvalidRequest);
@@ -390,6 +401,28 @@
   CHECK_FALSE(Fixture.decode().Call);
 }
 
+// Guards against a load that wraps around and makes a busy endpoint look idle.
+TEST_CASE("a load out of range is ignored", "[platform]") {
+  codec_fixture Fixture;
+  dispatch::endpoint_entry Entry;
+  Entry.Id = "e1";
+  Entry.Service = "engine";
+  Fixture.LoadBalancer.setEndpoints(std::span(&Entry, 1), 0);
+  relay::endpoint_choice Source;
+  Source.Endpoint = "e1";
+  edge::response_fields Fields;
+  Fields.result(200);
+  const std::string Unknown = Fixture.LoadBalancer.describe("e1", 20);
+  for (const char *Load : {"4294967297,0,8", "1,-1,8", "1,0", "9e9,0,8"}) {
+    Fields.set("Server-Load", Load);
+    Fixture.Codec.recordEndpointState(Source, Fields, 10);
+    CHECK(Fixture.LoadBalancer.describe("e1", 20) == Unknown);
+  }
+  Fields.set("Server-Load", "3,0,8");
+  Fixture.Codec.recordEndpointState(Source, Fields, 10);
+  CHECK(Fixture.LoadBalancer.describe("e1", 20) != Unknown);
+}
+
 TEST_CASE("a stream is named alike over the attempts of its account",
           "[platform]") {
   using relay::error_kind;
