--- a/packages/daemon/src/router.cpp
+++ b/packages/daemon/src/router.cpp
@@ -1,9 +1,11 @@
-// A router instance: listeners, main loop and shutdown.
+// A router instance: listeners, main loop and shutdown. What endpoints state is
+// handled in router_endpoints.cpp, reports are in router_reports.cpp, budgets
+// in router_grants.cpp.
 //
 // Sections:
 //   listeners
 //   construction and main loop
-//   configuration, endpoints and peers
+//   configuration and peers
 //   signals and shutdown
 #include "router.hpp"
 
@@ -22,7 +24,6 @@
 constexpr int MaxConfigurationAgeMs = 1'500;
 // Of calls for peers. A peer that has waited longer asks another instance.
 constexpr int MaxQueuedPeerCallMs = 400;
-constexpr std::size_t MaxLoggedTextBytes = 64; // Of what others have sent.
 
 // Pause between reads, long poll, pause after a failed read (all ms), and
 // whether only the newest version of a key matters.
@@ -287,7 +288,7 @@
 }
 
 //---------------------------------------------------------------------------
-// Configuration, endpoints and peers
+// Configuration and peers
 //---------------------------------------------------------------------------
 
 void router::onPathChanged(bool Direct) {
@@ -339,56 +340,6 @@
          !IsNewestVersionUnreadable;
 }
 
-void router::refreshEndpoints() {
-  const time_ms Now = Clock.monotonic();
-  if (!Directory.update(Now))
-    return;
-  const std::vector<dispatch::endpoint_entry> Entries = Directory.entries();
-  LoadBalancer.setEndpoints(Entries, Now);
-  Limiter.setEndpoints(Entries, Now);
-  Metrics.gaugeOf("tamarack_endpoints").set(Entries.size());
-  Log.write("endpoints",
-            {{"count", static_cast<std::int64_t>(Entries.size())}});
-}
-
-// No later than now: the next request must not go there.
-void router::onLeavingStated(const relay::endpoint_choice &Source,
-                             time_ms Now) {
-  if (!Directory.onStatedLeaving(Source.Endpoint, Source.StartedAt, Now))
-    return;
-  Log.write("endpoint_leaving",
-            {{"endpoint", std::string_view(Source.Endpoint)},
-             {"from", "response"},
-             {"started_at", Source.StartedAt},
-             {"endpoints_read_ms_ago", ageOf(EndpointFollower)}});
-  refreshEndpoints();
-}
-
-void router::onPauseStated(const relay::endpoint_choice &Source, int DurationMs,
-                           time_ms Now) {
-  LoadBalancer.onPauseStated(Source.Endpoint, DurationMs, Now);
-}
-
-std::optional<streams::listed_version>
-router::find(std::string_view Endpoint) const {
-  const dispatch::endpoint_entry *Entry = LoadBalancer.findEntry(Endpoint);
-  if (Entry == nullptr)
-    return std::nullopt;
-  return streams::listed_version{Entry->StartedAt, Entry->Version};
-}
-
-time_ms router::knownAsOf() const { return EndpointsKnownAsOf; }
-
-void router::onStatementUnreadable(const relay::endpoint_choice &Source,
-                                   std::string_view Field,
-                                   std::string_view Text) {
-  Metrics.counterOf("tamarack_statements_unreadable_total").add();
-  Log.write("statement_unreadable",
-            {{"endpoint", std::string_view(Source.Endpoint)},
-             {"field", Field},
-             {"text", Text.substr(0, MaxLoggedTextBytes)}});
-}
-
 //---------------------------------------------------------------------------
 // Signals and shutdown
 //---------------------------------------------------------------------------
--- /dev/null
+++ b/packages/daemon/src/router_endpoints.cpp
@@ -0,0 +1,62 @@
+// A router instance: the list of endpoints, and what they state in responses.
+#include "router.hpp"
+
+namespace tamarack::daemon {
+
+namespace {
+
+constexpr std::size_t MaxLoggedTextBytes = 64; // Of what others have sent.
+
+} // namespace
+
+void router::refreshEndpoints() {
+  const time_ms Now = Clock.monotonic();
+  if (!Directory.update(Now))
+    return;
+  const std::vector<dispatch::endpoint_entry> Entries = Directory.entries();
+  LoadBalancer.setEndpoints(Entries, Now);
+  Limiter.setEndpoints(Entries, Now);
+  Metrics.gaugeOf("tamarack_endpoints").set(Entries.size());
+  Log.write("endpoints",
+            {{"count", static_cast<std::int64_t>(Entries.size())}});
+}
+
+// No later than now: the next request must not go there.
+void router::onLeavingStated(const relay::endpoint_choice &Source,
+                             time_ms Now) {
+  if (!Directory.onStatedLeaving(Source.Endpoint, Source.StartedAt, Now))
+    return;
+  Log.write("endpoint_leaving",
+            {{"endpoint", std::string_view(Source.Endpoint)},
+             {"from", "response"},
+             {"started_at", Source.StartedAt},
+             {"endpoints_read_ms_ago", ageOf(EndpointFollower)}});
+  refreshEndpoints();
+}
+
+void router::onPauseStated(const relay::endpoint_choice &Source, int DurationMs,
+                           time_ms Now) {
+  LoadBalancer.onPauseStated(Source.Endpoint, DurationMs, Now);
+}
+
+std::optional<streams::listed_version>
+router::find(std::string_view Endpoint) const {
+  const dispatch::endpoint_entry *Entry = LoadBalancer.findEntry(Endpoint);
+  if (Entry == nullptr)
+    return std::nullopt;
+  return streams::listed_version{Entry->StartedAt, Entry->Version};
+}
+
+time_ms router::knownAsOf() const { return EndpointsKnownAsOf; }
+
+void router::onStatementUnreadable(const relay::endpoint_choice &Source,
+                                   std::string_view Field,
+                                   std::string_view Text) {
+  Metrics.counterOf("tamarack_statements_unreadable_total").add();
+  Log.write("statement_unreadable",
+            {{"endpoint", std::string_view(Source.Endpoint)},
+             {"field", Field},
+             {"text", Text.substr(0, MaxLoggedTextBytes)}});
+}
+
+} // namespace tamarack::daemon
