Don't reuse a connection whose response named no request

Cause: an error response may lack the id of its request. A late copy of one on a connection that is in use again was taken for the response to the next request: if it says "not run", that one would run twice. Change: the codec tells own, other and unmarked responses apart; after an unmarked one the connection is closed instead of kept. Result: "a connection with a response to no named request is not reused" fails without the check and passes with it.

--- a/packages/edge/include/tamarack/edge.hpp
+++ b/packages/edge/include/tamarack/edge.hpp
@@ -2,7 +2,7 @@
 //
 // Contents:
 //   messages            request_message, response_message, decoded_request
-//   codec               exchange_codec
+//   codec               response_match, exchange_codec
 //   endpoint side       connection_pool_settings, connection_pool
 //   caller side         frontend_settings, frontend_observer, frontend_server
 //   internal HTTP       http_channel, simple_http_server
@@ -69,6 +69,13 @@
 // Codec
 //---------------------------------------------------------------------------
 
+// Which request a response belongs to, by its head.
+enum class response_match {
+  Own,
+  Other,    // Another request on the same connection.
+  Unmarked, // An error response that names no request.
+};
+
 // Translates between HTTP messages and the types of relay::exchange. Only
 // implementations know the names of header fields.
 class exchange_codec {
@@ -81,9 +88,8 @@
                               const relay::endpoint_choice &Target,
                               const relay::send_options &Options, time_ms Now,
                               request_message &ForwardRequest) = 0;
-  // False if Fields are the head of a response to another request.
-  virtual bool isResponseTo(const relay::call &Call,
-                            const response_fields &Fields) = 0;
+  virtual response_match matchResponse(const relay::call &Call,
+                                       const response_fields &Fields) = 0;
   virtual relay::response_head
   decodeResponseHead(const response_fields &Fields) = 0;
   // Passes on what an endpoint reports about itself in the head of any
--- a/packages/edge/src/endpoint_attempt.cpp
+++ b/packages/edge/src/endpoint_attempt.cpp
@@ -163,7 +163,9 @@
   const response_fields &Fields = Parser->get().base();
   if (Fields.result_int() < 200)
     return ++InterimResponses > MaxInterimResponses ? failBroken() : readHead();
-  if (!Codec.isResponseTo(Call, Fields)) {
+  const response_match Match = Codec.matchResponse(Call, Fields);
+  IsUnmarked = Match == response_match::Unmarked;
+  if (Match == response_match::Other) {
     if (++DiscardedResponses > MaxDiscardedResponses || Parser->need_eof())
       return failBroken();
     return discardBody();
@@ -254,7 +256,10 @@
 void endpoint_attempt::complete() {
   const std::shared_ptr<endpoint_attempt> Self = shared_from_this();
   IsResponseComplete = true;
-  const bool CanReuse = Parser->keep_alive() && Connection->Buffer.size() == 0;
+  // A late copy of a response that names no request could be taken for the one
+  // to a later request.
+  const bool CanReuse =
+      Parser->keep_alive() && !IsUnmarked && Connection->Buffer.size() == 0;
   // While the request is still being written, the connection can't be used for
   // another one; send() calls complete() again once the write has ended.
   if (CanReuse && !IsWriting) {
--- a/packages/edge/src/endpoint_attempt.hpp
+++ b/packages/edge/src/endpoint_attempt.hpp
@@ -110,6 +110,7 @@
   bool IsWriting = false;    // The request is not written completely.
   bool IsReadPaused = false; // Until resume().
   bool IsResponseComplete = false;
+  bool IsUnmarked = false; // The response names no request.
 };
 
 } // namespace tamarack::edge
--- a/tests/unit/endpoint_attempt_test.cpp
+++ b/tests/unit/endpoint_attempt_test.cpp
@@ -85,9 +85,12 @@
   void prepareAttempt(const relay::call &, const relay::endpoint_choice &,
                       const relay::send_options &, time_ms,
                       request_message &) override {}
-  bool isResponseTo(const relay::call &Call,
-                    const response_fields &Fields) override {
-    return Fields["Attempt-Id"] == Call.Id;
+  response_match matchResponse(const relay::call &Call,
+                               const response_fields &Fields) override {
+    if (Fields.result_int() >= 400 && Fields.count("Attempt-Id") == 0)
+      return response_match::Unmarked;
+    return Fields["Attempt-Id"] == Call.Id ? response_match::Own
+                                           : response_match::Other;
   }
   relay::response_head
   decodeResponseHead(const response_fields &Fields) override {
@@ -256,6 +259,20 @@
   CHECK(Fixture.Pool.idleCount() == 0);
 }
 
+// Guards against a late copy of "not run" that names no request and is taken
+// for the response to the next one, which then runs twice.
+TEST_CASE("a connection with a response to no named request is not reused",
+          "[edge]") {
+  const std::string Rest = "Content-Length: 2\r\n\r\n{}";
+  attempt_fixture Unmarked({"HTTP/1.1 500 Error\r\n" + Rest, ""});
+  CHECK(Unmarked.run() == attempt_end::Complete);
+  CHECK(Unmarked.Pool.idleCount() == 0);
+  attempt_fixture Marked(
+      {"HTTP/1.1 500 Error\r\nAttempt-Id: a\r\n" + Rest, ""});
+  CHECK(Marked.run() == attempt_end::Complete);
+  CHECK(Marked.Pool.idleCount() == 1);
+}
+
 TEST_CASE("a head tells when its connection was opened", "[edge]") {
   attempt_fixture Fixture({UnframedHead, "", server_end::Close});
   const time_ms Before = Fixture.Clock.sinceBoot();
--- a/tests/unit/frontend_test.cpp
+++ b/tests/unit/frontend_test.cpp
@@ -28,8 +28,9 @@
   void prepareAttempt(const relay::call &, const relay::endpoint_choice &,
                       const relay::send_options &, time_ms,
                       request_message &) override {}
-  bool isResponseTo(const relay::call &, const response_fields &) override {
-    return true;
+  response_match matchResponse(const relay::call &,
+                               const response_fields &) override {
+    return response_match::Own;
   }
   relay::response_head decodeResponseHead(const response_fields &) override {
     return {};
--- a/tests/unit/platform_test.cpp
+++ b/tests/unit/platform_test.cpp
@@ -487,12 +487,13 @@
   Fields.set("Server-Stamp", "s");
   Fields.set("Server-Load", "3,0,8");
   Fields.set("Connection", "close");
-  CHECK(Fixture.Codec.isResponseTo(Call, Fields));
+  CHECK(Fixture.Codec.matchResponse(Call, Fields) == edge::response_match::Own);
   const relay::response_head Head = Fixture.Codec.decodeResponseHead(Fields);
   CHECK_FALSE(Head.Unusable);
   CHECK(Head.Fields.size() == 2);
   Call.Id = "other";
-  CHECK_FALSE(Fixture.Codec.isResponseTo(Call, Fields));
+  CHECK(Fixture.Codec.matchResponse(Call, Fields) ==
+        edge::response_match::Other);
   SECTION("a success without a signature is unusable") {
     Fields.erase("Server-Stamp");
     CHECK(Fixture.Codec.decodeResponseHead(Fields).Unusable);
