--- a/tests/unit/fakes.hpp
+++ b/tests/unit/fakes.hpp
@@ -28,6 +28,23 @@
   std::mt19937_64 Engine;
 };
 
+// Without endpoints; leaves everything else as it is.
+class empty_placement final : public relay::placement {
+public:
+  std::optional<relay::endpoint_choice>
+  choose(const relay::call &, const std::set<std::string> &, time_ms) override {
+    return std::nullopt;
+  }
+  void onSent(const relay::call &, std::string_view, time_ms) override {}
+  void onFirstByte(const relay::call &, std::string_view, time_ms) override {}
+  void onEnded(const relay::call &, std::string_view, relay::attempt_outcome,
+               time_ms) override {}
+  bool tryRetry(std::string_view, time_ms) override { return false; }
+  relay::placement_refusal refusal(const relay::call &) const override {
+    return {};
+  }
+};
+
 // Withholds requests from the endpoints that the test names.
 class listed_restriction final : public dispatch::endpoint_restriction {
 public:
