Wait for the log lines of a refusal before a test counts them

The exchange sends its refusal first (exchange::refuseNotRun) and the session writes the line when the exchange is done, so the test could read the log in between. Change: the test waits for the second line, then checks the lines as before, that there are two and no more.

--- a/tests/process/version_scenarios.py
+++ b/tests/process/version_scenarios.py
@@ -220,9 +220,13 @@
         fleet.control(fleet.store, mode="down")
         away = rest(5, Resumes="nobody", Last_Event_Id="3")
         assert away == (503, "stream_unknown"), away
-        origins = [line["origin"] for line in fleet.log_lines("router-0")
-                   if line["event"] == "stream_taken_up"]
-        assert origins == ["unknown", "unknown"], origins
+
+        def origins():
+            return [line["origin"] for line in fleet.log_lines("router-0")
+                    if line["event"] == "stream_taken_up"]
+        # A response is sent before its line is written.
+        wait_until(lambda: len(origins()) >= 2, "both lines")
+        assert origins() == ["unknown", "unknown"], origins()
         executions = fleet.executions_by_request()
         assert set(executions) == {"r3"}, executions
 
