Hold an account's tokens once a zone, and reserve them there for each call

Change: in a zone of three instances or more one of them, by rendezvous hashing, holds an account's tokens ahead of calls; the others reserve there before a call is sent and settle afterwards (packages/pools, no I/O). A holder counts a reservation as its own spending until it is settled, so ceilings, watermarks and their proofs stand as they are: two holders only split an account, and what a lost message or a death strands stays counted. If no holder responds the next one is asked, then the instance requests tokens itself. Zones of one or two instances work as before. A record names only the accounts with a ceiling; an instance without headroom writes no watermark; a new instance announces itself before it requests anything ahead of calls. relay::token_budget takes the call, since a reservation needs an identity. Ruled out: slices for each instance (too small), passing requests on (a hop for each byte), leases of holders (need clocks).

--- a/bench/engine.cpp
+++ b/bench/engine.cpp
@@ -32,12 +32,10 @@
 // Accepts every reservation, so that only the request engine is measured.
 class unlimited_token_budget final : public relay::token_budget {
 public:
-  relay::reserve_result reserve(std::string_view, std::int64_t) override {
+  relay::reserve_result reserve(const relay::call &) override {
     return relay::reserve_result::Reserved;
   }
-  bool settle(std::string_view, std::int64_t, std::int64_t) override {
-    return true;
-  }
+  bool settle(const relay::call &, std::int64_t) override { return true; }
 };
 
 // Discards the response and only counts its bytes.
@@ -177,7 +175,8 @@
     Table->add(Account, {});
     Record.Lines.push_back({Account.Name, 1'000, 500, false});
   }
-  grants::grant_holder Holder("own", 1, "10.0.0.1:1", "boot", {}, Clock);
+  grants::grant_holder Holder({"own", "zone", 1, "10.0.0.1:1", "boot"}, {},
+                              Clock);
   Holder.setBudgets(Table);
   Holder.onPreviousWatermark(std::nullopt);
   const std::string Value = grants::encode(Record);
--- a/packages/daemon/src/exchange_driver.cpp
+++ b/packages/daemon/src/exchange_driver.cpp
@@ -237,12 +237,11 @@
 // Token budget
 //---------------------------------------------------------------------------
 
-relay::reserve_result exchange_driver::reserve(std::string_view, std::int64_t) {
+relay::reserve_result exchange_driver::reserve(const relay::call &) {
   return relay::reserve_result::Reserved;
 }
 
-bool exchange_driver::settle(std::string_view, std::int64_t,
-                             std::int64_t Used) {
+bool exchange_driver::settle(const relay::call &, std::int64_t Used) {
   // The destructor of Admission releases the tokens that are not settled.
   return Used == 0 || Admission.settle(Used);
 }
--- a/packages/daemon/src/exchange_driver.hpp
+++ b/packages/daemon/src/exchange_driver.hpp
@@ -70,10 +70,8 @@
 
   // relay::token_budget: prepaid_admission has reserved the tokens before the
   // exchange starts.
-  relay::reserve_result reserve(std::string_view Account,
-                                std::int64_t Bound) override;
-  bool settle(std::string_view Account, std::int64_t Bound,
-              std::int64_t Used) override;
+  relay::reserve_result reserve(const relay::call &Call) override;
+  bool settle(const relay::call &Call, std::int64_t Used) override;
 
   // relay::exchange_host
   void startAttempt(const relay::endpoint_choice &To,
--- a/packages/daemon/src/router.cpp
+++ b/packages/daemon/src/router.cpp
@@ -153,6 +153,7 @@
     Router.Limiter.onCaughtUp(Router.Clock.monotonic());
     Router.LoadBalancer.setInstanceCount(
         static_cast<int>(Router.Grants.peers().size()) + 1);
+    Router.logPools();
     Router.writeGrants();
     Router.Frontend.onGrantsChanged();
   }
@@ -201,8 +202,20 @@
       VersionGate(CrashGuard, *this, Clock, Settings.LeaveNoticeMs),
       ShutdownGate(VersionGate),
       Codec(LoadBalancer, *this, Limiter, Random, *this),
-      Grants(Settings.Instance, Random.next() | 1, Settings.PeerAddress,
-             adapters::readBootId(), {}, Clock),
+      Incarnation(Random.next() | 1),
+      Grants({Settings.Instance, Settings.Zone, Incarnation,
+              Settings.PeerAddress, adapters::readBootId()},
+             {}, Clock),
+      PoolServer(*this),
+      PoolLink(Context,
+               [this](std::string_view Holder,
+                      const std::optional<pools::pool_response> &Response) {
+                 Budget.onResponse(Holder, Response);
+                 if (Budget.waitingCount() > 0)
+                   schedulePoolTimer();
+               }),
+      Budget(Settings.Instance, Incarnation, *this, *this, PoolLink, *this,
+             Clock),
       LostRecords(Store, store_topic::Grants, Settings.Instance + ".lost"),
       StreamOrigins(Settings.Instance, Store, Clock, *this, {}),
       ConfigurationListener(std::make_unique<configuration_listener>(*this)),
@@ -215,8 +228,8 @@
       GrantFollower(store_topic::Grants, Store, Clock, *GrantListener,
                     GrantReads),
       ConnectionPool(Context, Clock, {}),
-      Frontend(Context, Clock, Codec, ShutdownGate, *this, StreamOrigins, *this,
-               ConnectionPool, {}),
+      Frontend(Context, Clock, Codec, ShutdownGate, Budget, StreamOrigins,
+               *this, ConnectionPool, {}),
       ReadinessServer(Context,
                       [this](const edge::request_message &,
                              const edge::respond_callback &Respond) {
@@ -225,6 +238,8 @@
       PeerServer(Context,
                  [this](const edge::request_message &Request,
                         const edge::respond_callback &Respond) {
+                   if (Request.target() == pool_link::Path)
+                     return Respond(servePoolRequest(PoolServer, Request));
                    PeerService.serve(Request, Respond);
                  }),
       MetricsServer(Context,
@@ -232,7 +247,8 @@
                            const edge::respond_callback &Respond) {
                       Respond(metricsResponse());
                     }),
-      SignalSet(Context, SIGTERM, SIGINT, SIGHUP), TickTimer(Context) {
+      SignalSet(Context, SIGTERM, SIGINT, SIGHUP), TickTimer(Context),
+      PoolTimer(Context) {
   WatermarkWriter.Name = Settings.Instance;
   GrantWriter.Name = Settings.Instance;
 }
@@ -266,6 +282,7 @@
     readPreviousWatermark(false);
   writeGrants();
   writeWatermark();
+  sendReservations();
   CrashReports.tick(Now);
   LimitReports.tick(Now);
   writeLostRecords(Now);
@@ -386,6 +403,7 @@
   const time_ms Now = Clock.monotonic();
   StopRequestedAt = earliestSignalTime(Now);
   Frontend.beginDrain();
+  PoolServer.stop();
   // Settings that are read later don't move the limits of this stop.
   CutAt = StopRequestedAt + Settings.ShutdownGraceMs - ForcedStopMarginMs;
   ShutdownGate.beginShutdown(StopRequestedAt + DrainBeforeCloseMs, CutAt);
@@ -419,10 +437,15 @@
     Frontend.giveUpCalls();
   }
   // A caller may still send a request while its connection is open.
-  if (Frontend.sessionCount() == 0)
+  if (Frontend.sessionCount() == 0) {
     Grants.leave();
+    IdleSince = IdleSince < 0 ? Now : IdleSince;
+  }
+  const bool HasSettled =
+      Budget.unsettledCount() == 0 ||
+      (IdleSince >= 0 && Now - IdleSince >= LastSettlementsMs);
   const bool IsFinished =
-      Frontend.sessionCount() == 0 && Grants.hasReturnedGrants();
+      Frontend.sessionCount() == 0 && Grants.hasReturnedGrants() && HasSettled;
   const bool MustEnd = Now >= CutAt + LastResponsesMs;
   if (IsFinished || MustEnd)
     Context.stop();
--- a/packages/daemon/src/router.hpp
+++ b/packages/daemon/src/router.hpp
@@ -8,6 +8,7 @@
 #include "limit_log.hpp"
 #include "limit_report_exchange.hpp"
 #include "logged_placement.hpp"
+#include "pool_link.hpp"
 #include "quarantine_log.hpp"
 #include "router_settings.hpp"
 #include "tamarack/adapters.hpp"
@@ -17,6 +18,7 @@
 #include "tamarack/grants.hpp"
 #include "tamarack/peers.hpp"
 #include "tamarack/platform.hpp"
+#include "tamarack/pools.hpp"
 #include "tamarack/report.hpp"
 #include "tamarack/streams.hpp"
 
@@ -25,7 +27,9 @@
 namespace tamarack::daemon {
 
 class router final : private edge::frontend_observer,
-                     private relay::token_budget,
+                     private pools::token_source,
+                     private pools::pool_directory,
+                     private pools::pool_listener,
                      private peers::store_path_listener,
                      private peers::peer_service_listener,
                      private platform::store_call_listener,
@@ -57,13 +61,28 @@
                   time_ms Now) override;
   void onRequestWhileDraining(const edge::drain_arrival &Request) override;
 
-  // relay::token_budget: reserves from the grants of this instance. If those
-  // are short, the watermark and the grant record are written without waiting
-  // for the next tick.
+  // pools::token_source: the grants of this instance. If those are short, the
+  // watermark and the grant record are written without waiting for the next
+  // tick.
   relay::reserve_result reserve(std::string_view Account,
                                 std::int64_t Bound) override;
-  bool settle(std::string_view Account, std::int64_t Bound,
+  bool reserveHeld(std::string_view Account, std::int64_t Bound) override;
+  void settle(std::string_view Account, std::int64_t Bound,
               std::int64_t Used) override;
+  bool isLimited(std::string_view Account) const override;
+
+  // pools::pool_directory
+  const std::vector<grants::pool_member> &
+  candidatesFor(std::string_view Account) const override;
+  bool isActive(std::string_view Instance) const override;
+
+  // pools::pool_listener
+  void onBudgetChanged() override;
+  void onRequestQueued() override;
+  void onHolderAvoided(std::string_view Holder, bool Responded,
+                       int AvoidMs) override;
+  void onAnswered(relay::reserve_result Result, time_ms WaitedMs) override;
+  void onSettlementDropped(std::string_view Holder) override;
 
   // peers::store_path_listener
   void onPathChanged(bool Direct) override;
@@ -121,6 +140,9 @@
   void setTopicAge(std::string_view Topic,
                    const follow::topic_follower &Follower);
   void writeGrants();
+  void logPools();
+  void sendReservations();
+  void schedulePoolTimer();
   void writeLostRecords(time_ms Now);
   void fenceWatermarkWriter();
   void readPreviousWatermark(bool IsFenced);
@@ -141,7 +163,9 @@
 
   // The forced stop comes this long before the end of the grace period.
   static constexpr int ForcedStopMarginMs = 500;
-  // Of that, for the last responses to reach their callers.
+  // After the last call, for its tokens to be settled at other instances.
+  static constexpr int LastSettlementsMs = 500;
+  // Of ForcedStopMarginMs, for the last responses to reach their callers.
   static constexpr int LastResponsesMs = 250;
 
   router_settings Settings;
@@ -173,7 +197,11 @@
   streams::version_gate VersionGate;
   dispatch::shutdown_gate ShutdownGate;
   platform::platform_codec Codec;
+  std::uint64_t Incarnation; // Of this process, never 0.
   grants::grant_holder Grants;
+  pools::pool_server PoolServer;
+  pool_link PoolLink;
+  pools::pooled_budget Budget;
   follow::report_writer LostRecords; // See grants::lostRecordKey.
   streams::origin_exchange StreamOrigins;
   follow::endpoint_directory Directory;
@@ -190,7 +218,9 @@
   edge::simple_http_server MetricsServer;
   edge::net::signal_set SignalSet;
   edge::net::steady_timer TickTimer;
-  time_ms TickDueAt = -1; // Monotonic, -1 before the first tick.
+  edge::net::steady_timer PoolTimer;
+  std::uint64_t LoggedPools = 0; // Version of the members, see logPools.
+  time_ms TickDueAt = -1;        // Monotonic, -1 before the first tick.
   // Of the last tick, monotonic: when it was due and when it ran.
   time_ms LastTickDueAt = -1;
   time_ms LastTickAt = -1;
@@ -211,6 +241,8 @@
   bool HasGivenUp = false;     // The forced stop has ended all calls.
   time_ms StopRequestedAt = 0; // Monotonic, when the signal came.
   time_ms CutAt = 0;           // Monotonic, of the forced stop.
+  // Monotonic, when the last connection of a caller had ended; -1 before.
+  time_ms IdleSince = -1;
 };
 
 } // namespace tamarack::daemon
--- a/packages/daemon/src/router_grants.cpp
+++ b/packages/daemon/src/router_grants.cpp
@@ -26,9 +26,49 @@
   return Result;
 }
 
-bool router::settle(std::string_view Account, std::int64_t Bound,
+bool router::reserveHeld(std::string_view Account, std::int64_t Bound) {
+  return Grants.reserveHeld(Account, Bound);
+}
+
+void router::settle(std::string_view Account, std::int64_t Bound,
                     std::int64_t Used) {
-  return Grants.settle(Account, Bound, Used);
+  Grants.settle(Account, Bound, Used);
+}
+
+bool router::isLimited(std::string_view Account) const {
+  return Grants.isLimited(Account);
+}
+
+const std::vector<grants::pool_member> &
+router::candidatesFor(std::string_view Account) const {
+  return Grants.pools().candidatesFor(Account);
+}
+
+bool router::isActive(std::string_view Instance) const {
+  return Grants.holders().incarnationOf(Instance) != 0;
+}
+
+void router::onBudgetChanged() { Frontend.onGrantsChanged(); }
+
+// Requests of one event share a message.
+void router::onRequestQueued() {
+  edge::net::post(Context, [this] { sendReservations(); });
+}
+
+void router::schedulePoolTimer() {
+  const time_ms DelayMs =
+      std::max<time_ms>(0, Budget.nextTimer() - Clock.monotonic());
+  PoolTimer.expires_after(std::chrono::milliseconds(DelayMs));
+  PoolTimer.async_wait([this](const edge::error_code &Error) {
+    if (!Error)
+      sendReservations();
+  });
+}
+
+void router::sendReservations() {
+  Budget.sendDue(Clock.monotonic());
+  if (Budget.waitingCount() > 0)
+    schedulePoolTimer();
 }
 
 // Runs before anything is spent, in three steps: fences the writer, so that no
--- a/packages/daemon/src/router_reports.cpp
+++ b/packages/daemon/src/router_reports.cpp
@@ -160,17 +160,84 @@
 
 void router::logBudgetRefusal(const relay::call &Call) {
   const grants::account_status Status = Grants.statusOf(Call.Account);
-  Log.write("budget_refused", {{"id", std::string_view(Call.Id)},
-                               {"account", std::string_view(Call.Account)},
-                               {"bound", Call.maxTokens()},
-                               {"prepaid", Status.Prepaid},
-                               {"ceiling", Status.Ceiling},
-                               {"used", Status.Used},
-                               {"reserved", Status.Reserved},
-                               {"others_ceiling", Status.OthersCeiling},
-                               {"others_used", Status.OthersUsed},
-                               {"free", Status.Free},
-                               {"known_ms_ago", ageOf(GrantFollower)}});
+  const std::vector<grants::pool_member> &Candidates =
+      Grants.pools().candidatesFor(Call.Account);
+  Log.write("budget_refused",
+            {{"id", std::string_view(Call.Id)},
+             {"account", std::string_view(Call.Account)},
+             {"bound", Call.maxTokens()},
+             {"prepaid", Status.Prepaid},
+             {"ceiling", Status.Ceiling},
+             {"used", Status.Used},
+             {"reserved", Status.Reserved},
+             {"others_ceiling", Status.OthersCeiling},
+             {"others_used", Status.OthersUsed},
+             {"free", Status.Free},
+             {"holder", Candidates.empty() ? std::string_view("each")
+                                           : Candidates.front().Instance},
+             {"known_ms_ago", ageOf(GrantFollower)}});
+}
+
+namespace {
+
+std::string_view nameOf(relay::reserve_result Result) {
+  switch (Result) {
+  case relay::reserve_result::Reserved:
+    return "reserved";
+  case relay::reserve_result::Pending:
+    return "pending";
+  case relay::reserve_result::Unavailable:
+    return "unavailable";
+  case relay::reserve_result::Exhausted:
+    return "exhausted";
+  }
+  return "";
+}
+
+} // namespace
+
+void router::onAnswered(relay::reserve_result Result, time_ms WaitedMs) {
+  Metrics
+      .counterOf("tamarack_pool_answers_total{result=\"" +
+                 std::string(nameOf(Result)) + "\"}")
+      .add();
+  Metrics.histogramOf("tamarack_pool_wait_ms")
+      .observe(static_cast<double>(WaitedMs));
+}
+
+void router::onHolderAvoided(std::string_view Holder, bool Responded,
+                             int AvoidMs) {
+  Metrics.counterOf("tamarack_pool_failures_total").add();
+  Log.write("pool_holder_avoided", {{"holder", Holder},
+                                    {"responded", std::int64_t(Responded)},
+                                    {"avoid_ms", std::int64_t(AvoidMs)}});
+}
+
+void router::onSettlementDropped(std::string_view Holder) {
+  Metrics.counterOf("tamarack_pool_settlements_dropped_total").add();
+  Log.write("pool_settlement_dropped", {{"holder", Holder}});
+}
+
+// One line for each change of who holds tokens for whom.
+void router::logPools() {
+  const std::uint64_t Version = Grants.holders().membersVersion();
+  if (!RouteTable || Version == LoggedPools)
+    return;
+  LoggedPools = Version;
+  std::int64_t Held = 0;
+  std::int64_t Limited = 0;
+  for (const auto &[Name, Account] : RouteTable->accounts()) {
+    const bool IsLimited = Grants.isLimited(Name);
+    Limited += IsLimited ? 1 : 0;
+    Held += IsLimited && Grants.pools().isHolder(Name) ? 1 : 0;
+  }
+  Log.write("pools",
+            {{"members",
+              static_cast<std::int64_t>(Grants.holders().members().size())},
+             {"zone_shared", std::int64_t(Grants.pools().isZoneShared())},
+             {"accounts", Limited},
+             {"held_here", Held},
+             {"holders_each", std::int64_t(Grants.pools().holderCount())}});
 }
 
 void router::onOriginsRead() { Frontend.onOriginsRead(); }
@@ -284,6 +351,9 @@
   setTopicAge("configuration", ConfigurationFollower);
   setTopicAge("endpoints", EndpointFollower);
   setTopicAge("grants", GrantFollower);
+  Metrics.gaugeOf("tamarack_pool_reservations")
+      .set(PoolServer.openReservations());
+  Metrics.gaugeOf("tamarack_pool_unsettled").set(Budget.unsettledCount());
   Metrics.gaugeOf("tamarack_streams_kept").set(StreamOrigins.streamCount());
   Metrics.counterOf("tamarack_stream_lookups_total")
       .set(StreamOrigins.readCount());
--- a/packages/edge/include/tamarack/edge.hpp
+++ b/packages/edge/include/tamarack/edge.hpp
@@ -245,6 +245,7 @@
   tcp::acceptor Acceptor;
   net::steady_timer AcceptRetryTimer;
   bool IsDraining = false;
+  std::uint64_t CallCount = 0; // Accepted since the start.
   std::set<std::shared_ptr<frontend_session>> Sessions;
 };
 
--- a/packages/edge/src/frontend_session.cpp
+++ b/packages/edge/src/frontend_session.cpp
@@ -188,6 +188,7 @@
     return finishRequest();
   }
   ForwardRequest = std::move(Decoded.ForwardRequest);
+  Decoded.Call->Number = ++Server.CallCount;
   Server.Observer.onCallAccepted(*Decoded.Call);
   Reader = {};
   Exchange = std::make_unique<relay::exchange>(
--- a/packages/grants/include/tamarack/grants.hpp
+++ b/packages/grants/include/tamarack/grants.hpp
@@ -2,10 +2,11 @@
 //
 // Contents:
 //   records      account_line, record_id, holder_record, watermark_record,
-//                encode, decodeHolder, decodeWatermark, holder_table
+//                encode, decodeHolder, decodeWatermark
+//   pools        pool_member, pool_layout
+//   table        account_totals, holder_table
 //   watermarks   spend_watermarks, maxPreviousSpending
-//   grants       smoothed_rate, grant_holder, an implementation of
-//                relay::token_budget
+//   grants       holder_identity, smoothed_rate, grant_holder
 //
 // Ceilings. Each instance stores one record under its own name. For each client
 // account the record contains a ceiling: the cumulative limit on the instance's
@@ -18,6 +19,12 @@
 // the same time. An instance spends up to its granted ceiling without
 // contacting anyone, so a network partition does not affect that spending.
 //
+// Pools. In a zone with many instances a ceiling for each of them would be too
+// small for a single call. One instance of the zone then holds the tokens of an
+// account ahead of calls, chosen by hash, and the others reserve from it (see
+// packages/pools). This changes only who requests tokens: any instance may
+// request a ceiling, and does so if no other one of its zone responds.
+//
 // Watermarks. An instance runs one process at a time, so a new incarnation
 // proves that the previous one is dead. The previous incarnation's last
 // watermark bounds what it spent: twice a second an incarnation stores, ahead
@@ -59,6 +66,7 @@
 #include <map>
 #include <optional>
 #include <set>
+#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -92,15 +100,17 @@
 
 // All grants of one instance.
 struct holder_record {
-  std::uint64_t Incarnation = 0; // Never 0 once written.
-  std::uint64_t WriteNumber = 0; // Rises with this incarnation's writes. The
-                                 // upper half is the store's era, see eraOf.
-  std::string PeerAddress;       // Where other instances reach this one.
-  bool HasLeft = false;          // Shut down in order: each ceiling is the
-                                 // amount that was spent.
-  std::vector<account_line> Lines;
+  std::uint64_t Incarnation = 0;   // Never 0 once written.
+  std::uint64_t WriteNumber = 0;   // Rises with this incarnation's writes. The
+                                   // upper half is the store's era, see eraOf.
+  std::string PeerAddress;         // Where other instances reach this one.
+  bool HasLeft = false;            // Shut down in order: each ceiling is the
+                                   // amount that was spent.
+  std::vector<account_line> Lines; // An account without a line has no ceiling.
   record_id Base;      // Record that the incarnation found of the previous one.
   record_id Recovered; // Newest record that was lost and then charged.
+  std::string Zone;    // Availability zone, empty if not known.
+  std::int64_t ConfigurationVersion = -1; // In force when written, -1: none.
 };
 
 inline constexpr int EraShift = 32; // Of the era in a write number.
@@ -144,6 +154,60 @@
 // Empty if Bytes are not a valid watermark record.
 std::optional<watermark_record> decodeWatermark(std::string_view Bytes);
 
+//---------------------------------------------------------------------------
+// Pools
+//---------------------------------------------------------------------------
+
+// An instance that has not left.
+struct pool_member {
+  std::string Instance;
+  std::string Zone;
+  std::string Address; // host:port for other instances.
+  bool operator==(const pool_member &) const = default;
+};
+
+// Which instances hold the tokens of an account ahead of calls. All instances
+// with the same list of members agree without a message.
+class pool_layout {
+public:
+  // In a zone of fewer instances each one holds tokens itself.
+  static constexpr std::size_t MinSharedZoneSize = 3;
+  // One instance of so many holds tokens for accounts, so that records and
+  // watermarks of few instances change. MinHolders: at least, in a zone.
+  static constexpr std::size_t InstancesPerHolder = 4;
+  static constexpr std::size_t MinHolders = 2;
+
+  pool_layout(std::string Instance, std::string Zone)
+      : Own(std::move(Instance)), Zone(std::move(Zone)) {}
+
+  void setMembers(std::span<const pool_member> Members);
+  static constexpr std::size_t MaxCandidates = 4; // Of one account.
+
+  // Members of the own zone, possibly this instance, in the order in which they
+  // are asked for tokens of Account. Empty if each holds tokens itself.
+  const std::vector<pool_member> &candidatesFor(std::string_view Account) const;
+  // False if each instance of the own zone holds tokens itself.
+  bool isZoneShared() const { return ZoneMembers.size() >= MinSharedZoneSize; }
+  // True if this instance holds tokens of Account ahead of calls.
+  bool isHolder(std::string_view Account) const;
+  // Instances of all zones that hold tokens of one account ahead of calls.
+  int holderCount() const { return HolderCount; }
+
+private:
+  std::string Own;
+  std::string Zone;
+  std::vector<pool_member> ZoneMembers; // The first ones are holders.
+  std::size_t HoldersOfZone = 0;
+  int HolderCount = 1;
+  // By account, computed when first asked for.
+  mutable std::map<std::string, std::vector<pool_member>, std::less<>>
+      Candidates;
+};
+
+//---------------------------------------------------------------------------
+// The records of all instances
+//---------------------------------------------------------------------------
+
 // Sums over the records of all instances but one, in tokens unless said
 // otherwise.
 struct account_totals {
@@ -185,6 +249,14 @@
   int activeOthersBefore() const; // Those of them with a lower name.
   // Their names and addresses.
   std::vector<std::pair<std::string, std::string>> peers() const;
+  // Active instances, with this one if it has a record.
+  std::vector<pool_member> members() const;
+  // Rises when members() changes.
+  std::uint64_t membersVersion() const { return MembersVersion; }
+  // Incarnation of an active instance, 0 if there is none.
+  std::uint64_t incarnationOf(std::string_view Instance) const;
+  // The newest one that an active instance states, -1 if none does.
+  std::int64_t newestConfigurationVersion() const;
   // True if an active instance with a lower name is short of tokens.
   bool isPrecededByShortInstance(std::string_view Account) const;
 
@@ -214,6 +286,7 @@
   std::map<std::string, account_totals, std::less<>>
       TotalsOfOthers; // By account.
   int ActiveOthers = 0;
+  std::uint64_t MembersVersion = 0;
   bool MayMissRecords = false;
 };
 
@@ -287,6 +360,15 @@
                                      // HeadroomMs, divided by past spending.
 };
 
+// The instance and the process that runs as it.
+struct holder_identity {
+  std::string Instance;
+  std::string Zone;
+  std::uint64_t Incarnation = 0; // Never 0.
+  std::string PeerAddress;       // host:port for other instances.
+  std::string BootId;            // Of the machine, empty if it is not known.
+};
+
 // Rate of spending, smoothed. Corrected for its start at 0.
 class smoothed_rate {
 public:
@@ -316,11 +398,10 @@
 
 // Grants of this instance: how much it may spend of each account, and which
 // record to write in order to request or return tokens.
-class grant_holder final : public relay::token_budget {
+class grant_holder {
 public:
-  grant_holder(std::string Instance, std::uint64_t Incarnation,
-               std::string PeerAddress, std::string BootId,
-               grant_settings Settings, const clock &Clock);
+  grant_holder(holder_identity Identity, grant_settings Settings,
+               const clock &Clock);
 
   void setBudgets(std::shared_ptr<const relay::route_table> Table);
   // The era of the store, from its first response on and when it changes. The
@@ -345,10 +426,15 @@
   void onWatermarkUncertain();
   void onWatermarkRefused(); // The store did not process the append.
 
-  relay::reserve_result reserve(std::string_view Account,
-                                std::int64_t Bound) override;
-  bool settle(std::string_view Account, std::int64_t Bound,
-              std::int64_t Used) override;
+  // Reserves Bound tokens, the upper bound of a call's cost. If the result is
+  // Pending, more tokens are requested.
+  relay::reserve_result reserve(std::string_view Account, std::int64_t Bound);
+  // Reserves Bound tokens if they are held already; requests none.
+  bool reserveHeld(std::string_view Account, std::int64_t Bound);
+  // Ends a reservation of Bound tokens and bills Used of them.
+  void settle(std::string_view Account, std::int64_t Bound, std::int64_t Used);
+  // False for an account without a limit, or one that is not configured.
+  bool isLimited(std::string_view Account) const;
 
   // True if the topic should be read so that a write can be planned.
   bool needsWrite(time_ms Now);
@@ -370,6 +456,8 @@
   std::vector<std::pair<std::string, std::string>> peers() const {
     return Holders.peers();
   }
+  const pool_layout &pools() const { return Pools; }
+  const holder_table &holders() const { return Holders; }
   account_status statusOf(std::string_view Account) const;
   int unreadableRecords() const { return UnreadableRecords; }
 
@@ -414,6 +502,16 @@
                           double Unspent) const;
   std::int64_t targetHeadroom(std::string_view Name,
                               const local_account &Local) const;
+  bool needsLine(const local_account &Local, const account_line &Line) const;
+  bool differs(const account_line *Published, const account_line &Line) const;
+  account_line lineFor(const std::string &Name, local_account &Local) const;
+  std::int64_t watermarkFor(const local_account &Local) const;
+  static std::int64_t committedTokens(const local_account &Local) {
+    return Local.UsedByPrevious + Local.UsedByCurrent + Local.Reserved;
+  }
+  bool hasHeadroom() const;
+  void updatePools();
+  bool awaitsMembers() const;
   bool needsChange(std::string_view Name, const local_account &Local) const;
   void recordWaiting(local_account &Local, std::int64_t Bound) const;
   std::int64_t waitingBound(const local_account &Local) const;
@@ -437,14 +535,15 @@
   void updateEffectiveCeilings();
   void updateRates(time_ms Now);
 
-  std::string Instance;
-  std::uint64_t Incarnation;
-  std::string PeerAddress;
-  std::string BootId;
+  holder_identity Identity;
   grant_settings Settings;
   const clock &Clock;
   std::shared_ptr<const relay::route_table> Table;
   holder_table Holders;
+  pool_layout Pools;
+  std::uint64_t PoolsVersion = 0; // holder_table::membersVersion of Pools.
+  std::size_t PoolMembers = 0;    // Their number.
+  time_ms MemberJoinedAt = 0;     // When the number last rose, monotonic.
   std::map<std::string, local_account, std::less<>> Accounts;
   std::vector<pending_write> PendingWrites; // Not read back, oldest first.
   std::uint64_t LastWriteNumber = 0;
--- a/packages/grants/src/grant_holder.cpp
+++ b/packages/grants/src/grant_holder.cpp
@@ -15,15 +15,16 @@
 // tokens.
 constexpr int ShortageExpiryMs = 1'000;
 constexpr double MinRateUpdateMs = 100; // Between two updates of rates.
+// Longer than the time between two reads of the topic.
+constexpr int JoinWaitMs = 1'200;
 
 } // namespace
 
-grant_holder::grant_holder(std::string Instance, std::uint64_t Incarnation,
-                           std::string PeerAddress, std::string BootId,
-                           grant_settings Settings, const clock &Clock)
-    : Instance(std::move(Instance)), Incarnation(Incarnation),
-      PeerAddress(std::move(PeerAddress)), BootId(std::move(BootId)),
-      Settings(Settings), Clock(Clock), Holders(this->Instance) {}
+grant_holder::grant_holder(holder_identity Identity, grant_settings Settings,
+                           const clock &Clock)
+    : Identity(std::move(Identity)), Settings(Settings), Clock(Clock),
+      Holders(this->Identity.Instance),
+      Pools(this->Identity.Instance, this->Identity.Zone) {}
 
 void grant_holder::setBudgets(std::shared_ptr<const relay::route_table> To) {
   Table = std::move(To);
@@ -50,6 +51,11 @@
   return prepaidOf(Account) >= MaxTokens;
 }
 
+bool grant_holder::isLimited(std::string_view Account) const {
+  const relay::account *Found = Table ? Table->findAccount(Account) : nullptr;
+  return Found != nullptr && !isUnlimited(Account);
+}
+
 void grant_holder::onRecord(std::string_view Key, std::string_view Value,
                             bool Removed) {
   if (const std::optional<std::string_view> Holder = holderOfLostRecord(Key))
@@ -64,14 +70,14 @@
   const holder_record New = *Record;
   if (!Holders.store(Key, std::move(*Record)))
     return;
-  if (Key == Instance && New.Incarnation == Incarnation)
+  if (Key == Identity.Instance && New.Incarnation == Identity.Incarnation)
     onOwnRecord(New);
 }
 
 // Another instance has written a record again that the store may have lost.
 void grant_holder::onLostRecord(std::string_view Holder, std::string_view Value,
                                 bool Removed) {
-  if (Holder == Instance)
+  if (Holder == Identity.Instance)
     OwnLostRecord.reset();
   if (Removed)
     return;
@@ -80,9 +86,9 @@
     ++UnreadableRecords;
     return;
   }
-  if (Holder == Instance)
+  if (Holder == Identity.Instance)
     OwnLostRecord = *Record;
-  if (Holder != Instance || !IsPreviousSpendingKnown)
+  if (Holder != Identity.Instance || !IsPreviousSpendingKnown)
     Holders.storeLost(Holder, std::move(*Record));
 }
 
@@ -143,16 +149,37 @@
 }
 
 std::string grant_holder::watermarkScope() const {
-  return Era == 0 || BootId.empty() ? BootId
-                                    : BootId + "/" + std::to_string(Era);
+  const std::string &Boot = Identity.BootId;
+  return Era == 0 || Boot.empty() ? Boot : Boot + "/" + std::to_string(Era);
 }
 
 void grant_holder::onCaughtUp() {
   IsCaughtUp = true;
   IsStoreUnavailable = false;
+  updatePools();
   applyOwnRecord();
 }
 
+void grant_holder::updatePools() {
+  if (PoolsVersion == Holders.membersVersion())
+    return;
+  PoolsVersion = Holders.membersVersion();
+  const std::vector<pool_member> Members = Holders.members();
+  if (Members.size() > PoolMembers)
+    MemberJoinedAt = Clock.monotonic();
+  PoolMembers = Members.size();
+  Pools.setMembers(Members);
+}
+
+// True while an instance that is new to the topic may not know most others yet,
+// because all of them have started just now. Its first record announces it.
+bool grant_holder::awaitsMembers() const {
+  if (Base.Incarnation != 0)
+    return false;
+  return OwnRecordAt < 0 || (Pools.isZoneShared() &&
+                             Clock.monotonic() - MemberJoinedAt < JoinWaitMs);
+}
+
 void grant_holder::onPreviousWatermark(
     std::optional<watermark_record> Watermark) {
   PreviousWatermark = std::move(Watermark);
@@ -167,7 +194,7 @@
     return;
   const holder_record *Record = Holders.ownRecord();
   const bool IsPrevious =
-      Record != nullptr && Record->Incarnation != Incarnation;
+      Record != nullptr && Record->Incarnation != Identity.Incarnation;
   if (IsPrevious && !IsPreviousSpendingKnown)
     chargePreviousIncarnation(*Record);
   IsPreviousSpendingKnown = true;
@@ -201,7 +228,7 @@
 // True if the own ceilings count those of the lost record.
 bool grant_holder::isLostRecordCounted() const {
   holder_record Current;
-  Current.Incarnation = Incarnation;
+  Current.Incarnation = Identity.Incarnation;
   Current.WriteNumber = LastWriteNumber;
   Current.Base = Base;
   Current.Recovered = Recovered;
@@ -236,33 +263,43 @@
   return Watermarks.limitOf(Name, Local.EffectiveCeiling, Clock.sinceBoot());
 }
 
+// False if this instance can't spend anything, so that no watermark is needed.
+bool grant_holder::hasHeadroom() const {
+  return std::any_of(Accounts.begin(), Accounts.end(), [](const auto &Item) {
+    const local_account &Local = Item.second;
+    return Local.EffectiveCeiling > committedTokens(Local);
+  });
+}
+
+std::int64_t grant_holder::watermarkFor(const local_account &Local) const {
+  const std::int64_t Committed = committedTokens(Local);
+  const std::int64_t Headroom =
+      std::max<std::int64_t>(0, Local.EffectiveCeiling - Committed);
+  const double ByRate = Local.Rate.perMs() * Settings.WatermarkHeadroomMs +
+                        2 * Local.AverageBound;
+  const double ByShare =
+      Settings.WatermarkShare * static_cast<double>(Headroom);
+  const std::int64_t WatermarkHeadroom =
+      static_cast<std::int64_t>(std::max(ByRate, ByShare)) +
+      waitingBound(Local);
+  return std::max(Committed, std::min(Local.EffectiveCeiling,
+                                      Committed + WatermarkHeadroom));
+}
+
 std::optional<watermark_record> grant_holder::planWatermark(time_ms Now) {
   const holder_record *Record = Holders.ownRecord();
   if (IsWatermarkInFlight || IsLeaving || !IsPreviousSpendingKnown ||
-      Record == nullptr || Record->Incarnation != Incarnation)
+      Record == nullptr || Record->Incarnation != Identity.Incarnation)
     return std::nullopt;
-  if (Now < NextWatermarkAt && !CallWaitsForWatermark)
+  if ((Now < NextWatermarkAt && !CallWaitsForWatermark) || !hasHeadroom())
     return std::nullopt;
   watermark_record Watermark;
-  Watermark.Incarnation = Incarnation;
+  Watermark.Incarnation = Identity.Incarnation;
   Watermark.BootId = watermarkScope();
   Watermark.SentAt = Clock.sinceBoot();
-  for (const auto &[Name, Local] : Accounts) {
-    const std::int64_t Committed =
-        Local.UsedByPrevious + Local.UsedByCurrent + Local.Reserved;
-    const std::int64_t Headroom =
-        std::max<std::int64_t>(0, Local.EffectiveCeiling - Committed);
-    const double ByRate = Local.Rate.perMs() * Settings.WatermarkHeadroomMs +
-                          2 * Local.AverageBound;
-    const double ByShare =
-        Settings.WatermarkShare * static_cast<double>(Headroom);
-    const std::int64_t WatermarkHeadroom =
-        static_cast<std::int64_t>(std::max(ByRate, ByShare)) +
-        waitingBound(Local);
-    Watermark.Lines.push_back(
-        {Name, std::max(Committed, std::min(Local.EffectiveCeiling,
-                                            Committed + WatermarkHeadroom))});
-  }
+  for (const auto &[Name, Local] : Accounts)
+    if (Local.EffectiveCeiling > 0)
+      Watermark.Lines.push_back({Name, watermarkFor(Local)});
   IsWatermarkInFlight = true;
   CallWaitsForWatermark = false;
   NextWatermarkAt = Now + Settings.WatermarkIntervalMs;
@@ -292,18 +329,12 @@
   local_account &Local = accountOf(Account);
   Local.AverageBound += (static_cast<double>(Bound) - Local.AverageBound) *
                         (Local.AverageBound == 0 ? 1 : BoundSmoothing);
-  const std::int64_t Committed =
-      Local.UsedByPrevious + Local.UsedByCurrent + Local.Reserved;
+  const std::int64_t Committed = committedTokens(Local);
   if (Committed + Bound + Holders.totalsOfOthers(Account).Used >
       prepaidOf(Account))
     return relay::reserve_result::Exhausted;
-  if (IsPreviousSpendingKnown &&
-      Committed + Bound <= spendingLimit(Account, Local)) {
-    Local.Reserved += Bound;
-    if (Bound >= Local.MaxWaitingBound)
-      Local.MaxWaitingBound = 0;
+  if (reserveHeld(Account, Bound))
     return relay::reserve_result::Reserved;
-  }
   if (IsStoreUnavailable)
     return relay::reserve_result::Unavailable;
   if (IsPreviousSpendingKnown && Committed + Bound <= Local.EffectiveCeiling) {
@@ -323,6 +354,21 @@
   return relay::reserve_result::Pending;
 }
 
+bool grant_holder::reserveHeld(std::string_view Account, std::int64_t Bound) {
+  if (isUnlimited(Account))
+    return true;
+  const auto Found = Accounts.find(Account);
+  if (Found == Accounts.end() || !IsPreviousSpendingKnown)
+    return false;
+  local_account &Local = Found->second;
+  if (committedTokens(Local) + Bound > spendingLimit(Account, Local))
+    return false;
+  Local.Reserved += Bound;
+  if (Bound >= Local.MaxWaitingBound)
+    Local.MaxWaitingBound = 0;
+  return true;
+}
+
 void grant_holder::recordWaiting(local_account &Local,
                                  std::int64_t Bound) const {
   Local.MaxWaitingBound = std::max(waitingBound(Local), Bound);
@@ -337,16 +383,15 @@
              : 0;
 }
 
-bool grant_holder::settle(std::string_view Account, std::int64_t Bound,
+void grant_holder::settle(std::string_view Account, std::int64_t Bound,
                           std::int64_t Used) {
   if (isUnlimited(Account) && !Accounts.contains(Account))
-    return true;
+    return;
   local_account &Local = accountOf(Account);
   assert(Used <= Bound && "a call uses at most what it reserved");
   Local.Reserved = std::max<std::int64_t>(0, Local.Reserved - Bound);
   Local.UsedByCurrent += Used;
   Local.Rate.add(Used);
-  return true;
 }
 
 void grant_holder::updateRates(time_ms Now) {
@@ -417,8 +462,9 @@
     Result = restoreRecords(Now);
   const holder_record *Record = Holders.ownRecord();
   if (OwnLostRecord && Record != nullptr && eraOf(*Record) == Era &&
-      Record->Incarnation == Incarnation && covers(*Record, *OwnLostRecord)) {
-    Result.emplace_back(lostRecordKey(Instance), std::string());
+      Record->Incarnation == Identity.Incarnation &&
+      covers(*Record, *OwnLostRecord)) {
+    Result.emplace_back(lostRecordKey(Identity.Instance), std::string());
     OwnLostRecord.reset();
   }
   return Result;
--- a/packages/grants/src/grant_requests.cpp
+++ b/packages/grants/src/grant_requests.cpp
@@ -41,21 +41,27 @@
                Settings.MaxRateHeadroomShare * Unspent * OwnUsed / TotalUsed));
   // Headroom that is too small for an average call is useful only to other
   // instances.
+  const bool IsTooSmall =
+      static_cast<double>(RateHeadroom) < Local.AverageBound;
   if (Holders.totalsOfOthers(Name).ShortInstances > 0)
-    return static_cast<double>(RateHeadroom) < Local.AverageBound
+    return IsTooSmall ? 0 : RateHeadroom;
+  if (!Pools.isHolder(Name))
+    return IsTooSmall
                ? 0
-               : RateHeadroom;
+               : RateHeadroom + static_cast<std::int64_t>(Local.AverageBound);
   const std::int64_t EqualHeadroom = equalShare(Name, Local, Unspent);
   return std::max(RateHeadroom + static_cast<std::int64_t>(Local.AverageBound),
                   EqualHeadroom);
 }
 
-// Headroom that every instance holds, so that each can begin to serve an
-// account while it is partitioned. An instance holds less of an account whose
+// Headroom that every holder of a pool has, so that its zone can begin to serve
+// an account while it is partitioned. A holder has less of an account whose
 // calls go to other instances, since it is unlikely to receive any.
 std::int64_t grant_holder::equalShare(std::string_view Name,
                                       const local_account &Local,
                                       double Unspent) const {
+  if (awaitsMembers())
+    return 0;
   const double Prepaid =
       static_cast<double>(std::max<std::int64_t>(1, prepaidOf(Name)));
   const double UsedByOthers =
@@ -63,9 +69,9 @@
   const bool CalledElsewhere =
       Local.AverageBound == 0 && UsedByOthers > Prepaid * UsageKnownShare;
   const double Factor = CalledElsewhere ? UncalledShareFactor : 1;
-  return static_cast<std::int64_t>(
-      Settings.EqualHeadroomShare * Unspent * (Unspent / Prepaid) * Factor /
-      static_cast<double>(Holders.activeOthers() + 1));
+  return static_cast<std::int64_t>(Settings.EqualHeadroomShare * Unspent *
+                                   (Unspent / Prepaid) * Factor /
+                                   static_cast<double>(Pools.holderCount()));
 }
 
 // Tokens that no instance has spent, as far as their records show.
@@ -130,8 +136,7 @@
 
 bool grant_holder::needsChange(std::string_view Name,
                                const local_account &Local) const {
-  const std::int64_t Headroom = Local.EffectiveCeiling - Local.UsedByPrevious -
-                                Local.UsedByCurrent - Local.Reserved;
+  const std::int64_t Headroom = Local.EffectiveCeiling - committedTokens(Local);
   const std::int64_t Target = targetHeadroom(Name, Local) + waitingBound(Local);
   if (Local.HasNewShortage || publishesEndedShortage(Name, Local))
     return true;
@@ -155,8 +160,8 @@
 bool grant_holder::needsWrite(time_ms Now) {
   updateRates(Now);
   const holder_record *Record = Holders.ownRecord();
-  if (!IsCaughtUp || Record == nullptr || Record->Incarnation != Incarnation ||
-      IsLeaving)
+  if (!IsCaughtUp || Record == nullptr ||
+      Record->Incarnation != Identity.Incarnation || IsLeaving)
     return !HasReturnedGrants;
   if (MustRestate)
     return true;
@@ -171,8 +176,7 @@
 std::int64_t grant_holder::ceilingToRequest(std::string_view Name,
                                             const local_account &Local,
                                             bool &ShortOfTokens) const {
-  const std::int64_t Committed =
-      Local.UsedByPrevious + Local.UsedByCurrent + Local.Reserved;
+  const std::int64_t Committed = committedTokens(Local);
   if (IsLeaving)
     return Committed;
   const std::int64_t Prepaid = prepaidOf(Name);
@@ -198,6 +202,43 @@
   return Committed + Grant;
 }
 
+account_line grant_holder::lineFor(const std::string &Name,
+                                   local_account &Local) const {
+  account_line Line;
+  Line.Account = Name;
+  Line.Ceiling = ceilingToRequest(Name, Local, Line.ShortOfTokens);
+  Line.Used = committedTokens(Local);
+  Line.Previous = Local.UsedByPrevious;
+  Local.HasNewShortage = false;
+  return Line;
+}
+
+bool grant_holder::differs(const account_line *Published,
+                           const account_line &Line) const {
+  static const account_line None;
+  const account_line &Former = Published == nullptr ? None : *Published;
+  return Former.Ceiling != Line.Ceiling ||
+         Former.ShortOfTokens != Line.ShortOfTokens ||
+         (Holders.totalsOfOthers(Line.Account).ShortInstances > 0 &&
+          Former.Used != Line.Used);
+}
+
+// False if the line says nothing. A ceiling of 0 must be written as long as a
+// higher one is granted, or may be: only a line takes the grant away.
+bool grant_holder::needsLine(const local_account &Local,
+                             const account_line &Line) const {
+  if (Line.Ceiling > 0 || Line.ShortOfTokens || Local.GrantedCeiling > 0)
+    return true;
+  const account_line *Published = publishedLine(Line.Account);
+  return (Published != nullptr && Published->Ceiling > 0) ||
+         std::any_of(PendingWrites.begin(), PendingWrites.end(),
+                     [&Line](const pending_write &Write) {
+                       const account_line *Pending =
+                           findLine(Write.Record, Line.Account);
+                       return Pending != nullptr && Pending->Ceiling > 0;
+                     });
+}
+
 std::optional<holder_record> grant_holder::planWrite(time_ms Now) {
   updateRates(Now);
   const bool NotReadBack =
@@ -206,29 +247,21 @@
       !needsWrite(Now))
     return std::nullopt;
   holder_record Record;
-  Record.Incarnation = Incarnation;
-  Record.PeerAddress = PeerAddress;
+  Record.Incarnation = Identity.Incarnation;
+  Record.PeerAddress = Identity.PeerAddress;
+  Record.Zone = Identity.Zone;
+  Record.ConfigurationVersion = Table ? Table->Version : -1;
   Record.HasLeft = IsLeaving;
   Record.Base = Base;
   Record.Recovered = Recovered;
   const holder_record *Published = Holders.ownRecord();
   bool Changes = IsLeaving || MustRestate || Published == nullptr ||
-                 Published->Incarnation != Incarnation;
+                 Published->Incarnation != Identity.Incarnation;
   for (auto &[Name, Local] : Accounts) {
-    account_line Line;
-    Line.Account = Name;
-    Line.Ceiling = ceilingToRequest(Name, Local, Line.ShortOfTokens);
-    Line.Used = Local.UsedByPrevious + Local.UsedByCurrent + Local.Reserved;
-    Line.Previous = Local.UsedByPrevious;
-    Local.HasNewShortage = false;
-    const account_line *PublishedLine =
-        Published ? findLine(*Published, Name) : nullptr;
-    Changes = Changes || PublishedLine == nullptr ||
-              PublishedLine->Ceiling != Line.Ceiling ||
-              PublishedLine->ShortOfTokens != Line.ShortOfTokens ||
-              (Holders.totalsOfOthers(Name).ShortInstances > 0 &&
-               PublishedLine->Used != Line.Used);
-    Record.Lines.push_back(std::move(Line));
+    account_line Line = lineFor(Name, Local);
+    Changes = Changes || differs(publishedLine(Name), Line);
+    if (needsLine(Local, Line))
+      Record.Lines.push_back(std::move(Line));
   }
   if (!Changes)
     return std::nullopt;
--- a/packages/grants/src/holder_table.cpp
+++ b/packages/grants/src/holder_table.cpp
@@ -112,6 +112,10 @@
 void holder_table::replaceRecord(std::string_view Instance, holder &Known,
                                  holder_record Record) {
   addToTotals(Instance, Known, -1);
+  const bool IsSameMember = isActive(Known.Record) == isActive(Record) &&
+                            Known.Record.Zone == Record.Zone &&
+                            Known.Record.PeerAddress == Record.PeerAddress;
+  MembersVersion += IsSameMember ? 0 : 1;
   holder_record Former = std::exchange(Known.Record, std::move(Record));
   if (Former.Incarnation != 0 &&
       Former.Incarnation != Known.Record.Incarnation) {
@@ -247,4 +251,27 @@
   return Result;
 }
 
+std::vector<pool_member> holder_table::members() const {
+  std::vector<pool_member> Result;
+  for (const auto &[Name, Known] : Holders)
+    if (isActive(Known.Record))
+      Result.push_back({Name, Known.Record.Zone, Known.Record.PeerAddress});
+  return Result;
+}
+
+std::uint64_t holder_table::incarnationOf(std::string_view Instance) const {
+  const auto Found = Holders.find(Instance);
+  return Found != Holders.end() && isActive(Found->second.Record)
+             ? Found->second.Record.Incarnation
+             : 0;
+}
+
+std::int64_t holder_table::newestConfigurationVersion() const {
+  std::int64_t Newest = -1;
+  for (const auto &[Name, Known] : Holders)
+    if (isActive(Known.Record))
+      Newest = std::max(Newest, Known.Record.ConfigurationVersion);
+  return Newest;
+}
+
 } // namespace tamarack::grants
--- a/packages/relay/include/tamarack/relay.hpp
+++ b/packages/relay/include/tamarack/relay.hpp
@@ -153,7 +153,8 @@
 };
 
 struct call {
-  std::string Id; // Request id chosen by the caller.
+  std::string Id;           // Request id chosen by the caller.
+  std::uint64_t Number = 0; // Unique at this instance: ids may come twice.
   std::string RouteName;
   std::string Service;
   std::string Account; // Empty for public routes.
@@ -304,13 +305,14 @@
 class token_budget {
 public:
   virtual ~token_budget() = default;
-  // Reserves Bound tokens, the upper bound of a call's cost.
-  virtual reserve_result reserve(std::string_view Account,
-                                 std::int64_t Bound) = 0;
-  // Ends a reservation of Bound tokens and bills Used of them. False if the
-  // bill could not be stored; the response must then not end as complete.
-  virtual bool settle(std::string_view Account, std::int64_t Bound,
-                      std::int64_t Used) = 0;
+  // Reserves the upper bound of the call's cost. While the result is Pending,
+  // the call asks again whenever the budget may have changed.
+  virtual reserve_result reserve(const call &Call) = 0;
+  // Ends the reservation and bills Used tokens of it. False if the bill could
+  // not be stored; the response must then not end as complete.
+  virtual bool settle(const call &Call, std::int64_t Used) = 0;
+  // A call whose result was Pending waits no longer.
+  virtual void withdraw(const call &) {}
 };
 
 enum class origin_state {
--- a/packages/relay/src/exchange.cpp
+++ b/packages/relay/src/exchange.cpp
@@ -103,7 +103,7 @@
 void exchange::reserveTokens(time_ms Now) {
   if (Call.Account.empty() || Call.maxTokens() == 0)
     return startNextAttempt(Now);
-  switch (Budget.reserve(Call.Account, Call.maxTokens())) {
+  switch (Budget.reserve(Call)) {
   case reserve_result::Reserved:
     HoldsReservation = true;
     return startNextAttempt(Now);
@@ -464,10 +464,12 @@
   if (MayHaveRun)
     Report.TokensCharged =
         std::min(Call.maxTokens(), Reader.tokensToCharge(Call, How));
-  return Budget.settle(Call.Account, Call.maxTokens(), Report.TokensCharged);
+  return Budget.settle(Call, Report.TokensCharged);
 }
 
 void exchange::finish(delivery How) {
+  if (State == state::WaitingForTokens)
+    Budget.withdraw(Call);
   State = state::Done;
   Report.Done = true;
   settle(How);
--- a/tests/unit/grants_test.cpp
+++ b/tests/unit/grants_test.cpp
@@ -99,7 +99,8 @@
   void start(std::uint64_t Incarnation, std::string BootId,
              std::shared_ptr<const relay::route_table> Table) {
     Holder = std::make_unique<grant_holder>(
-        Name, Incarnation, "peer", std::move(BootId), grant_settings(), Clock);
+        holder_identity{Name, "zone", Incarnation, "peer", std::move(BootId)},
+        grant_settings(), Clock);
     Holder->setBudgets(std::move(Table));
     SeenEra = Store.Era;
     Holder->setEra(SeenEra);
@@ -151,8 +152,8 @@
   std::vector<std::int64_t> InFlight; // Bounds of the reserved calls.
 };
 
-// Reads the topic, writes the planned records and reads them back.
-void writeGrants(machine &Machine) {
+// Reads the topic, writes the planned record and reads it back.
+void writeRecord(machine &Machine) {
   Machine.readTopic();
   for (const auto &[Key, Value] :
        Machine.Holder->planRestores(Machine.Clock.monotonic()))
@@ -172,6 +173,12 @@
   Machine.readTopic();
 }
 
+// Writes as often as a new instance has to: its first record announces it.
+void writeGrants(machine &Machine) {
+  writeRecord(Machine);
+  writeRecord(Machine);
+}
+
 void writeWatermark(machine &Machine) {
   std::optional<watermark_record> Watermark =
       Machine.Holder->planWatermark(Machine.Clock.monotonic());
--- a/tests/unit/quarantine_test.cpp
+++ b/tests/unit/quarantine_test.cpp
@@ -139,12 +139,10 @@
 
 class no_budget final : public relay::token_budget {
 public:
-  relay::reserve_result reserve(std::string_view, std::int64_t) override {
+  relay::reserve_result reserve(const relay::call &) override {
     return relay::reserve_result::Reserved;
   }
-  bool settle(std::string_view, std::int64_t, std::int64_t) override {
-    return true;
-  }
+  bool settle(const relay::call &, std::int64_t) override { return true; }
 };
 
 struct guard_fixture {
--- a/tests/unit/relay_test.cpp
+++ b/tests/unit/relay_test.cpp
@@ -78,23 +78,25 @@
 
 class fake_token_budget final : public token_budget {
 public:
-  reserve_result reserve(std::string_view, std::int64_t Bound) override {
+  reserve_result reserve(const call &Call) override {
     if (Result == reserve_result::Reserved)
-      Reserved += Bound;
+      Reserved += Call.maxTokens();
+    IsAwaited = Result == reserve_result::Pending;
     return Result;
   }
-  bool settle(std::string_view, std::int64_t Bound,
-              std::int64_t Used) override {
-    Reserved -= Bound;
+  bool settle(const call &Call, std::int64_t Used) override {
+    Reserved -= Call.maxTokens();
     Billed += Used;
     return CanStoreBill;
   }
+  void withdraw(const call &) override { IsAwaited = false; }
 
   bool CanStoreBill = true;
 
   reserve_result Result = reserve_result::Reserved;
   std::int64_t Reserved = 0;
   std::int64_t Billed = 0;
+  bool IsAwaited = false; // The last result was Pending.
 };
 
 class fake_host final : public exchange_host {
@@ -789,6 +791,7 @@
         RC_ASSERT(Model.MayHaveRun == 0);
     }
     RC_ASSERT(Fixture.Budget.Reserved == 0);
+    RC_ASSERT(!Fixture.Budget.IsAwaited);
     RC_ASSERT(Fixture.Budget.Billed <= 150);
     RC_ASSERT(Fixture.Placement.Outcomes.size() ==
               static_cast<std::size_t>(Fixture.Placement.SentAttempts));
