Ask holders of other zones while the store is away; claim for all that wait

Change: an instance that can't get tokens because the store is away asks holders of three other zones; a write requests the tokens of all calls that lacked them since the last one; a call asks again after 40 ms at most.

--- a/packages/daemon/src/router_reports.cpp
+++ b/packages/daemon/src/router_reports.cpp
@@ -173,8 +173,7 @@
              {"others_ceiling", Status.OthersCeiling},
              {"others_used", Status.OthersUsed},
              {"free", Status.Free},
-             {"holder", Candidates.empty() ? std::string_view("each")
-                                           : Candidates.front().Instance},
+             {"holder", std::string_view(Candidates.front().Instance)},
              {"known_ms_ago", ageOf(GrantFollower)}});
 }
 
--- a/packages/grants/include/tamarack/grants.hpp
+++ b/packages/grants/include/tamarack/grants.hpp
@@ -176,28 +176,45 @@
   // watermarks of few instances change. MinHolders: at least, in a zone.
   static constexpr std::size_t InstancesPerHolder = 4;
   static constexpr std::size_t MinHolders = 2;
+  // Instances of the own zone, and of other zones, that are asked for tokens.
+  static constexpr std::size_t ZoneCandidates = 2;
+  static constexpr std::size_t RemoteCandidates = 3;
 
   pool_layout(std::string Instance, std::string Zone)
-      : Own(std::move(Instance)), Zone(std::move(Zone)) {}
+      : Own(std::move(Instance)), Zone(std::move(Zone)) {
+    setMembers({});
+  }
 
   void setMembers(std::span<const pool_member> Members);
-  static constexpr std::size_t MaxCandidates = 4; // Of one account.
-
-  // Members of the own zone, possibly this instance, in the order in which they
-  // are asked for tokens of Account. Empty if each holds tokens itself.
+  // Instances to ask for tokens of Account, best first, this one among them:
+  // the holder of the own zone and the one that replaces it, then holders of
+  // other zones, which may have tokens while the store is away.
   const std::vector<pool_member> &candidatesFor(std::string_view Account) const;
   // False if each instance of the own zone holds tokens itself.
-  bool isZoneShared() const { return ZoneMembers.size() >= MinSharedZoneSize; }
+  bool isZoneShared() const { return isShared(Zones.at(Zone)); }
   // True if this instance holds tokens of Account ahead of calls.
   bool isHolder(std::string_view Account) const;
   // Instances of all zones that hold tokens of one account ahead of calls.
   int holderCount() const { return HolderCount; }
 
 private:
+  // The members of one zone; in a shared one those that may be holders.
+  struct zone_members {
+    std::size_t Size = 0;
+    std::vector<pool_member> Holders;
+  };
+
+  static bool isShared(const zone_members &Members) {
+    return Members.Size >= MinSharedZoneSize;
+  }
+  void addZoneCandidates(std::vector<pool_member> &List,
+                         std::uint64_t AccountHash) const;
+  void addRemoteCandidates(std::vector<pool_member> &List,
+                           std::uint64_t AccountHash) const;
+
   std::string Own;
   std::string Zone;
-  std::vector<pool_member> ZoneMembers; // The first ones are holders.
-  std::size_t HoldersOfZone = 0;
+  std::map<std::string, zone_members, std::less<>> Zones;
   int HolderCount = 1;
   // By account, computed when first asked for.
   mutable std::map<std::string, std::vector<pool_member>, std::less<>>
@@ -472,6 +489,8 @@
                                        // is uncertain.
     std::int64_t MaxWaitingBound = 0;  // Largest bound of a call that waits for
                                        // tokens.
+    std::int64_t MissingTokens = 0;    // Bounds of the calls that lacked tokens
+                                       // since the last planned write.
     time_ms LastShortageAt = 0;        // When a call last lacked tokens.
     double AverageBound = 0;           // Tokens per call, smoothed.
     smoothed_rate Rate;                // Of spending.
--- a/packages/grants/src/grant_holder.cpp
+++ b/packages/grants/src/grant_holder.cpp
@@ -350,6 +350,7 @@
       return relay::reserve_result::Exhausted;
   }
   Local.HasNewShortage = true;
+  Local.MissingTokens = std::min(Local.MissingTokens + Bound, MaxTokens);
   recordWaiting(Local, Bound);
   return relay::reserve_result::Pending;
 }
--- a/packages/grants/src/grant_requests.cpp
+++ b/packages/grants/src/grant_requests.cpp
@@ -183,7 +183,8 @@
   const std::int64_t Free = std::max<std::int64_t>(
       0, Prepaid - Holders.totalsOfOthers(Name).Ceiling - Committed);
   const std::int64_t Waiting = waitingBound(Local);
-  const std::int64_t Target = targetHeadroom(Name, Local) + Waiting;
+  const std::int64_t Target =
+      targetHeadroom(Name, Local) + std::max(Waiting, Local.MissingTokens);
   const std::int64_t Headroom =
       std::max<std::int64_t>(0, Local.EffectiveCeiling - Committed);
   std::int64_t Grant = std::min(Target, Free);
@@ -210,6 +211,7 @@
   Line.Used = committedTokens(Local);
   Line.Previous = Local.UsedByPrevious;
   Local.HasNewShortage = false;
+  Local.MissingTokens = 0;
   return Line;
 }
 
--- a/packages/pools/include/tamarack/pools.hpp
+++ b/packages/pools/include/tamarack/pools.hpp
@@ -103,8 +103,7 @@
 class pool_directory {
 public:
   virtual ~pool_directory() = default;
-  // Instances to ask for tokens of Account, best first. This instance may be
-  // among them; those behind it are not asked. Empty: none is asked.
+  // Instances to ask for tokens of Account, best first, this one among them.
   virtual const std::vector<grants::pool_member> &
   candidatesFor(std::string_view Account) const = 0;
   // False once Instance has left, or if it is not known.
@@ -183,21 +182,20 @@
 //---------------------------------------------------------------------------
 
 // Reserves tokens of this instance if it holds them, otherwise at the holder of
-// the account in this zone. If no holder responds, or none can tell, this
-// instance requests tokens of its own.
+// the account in this zone. If that can't tell, because it is out of reach or
+// the store is, the next instance is asked, this one in its turn.
 class pooled_budget final : public relay::token_budget {
 public:
   static constexpr int ResponseTimeoutMs = 100;
   // Pauses before a holder that has requested tokens is asked again.
   static constexpr int FirstRetryMs = 15;
-  static constexpr int MaxRetryMs = 120;
+  static constexpr int MaxRetryMs = 40;
   // A holder that did not respond is avoided for this time, doubled each time.
   static constexpr int MinAvoidMs = 500;
   static constexpr int MaxAvoidMs = 8'000;
   // A failure that comes sooner is taken for a kept connection that had ended,
   // and the message is sent once more.
   static constexpr int FastFailureMs = 20;
-  static constexpr std::size_t MaxHoldersPerCall = 2;
   static constexpr std::size_t MaxUnsettled = 4'096; // For one holder.
 
   pooled_budget(std::string Instance, std::uint64_t Incarnation,
@@ -224,10 +222,10 @@
 
 private:
   enum class wait_state {
-    Queued, // Asked at RetryAt or later.
+    Queued, // Another instance is asked at RetryAt or later.
     Sent,
     Answered, // Result is final.
-    Own,      // No holder can tell: asks for tokens of this instance.
+    Own,      // This instance is asked.
   };
 
   // A call without tokens.
@@ -263,14 +261,12 @@
   // Pause after the end of a call before its settlement is sent by itself.
   static constexpr int SettleDelayMs = 100;
 
-  std::optional<grants::pool_member>
-  chooseHolder(std::string_view Account,
-               const std::set<std::string, std::less<>> &Tried) const;
-  bool asksOthers(std::string_view Account) const;
-  reserve_result reserveOwn(const relay::call &Call);
-  reserve_result beginWait(const relay::call &Call);
-  reserve_result finishWait(std::uint64_t Number, const relay::call &Call);
-  void askNextHolder(waiting_call &Call);
+  const grants::pool_member *
+  nextCandidate(std::string_view Account,
+                const std::set<std::string, std::less<>> &Tried) const;
+  void askNext(waiting_call &Wait);
+  reserve_result askOwn(waiting_call &Wait);
+  reserve_result continueWait(const relay::call &Call);
   void queueSettlement(std::string_view Holder, token_settlement Settlement);
   void onResult(std::uint64_t Number, reserve_result Result);
   void onFailure(holder_link &Link, bool Responded);
--- a/packages/pools/src/pooled_budget.cpp
+++ b/packages/pools/src/pooled_budget.cpp
@@ -18,73 +18,64 @@
 // Calls
 //---------------------------------------------------------------------------
 
-// The best instance before this one that is not avoided. None if this instance
-// should request tokens itself.
-std::optional<grants::pool_member> pooled_budget::chooseHolder(
+// The best instance that was not tried and is not avoided, nullptr if there is
+// none.
+const grants::pool_member *pooled_budget::nextCandidate(
     std::string_view Account,
     const std::set<std::string, std::less<>> &Tried) const {
-  if (Tried.size() >= MaxHoldersPerCall)
-    return std::nullopt;
   const time_ms Now = Clock.monotonic();
   for (const grants::pool_member &Candidate :
        Directory.candidatesFor(Account)) {
-    if (Candidate.Instance == Instance)
-      return std::nullopt;
     const auto Link = Links.find(Candidate.Instance);
     const bool IsAvoided = Link != Links.end() && Now < Link->second.AvoidUntil;
-    if (!IsAvoided && !Candidate.Address.empty() &&
-        !Tried.contains(Candidate.Instance))
-      return Candidate;
+    const bool IsReachable =
+        Candidate.Instance == Instance || !Candidate.Address.empty();
+    if (IsReachable && !IsAvoided && !Tried.contains(Candidate.Instance))
+      return &Candidate;
   }
-  return std::nullopt;
-}
-
-bool pooled_budget::asksOthers(std::string_view Account) const {
-  return Own.isLimited(Account) && chooseHolder(Account, {}).has_value();
+  return nullptr;
 }
 
 reserve_result pooled_budget::reserve(const relay::call &Call) {
-  const auto Found = Waiting.find(Call.Number);
-  if (Found != Waiting.end())
-    return finishWait(Call.Number, Call);
+  if (Waiting.contains(Call.Number))
+    return continueWait(Call);
   if (Own.reserveHeld(Call.Account, Call.maxTokens()))
     return reserve_result::Reserved;
-  if (!asksOthers(Call.Account))
-    return reserveOwn(Call);
-  return beginWait(Call);
-}
-
-reserve_result pooled_budget::reserveOwn(const relay::call &Call) {
-  return Own.reserve(Call.Account, Call.maxTokens());
-}
-
-reserve_result pooled_budget::beginWait(const relay::call &Call) {
+  if (!Own.isLimited(Call.Account))
+    return Own.reserve(Call.Account, Call.maxTokens());
   waiting_call Wait;
   Wait.Account = Call.Account;
   Wait.Bound = Call.maxTokens();
   Wait.Since = Clock.monotonic();
-  Wait.RetryAt = Wait.Since;
-  Wait.Holder = *chooseHolder(Call.Account, {});
+  askNext(Wait);
   Waiting[Call.Number] = std::move(Wait);
-  Listener.onRequestQueued();
-  return reserve_result::Pending;
+  return continueWait(Call);
+}
+
+// Asks this instance. If it can't tell, the call goes on to the next one.
+reserve_result pooled_budget::askOwn(waiting_call &Wait) {
+  const reserve_result Result = Own.reserve(Wait.Account, Wait.Bound);
+  if (Result != reserve_result::Unavailable)
+    return Result;
+  askNext(Wait);
+  return Wait.State == wait_state::Queued ? reserve_result::Pending
+                                          : reserve_result::Unavailable;
 }
 
-reserve_result pooled_budget::finishWait(std::uint64_t Number,
-                                         const relay::call &Call) {
-  const waiting_call &Wait = Waiting.at(Number);
+reserve_result pooled_budget::continueWait(const relay::call &Call) {
+  waiting_call &Wait = Waiting.at(Call.Number);
+  reserve_result Result = reserve_result::Pending;
+  if (Wait.State == wait_state::Own)
+    Result = askOwn(Wait);
+  if (Wait.State == wait_state::Queued)
+    Listener.onRequestQueued();
   if (Wait.State == wait_state::Answered) {
-    const reserve_result Result = Wait.Result;
+    Result = Wait.Result;
     if (Result == reserve_result::Reserved)
-      Reservations[Number] = Wait.Holder.Instance;
-    Waiting.erase(Number);
-    return Result;
+      Reservations[Call.Number] = Wait.Holder.Instance;
   }
-  if (Wait.State != wait_state::Own)
-    return reserve_result::Pending;
-  const reserve_result Result = reserveOwn(Call);
   if (Result != reserve_result::Pending)
-    Waiting.erase(Number);
+    Waiting.erase(Call.Number);
   return Result;
 }
 
@@ -131,15 +122,21 @@
 // Responses
 //---------------------------------------------------------------------------
 
-void pooled_budget::askNextHolder(waiting_call &Call) {
-  Call.Tried.insert(Call.Holder.Instance);
-  const std::optional<grants::pool_member> Next =
-      chooseHolder(Call.Account, Call.Tried);
-  Call.State = Next ? wait_state::Queued : wait_state::Own;
-  Call.RetryAt = Clock.monotonic();
-  Call.RetryMs = FirstRetryMs;
-  if (Next)
-    Call.Holder = *Next;
+// The call is asked for at the next instance. If none is left it is refused.
+void pooled_budget::askNext(waiting_call &Wait) {
+  if (!Wait.Holder.Instance.empty())
+    Wait.Tried.insert(Wait.Holder.Instance);
+  const grants::pool_member *Next = nextCandidate(Wait.Account, Wait.Tried);
+  Wait.RetryAt = Clock.monotonic();
+  Wait.RetryMs = FirstRetryMs;
+  if (Next == nullptr) {
+    Wait.State = wait_state::Answered;
+    Wait.Result = reserve_result::Unavailable;
+    return;
+  }
+  Wait.Holder = *Next;
+  Wait.State =
+      Next->Instance == Instance ? wait_state::Own : wait_state::Queued;
 }
 
 void pooled_budget::onResult(std::uint64_t Number, reserve_result Result) {
@@ -164,7 +161,7 @@
     Wait.RetryMs = std::min(2 * Wait.RetryMs, MaxRetryMs);
     return;
   case reserve_result::Unavailable:
-    return askNextHolder(Wait);
+    return askNext(Wait);
   }
 }
 
@@ -189,7 +186,7 @@
     if (Wait.IsWithdrawn)
       Waiting.erase(Number);
     else
-      askNextHolder(Wait);
+      askNext(Wait);
   }
 }
 
--- a/tests/process/scenarios.py
+++ b/tests/process/scenarios.py
@@ -18,6 +18,7 @@
 import entry_scenarios
 import limit_scenarios
 import platform_scenarios
+import pool_scenarios
 import prompt_scenarios
 import request_scenarios
 import shutdown_scenarios
@@ -650,7 +651,7 @@
      + limit_scenarios.SCENARIOS + request_scenarios.SCENARIOS
      + drill_scenarios.SCENARIOS + configuration_scenarios.SCENARIOS
      + version_scenarios.SCENARIOS + statement_scenarios.SCENARIOS
-     + entry_scenarios.SCENARIOS)
+     + entry_scenarios.SCENARIOS + pool_scenarios.SCENARIOS)
 
 
 def read_known_red():
--- a/tests/unit/pools_test.cpp
+++ b/tests/unit/pools_test.cpp
@@ -359,6 +359,34 @@
   CHECK(Caller.Own.Used == 10);
 }
 
+// The pattern: the store is away, one zone has spent its tokens, and others
+// still hold some.
+TEST_CASE("while the store is away, tokens of other holders are used",
+          "[pools]") {
+  caller_fixture Caller;
+  Caller.Directory.Candidates = {memberOf("own"), memberOf("far-1"),
+                                 memberOf("far-2")};
+  Caller.Own.WhenShort = reserve_result::Unavailable;
+  fake_tokens Spent(0);
+  Spent.WhenShort = reserve_result::Unavailable;
+  fake_tokens Left(1'000);
+  pool_server First(Spent);
+  pool_server Second(Left);
+  const relay::call Call = callOf(1, 600);
+  CHECK(Caller.Budget.reserve(Call) == reserve_result::Pending);
+  Caller.sendDue();
+  Caller.deliver(First);
+  SECTION("the second one has some") {
+    Caller.deliver(Second);
+    CHECK(Caller.Budget.reserve(Call) == reserve_result::Reserved);
+  }
+  SECTION("none has any") {
+    Caller.deliver(First);
+    CHECK(Caller.Budget.reserve(Call) == reserve_result::Unavailable);
+    CHECK(Caller.Budget.waitingCount() == 0);
+  }
+}
+
 TEST_CASE("a kept connection that has ended costs no holder", "[pools]") {
   caller_fixture Caller;
   fake_tokens Tokens(1'000);
@@ -586,11 +614,9 @@
       CHECK(Layout.holderCount() == 3);
       if (Layout.isHolder(Account))
         Holders.insert(Member.Instance);
-      if (Member.Zone == "a")
-        CHECK(Layout.candidatesFor(Account).size() ==
-              pool_layout::MaxCandidates);
-      else
-        CHECK(Layout.candidatesFor(Account).empty());
+      CHECK(Layout.isZoneShared() == (Member.Zone == "a"));
+      CHECK(std::ranges::count(Layout.candidatesFor(Account), Member.Instance,
+                               &pool_member::Instance) == 1);
     }
     CHECK(Holders.size() == 3);
     CHECK(Holders.contains("b-0"));
