Wait with a new process for a configuration that the others have in force

After the store has come back from a copy, an instance that starts reads an older configuration than the one the others serve by, until operators have written it again: it served dropped routes and refused new keys with 401. Change: a record of grants, which every instance writes again in a new era, names the version in force. A process that has not been ready yet stays unready for 10 s at most while others know a newer one, and 401 and 404 become 503 meanwhile. The stand-in of the store can let operators write late. Result: a_router_that_starts_after_a_drill_waits_for_the_newest_configuration is ready and refuses with 401 before, passes now.

--- a/packages/daemon/src/router.cpp
+++ b/packages/daemon/src/router.cpp
@@ -22,6 +22,8 @@
 // An older configuration may lack routes that callers have been told of. Longer
 // than a long poll, less than the time until a version must be in force.
 constexpr int MaxConfigurationAgeMs = 1'500;
+// Longest wait of a new process for a configuration that others have in force.
+constexpr int MaxConfigurationWaitMs = 10'000;
 // Of calls for peers. A peer that has waited longer asks another instance.
 constexpr int MaxQueuedPeerCallMs = 400;
 
@@ -248,7 +250,7 @@
                       Respond(metricsResponse());
                     }),
       SignalSet(Context, SIGTERM, SIGINT, SIGHUP), TickTimer(Context),
-      PoolTimer(Context) {
+      PoolTimer(Context), StartedAt(Clock.monotonic()) {
   WatermarkWriter.Name = Settings.Instance;
   GrantWriter.Name = Settings.Instance;
 }
@@ -354,7 +356,26 @@
 bool router::isConfigurationCurrent() const {
   const time_ms AgeMs = ageOf(ConfigurationFollower);
   return AgeMs >= 0 && AgeMs <= MaxConfigurationAgeMs &&
-         !IsNewestVersionUnreadable;
+         !IsNewestVersionUnreadable && !isBehindOthers();
+}
+
+bool router::isBehindOthers() const {
+  return RouteTable &&
+         Grants.holders().newestConfigurationVersion() > RouteTable->Version;
+}
+
+// An instance that starts after the store has come back from a copy may find an
+// older configuration than the one in force elsewhere. Operators write the
+// newest one again; until then the others serve.
+bool router::isReady() {
+  if (!RouteTable || IsStopping)
+    return false;
+  const bool MayWait =
+      !WasReady && Clock.monotonic() - StartedAt < MaxConfigurationWaitMs;
+  if (MayWait && isBehindOthers())
+    return false;
+  WasReady = true;
+  return true;
 }
 
 //---------------------------------------------------------------------------
--- a/packages/daemon/src/router.hpp
+++ b/packages/daemon/src/router.hpp
@@ -157,8 +157,10 @@
   // The earliest time at which a signal that is handled now can have come.
   time_ms earliestSignalTime(time_ms Now) const;
   void continueStop();
-  bool isReady() const { return RouteTable && !IsStopping; }
-  edge::response_message readinessResponse() const;
+  // Other instances have a newer configuration in force than this one.
+  bool isBehindOthers() const;
+  bool isReady();
+  edge::response_message readinessResponse();
   edge::response_message metricsResponse();
 
   // The forced stop comes this long before the end of the grace period.
@@ -236,6 +238,8 @@
   time_ms WatermarkWriteFailedAt = -1;
   bool IsGrantWriteInProgress = false;
   time_ms NextGrantWriteAt = 0; // Monotonic.
+  time_ms StartedAt;            // Monotonic.
+  bool WasReady = false;        // At least once.
   bool IsStopping = false;
   bool IsAccepting = true;     // New connections of callers.
   bool HasGivenUp = false;     // The forced stop has ended all calls.
--- a/packages/daemon/src/router_reports.cpp
+++ b/packages/daemon/src/router_reports.cpp
@@ -334,7 +334,7 @@
              {"until_cut_ms", CutAt - Clock.monotonic()}});
 }
 
-edge::response_message router::readinessResponse() const {
+edge::response_message router::readinessResponse() {
   return edge::response_message(isReady()
                                     ? edge::http::status::ok
                                     : edge::http::status::service_unavailable,
--- a/stand_ins/keyed_store.cpp
+++ b/stand_ins/keyed_store.cpp
@@ -9,7 +9,8 @@
 //                        of all topics, but not the newest ones of their keys;
 //                        kb_per_s=N sends responses at this rate on each
 //                        connection, 0 at full speed; copy=1 keeps a copy of
-//                        all topics; restore=1 goes back to the copy;
+//                        all topics; restore=1 goes back to the copy, with
+//                        operators_late=1 operators write nothing again yet;
 //                        servers_down=1 refuses all calls for keyed.servers as
 //                        mode down does, 0 serves them again
 //   GET  /stats          number of calls, next offset of each topic
@@ -184,16 +185,17 @@
     if (queryNumber(Uri, "copy", 0) == 1)
       Copy = Topics;
     if (queryNumber(Uri, "restore", 0) == 1)
-      restoreCopy();
+      restoreCopy(queryNumber(Uri, "operators_late", 0) == 1);
     sendText(Response, 200, "{}");
   }
 
-  void restoreCopy() {
+  void restoreCopy(bool AreOperatorsLate) {
     const std::map<std::string, topic> Lost = std::exchange(Topics, Copy);
     ++Era;
     for (const char *Name : {"keyed.op", "keyed.servers"}) {
       const auto Known = Lost.find(Name);
-      if (Known == Lost.end())
+      const bool IsLate = AreOperatorsLate && Name == std::string("keyed.op");
+      if (Known == Lost.end() || IsLate)
         continue;
       for (const auto &[Key, Newest] : Known->second.Snapshot)
         if (Topics[Name].Snapshot[Key].second != Newest.second)
--- a/tests/process/drill_scenarios.py
+++ b/tests/process/drill_scenarios.py
@@ -146,6 +146,38 @@
                 assert answer.status == 200, (router, number, answer.status)
 
 
+def a_router_that_starts_after_a_drill_waits_for_the_newest_configuration():
+    """The copy lacks a version that the other routers have in force.
+
+    Guards against a new process that serves by an older configuration, and
+    refuses keys and routes for good that the others know, until operators have
+    written the newest one again.
+    """
+    with PlatformFleet() as fleet:
+        copy(fleet)
+        keys = ("key-ring", "key-late")
+        fleet.publish(keys=keys)
+        wait_until(lambda: all(
+            fleet.call(router, "/lookup/x", f"k-{router}",
+                       Key="key-late").status == 200
+            for router in fleet.routers), "the newest version")
+        fleet.processes["router-1"].kill()
+        fleet.processes["router-1"].wait()
+        fleet.control(fleet.store, restore=1, operators_late=1)
+        time.sleep(ERA_KNOWN_S)
+        fleet.start_router("router-1")
+        wait_until(lambda: fleet.metrics_or_none("router-1"), "the process")
+        time.sleep(1.5)
+        assert not fleet.responds(fleet.ready_url("router-1"))
+        early = fleet.call("router-1", "/lookup/x", "early", Key="key-late")
+        assert early.status == 503, early.status
+        fleet.version -= 3  # Written again, as it was.
+        fleet.publish(keys=keys)
+        fleet.wait_ready("router-1")
+        late = fleet.call("router-1", "/lookup/x", "late", Key="key-late")
+        assert late.status == 200, late.status
+
+
 def a_drill_is_logged_and_counted():
     """Guards against a drill that on-call engineers can't see."""
     with PlatformFleet(cut_off=1) as fleet:
@@ -200,5 +232,6 @@
     a_budget_holds_while_its_holder_is_paused_in_a_drill,
     a_budget_holds_when_its_holder_restarts_in_a_drill,
     a_configuration_after_a_drill_is_in_force,
+    a_router_that_starts_after_a_drill_waits_for_the_newest_configuration,
     a_drill_is_logged_and_counted,
 ]
--- a/tests/process/platform_fleet.py
+++ b/tests/process/platform_fleet.py
@@ -151,6 +151,13 @@
                 if not line.startswith("#")]
         return {row[0]: float(row[1]) for row in rows}
 
+    def metrics_or_none(self, name):
+        """Returns the metrics of a router that may not listen yet."""
+        try:
+            return self.metrics(name)
+        except OSError:
+            return None
+
     def endpoint_count(self, name):
         return self.metrics(name).get("tamarack_endpoints", 0)
 
