Model the reservations of tokens at another instance; post one send an event

Cause: the protocol of packages/pools had random schedules but no exhaustive check; and each waiting call posted a send of its own. Change: models/pool.pml with five broken variants, in models/check.sh; one posted send for all calls of an event.

--- a/models/check.sh
+++ b/models/check.sh
@@ -57,6 +57,12 @@
 check drill rejected -DREPLACE
 check drill rejected -DUNREAD_RAISE
 check drill rejected -DTWO_DEAD
+check pool accepted
+check pool rejected -DRUNS_LATE_ANSWER
+check pool rejected -DFREES_AT_RESTART
+check pool rejected -DSETTLES_TWICE
+check pool rejected -DHOLDER_FORGETS
+check pool rejected -DCOUNTS_AFTER_ANSWER
 check single_execution accepted
 check single_execution rejected -DCLAIM_NOT_READ_BACK
 check single_execution rejected -DNOT_RUN_AFTER_LOST_RESPONSE
--- a/packages/daemon/src/router.hpp
+++ b/packages/daemon/src/router.hpp
@@ -221,6 +221,7 @@
   edge::net::signal_set SignalSet;
   edge::net::steady_timer TickTimer;
   edge::net::steady_timer PoolTimer;
+  bool IsPoolSendPosted = false;
   std::uint64_t LoggedPools = 0; // Version of the members, see logPools.
   time_ms TickDueAt = -1;        // Monotonic, -1 before the first tick.
   // Of the last tick, monotonic: when it was due and when it ran.
--- a/packages/daemon/src/router_grants.cpp
+++ b/packages/daemon/src/router_grants.cpp
@@ -52,6 +52,9 @@
 
 // Requests of one event share a message.
 void router::onRequestQueued() {
+  if (IsPoolSendPosted)
+    return;
+  IsPoolSendPosted = true;
   edge::net::post(Context, [this] { sendReservations(); });
 }
 
@@ -66,6 +69,7 @@
 }
 
 void router::sendReservations() {
+  IsPoolSendPosted = false;
   Budget.sendDue(Clock.monotonic());
   if (Budget.waitingCount() > 0)
     schedulePoolTimer();
