Reserve no held tokens beyond a budget that was lowered

Cause: found by reading the change: reserveHeld, which since is asked first, compared with the ceiling only. After operators lower a budget, an instance could spend up to its ceiling until the return of the excess was stored. Change: the check against the budget stands in one function that both ways ask.

--- a/packages/grants/include/tamarack/grants.hpp
+++ b/packages/grants/include/tamarack/grants.hpp
@@ -513,6 +513,8 @@
   const account_line *publishedLine(std::string_view Name) const;
   std::int64_t prepaidOf(std::string_view Account) const;
   bool isUnlimited(std::string_view Account) const;
+  bool exceedsBudget(std::string_view Account, const local_account &Local,
+                     std::int64_t Bound) const;
   bool isOverGranted(std::string_view Name, const local_account &Local) const;
   std::int64_t ceilingToRequest(std::string_view Name,
                                 const local_account &Local,
--- a/packages/grants/src/grant_holder.cpp
+++ b/packages/grants/src/grant_holder.cpp
@@ -330,8 +330,7 @@
   Local.AverageBound += (static_cast<double>(Bound) - Local.AverageBound) *
                         (Local.AverageBound == 0 ? 1 : BoundSmoothing);
   const std::int64_t Committed = committedTokens(Local);
-  if (Committed + Bound + Holders.totalsOfOthers(Account).Used >
-      prepaidOf(Account))
+  if (exceedsBudget(Account, Local, Bound))
     return relay::reserve_result::Exhausted;
   if (reserveHeld(Account, Bound))
     return relay::reserve_result::Reserved;
@@ -355,6 +354,15 @@
   return relay::reserve_result::Pending;
 }
 
+// True if the budget can't cover Bound more tokens, whatever is granted. A
+// budget that was lowered may be below the ceilings.
+bool grant_holder::exceedsBudget(std::string_view Account,
+                                 const local_account &Local,
+                                 std::int64_t Bound) const {
+  return committedTokens(Local) + Bound + Holders.totalsOfOthers(Account).Used >
+         prepaidOf(Account);
+}
+
 bool grant_holder::reserveHeld(std::string_view Account, std::int64_t Bound) {
   if (isUnlimited(Account))
     return true;
@@ -362,7 +370,8 @@
   if (Found == Accounts.end() || !IsPreviousSpendingKnown)
     return false;
   local_account &Local = Found->second;
-  if (committedTokens(Local) + Bound > spendingLimit(Account, Local))
+  if (exceedsBudget(Account, Local, Bound) ||
+      committedTokens(Local) + Bound > spendingLimit(Account, Local))
     return false;
   Local.Reserved += Bound;
   if (Bound >= Local.MaxWaitingBound)
--- a/tests/unit/grants_test.cpp
+++ b/tests/unit/grants_test.cpp
@@ -343,6 +343,7 @@
   Machine.start(1, "boot", tableOf(Budget));
   writeGrants(Machine);
   Machine.Holder->setBudgets(tableOf(50));
+  CHECK_FALSE(Machine.Holder->reserveHeld("a", 51));
   CHECK(Machine.Holder->reserve("a", 51) == relay::reserve_result::Exhausted);
   writeGrants(Machine);
   CHECK(Machine.Holder->statusOf("a").Ceiling <= 50);
