Say what the numbers of reservations guarantee, and what they don't

Cause: reading as a newcomer: the header claimed that no late message changes anything, but responses between instances carry no number. Change: a comment. Result: nothing to measure; it builds and the tests of pools pass.

--- a/packages/pools/include/tamarack/pools.hpp
+++ b/packages/pools/include/tamarack/pools.hpp
@@ -17,8 +17,10 @@
 // holder, on clocks, or on messages that arrive: two holders of one account
 // only split it, a holder that was paused spends from its own ceiling, and what
 // is lost with a message or with an instance stays counted as spent.
-// Reservations have numbers that an incarnation never uses twice, so a message
-// that arrives late or twice changes nothing.
+// Reservations have numbers that an incarnation never uses twice, so a request
+// that arrives late or twice frees nothing; at most it strands tokens. Responses
+// carry no number: they are matched by their connection, on which the holder
+// answers each message once.
 //
 // Nothing here does I/O or is thread-safe; times are monotonic ms.
 #pragma once
