--- a/packages/pools/include/tamarack/pools.hpp
+++ b/packages/pools/include/tamarack/pools.hpp
@@ -18,9 +18,9 @@
 // only split it, a holder that was paused spends from its own ceiling, and what
 // is lost with a message or with an instance stays counted as spent.
 // Reservations have numbers that an incarnation never uses twice, so a request
-// that arrives late or twice frees nothing; at most it strands tokens. Responses
-// carry no number: they are matched by their connection, on which the holder
-// answers each message once.
+// that arrives late or twice frees nothing; at most it strands tokens.
+// Responses carry no number: they are matched by their connection, on which the
+// holder answers each message once.
 //
 // Nothing here does I/O or is thread-safe; times are monotonic ms.
 #pragma once
