--- a/review/lib/fleet.py
+++ b/review/lib/fleet.py
@@ -590,6 +590,9 @@
     """Exits with 1 if the rule was broken, 0 if it held, 2 if not playable."""
     record = Record(script)
     record("TROUBLE=%d" % trouble())
+    # Either way the routers are ended before this process ends.
+    signal.signal(signal.SIGALRM, give_up)
+    signal.signal(signal.SIGTERM, give_up)
     signal.alarm(115)
     try:
         broken = play(record)
@@ -602,6 +605,10 @@
     leave(1 if broken else 0)
 
 
+def give_up(number, _):
+    raise RuntimeError(f"ended by signal {number}")
+
+
 def leave(status):
     """Ends without waiting for the calls that the stand-ins still hold."""
     sys.stdout.flush()
