--- a/packages/daemon/src/router_reports.cpp
+++ b/packages/daemon/src/router_reports.cpp
@@ -51,6 +51,16 @@
     Metrics.counterOf("tamarack_store_calls_unanswered_total" + Label).add();
   Metrics.histogramOf("tamarack_store_queue_ms").observe(Timing.QueuedMs);
   Metrics.histogramOf("tamarack_store_call_ms").observe(Timing.ActiveMs);
+  if (Report.After) {
+    Metrics.counterOf("tamarack_snapshot_further_pages_total" + Label).add();
+    Log.write("snapshot_page",
+              {{"calls_for", Report.CallsFor},
+               {"topic", nameOf(Report.Topic)},
+               {"after", Report.After->substr(0, MaxLoggedTextBytes)},
+               {"status", std::int64_t(Report.HttpStatus)},
+               {"ms", std::int64_t(Timing.ActiveMs)},
+               {"bytes", static_cast<std::int64_t>(Report.Bytes)}});
+  }
   if (Timing.QueuedMs + Timing.ActiveMs < LoggedStoreCallMs &&
       Timing.Attempts < 2 && Report.HttpStatus != 0)
     return;
