--- a/packages/daemon/src/router.cpp
+++ b/packages/daemon/src/router.cpp
@@ -31,8 +31,11 @@
 // whether only the newest version of a key matters.
 constexpr follow::follower_settings ConfigurationReads{
     0, ConfigurationLongPollMs, 250, true};
-constexpr follow::follower_settings EndpointReads{600, 0, 150};
 constexpr follow::follower_settings GrantReads{1'000, 0, 250};
+// Endpoints repeat their entries: those that a snapshot lacks are in the list
+// moments later.
+constexpr follow::follower_settings EndpointReads{
+    .PollIntervalMs = 600, .RetryDelayMs = 150, .AcceptStuckSnapshot = true};
 
 } // namespace
 
@@ -62,6 +65,9 @@
                         {"error", std::string_view(Error.what())}});
     }
   }
+  void onSnapshotRead(const follow::snapshot_end &End) override {
+    Router.recordSnapshot(store_topic::Configuration, End);
+  }
   void onCaughtUp(std::uint64_t) override {}
   void onStoreResponse() override {
     Router.recordConfigurationRead();
@@ -110,6 +116,10 @@
   void onSnapshotEnd() override {
     Router.Directory.endSnapshot(Router.Clock.monotonic());
   }
+  void onSnapshotAbort() override { Router.Directory.abortSnapshot(); }
+  void onSnapshotRead(const follow::snapshot_end &End) override {
+    Router.recordSnapshot(store_topic::Endpoints, End);
+  }
   void onCaughtUp(std::uint64_t) override {
     Router.Directory.onCaughtUp();
     if (!Router.Directory.isReregistering(Router.Clock.monotonic()))
@@ -145,6 +155,10 @@
   }
   void onSnapshotBegin() override { IsInSnapshot = true; }
   void onSnapshotEnd() override { IsInSnapshot = false; }
+  void onSnapshotAbort() override { IsInSnapshot = false; }
+  void onSnapshotRead(const follow::snapshot_end &End) override {
+    Router.recordSnapshot(store_topic::Grants, End);
+  }
   void onStoreUnavailable() override {
     Router.Grants.onStoreUnavailable();
     Router.Limiter.onReportsUnreadable();
--- a/packages/daemon/src/router.hpp
+++ b/packages/daemon/src/router.hpp
@@ -117,6 +117,7 @@
 
   // streams::origin_listener
   void onOriginsRead() override;
+  void onSnapshotRead(const follow::snapshot_end &End) override;
   void onUnreadableRecord(std::string_view Key) override;
 
   void logBudgetRefusal(const relay::call &Call);
@@ -137,6 +138,7 @@
   // How old what is known of a topic may be, -1 if nothing is.
   time_ms ageOf(const follow::topic_follower &Follower) const;
   void recordConfigurationRead();
+  void recordSnapshot(store_topic Topic, const follow::snapshot_end &End);
   void setTopicAge(std::string_view Topic,
                    const follow::topic_follower &Follower);
   void writeGrants();
@@ -146,6 +148,8 @@
   void writeLostRecords(time_ms Now);
   void fenceWatermarkWriter();
   void readPreviousWatermark(bool IsFenced);
+  void onWatermarkRecords(const keyed_page &Page);
+  void onWatermarksRead(const follow::snapshot_end &End, bool IsFenced);
   void recordIncarnationStart(std::optional<grants::watermark_record> Previous);
   std::string incarnationStartKey() const;
   void writeWatermark();
@@ -233,6 +237,10 @@
   store_writer WatermarkWriter;    // Writes under Settings.Instance.
   store_writer GrantWriter;        // Writes under Settings.Instance.
   bool IsWatermarkRecoveryInProgress = false; // A store call is in flight.
+  // What the read in progress has found of the previous incarnation: its last
+  // watermark, and the highest epoch.
+  std::optional<grants::watermark_record> PreviousWatermark;
+  std::uint64_t PreviousEpoch = 0;
   bool IsPreviousWatermarkKnown = false;
   // Monotonic time of a failed write, else -1. The next watermark is written
   // only after the store has answered a later read of the grants.
--- a/packages/daemon/src/router_grants.cpp
+++ b/packages/daemon/src/router_grants.cpp
@@ -83,30 +83,40 @@
   if (IsWatermarkRecoveryInProgress)
     return;
   IsWatermarkRecoveryInProgress = true;
-  Store.readSnapshot(
-      store_topic::Watermarks, [this, IsFenced](const keyed_page &Page) {
-        IsWatermarkRecoveryInProgress = false;
-        if (Page.Status != store_status::Ok)
-          return;
-        std::optional<grants::watermark_record> Previous;
-        std::uint64_t Epoch = WatermarkWriter.Epoch;
-        for (const keyed_record &Record : Page.Records) {
-          const bool IsWatermark = Record.Key == Settings.Instance;
-          if (!IsWatermark && Record.Key != incarnationStartKey())
-            continue;
-          const std::optional<grants::watermark_record> Decoded =
-              grants::decodeWatermark(Record.Value);
-          Epoch = std::max(Epoch, Decoded ? Decoded->Epoch : 0);
-          if (IsWatermark)
-            Previous = Decoded;
-        }
-        if (IsFenced)
-          return recordIncarnationStart(std::move(Previous));
-        WatermarkWriter.Epoch = Epoch + EpochStep;
-        fenceWatermarkWriter();
+  PreviousWatermark.reset();
+  PreviousEpoch = WatermarkWriter.Epoch;
+  follow::readSnapshot(
+      Store, store_topic::Watermarks,
+      [this](const keyed_page &Page) { onWatermarkRecords(Page); },
+      [this, IsFenced](const follow::snapshot_end &End) {
+        onWatermarksRead(End, IsFenced);
       });
 }
 
+void router::onWatermarkRecords(const keyed_page &Page) {
+  for (const keyed_record &Record : Page.Records) {
+    const bool IsWatermark = Record.Key == Settings.Instance;
+    if (!IsWatermark && Record.Key != incarnationStartKey())
+      continue;
+    std::optional<grants::watermark_record> Decoded =
+        grants::decodeWatermark(Record.Value);
+    PreviousEpoch = std::max(PreviousEpoch, Decoded ? Decoded->Epoch : 0);
+    if (IsWatermark)
+      PreviousWatermark = std::move(Decoded);
+  }
+}
+
+void router::onWatermarksRead(const follow::snapshot_end &End, bool IsFenced) {
+  IsWatermarkRecoveryInProgress = false;
+  recordSnapshot(store_topic::Watermarks, End);
+  if (End.Status != store_status::Ok)
+    return;
+  if (IsFenced)
+    return recordIncarnationStart(std::exchange(PreviousWatermark, {}));
+  WatermarkWriter.Epoch = PreviousEpoch + EpochStep;
+  fenceWatermarkWriter();
+}
+
 void router::fenceWatermarkWriter() {
   IsWatermarkRecoveryInProgress = true;
   Store.fence(store_topic::Watermarks, WatermarkWriter,
--- a/packages/daemon/src/router_reports.cpp
+++ b/packages/daemon/src/router_reports.cpp
@@ -75,6 +75,27 @@
              {"bytes", static_cast<std::int64_t>(Report.Bytes)}});
 }
 
+// Logs what is not the rule: a snapshot of one page that was read to its end.
+void router::recordSnapshot(store_topic Topic,
+                            const follow::snapshot_end &End) {
+  const bool IsComplete = End.Status == store_status::Ok;
+  if (End.IsStuck)
+    Metrics.counterOf("tamarack_snapshots_stuck_total" + topicLabel(Topic))
+        .add();
+  if (IsComplete && End.Pages <= 1)
+    return;
+  Log.write("snapshot", {{"topic", nameOf(Topic)},
+                         {"outcome", End.IsStuck  ? "stuck"
+                                     : IsComplete ? "complete"
+                                                  : "failed"},
+                         {"pages", std::int64_t(End.Pages)},
+                         {"records", static_cast<std::int64_t>(End.Records)}});
+}
+
+void router::onSnapshotRead(const follow::snapshot_end &End) {
+  recordSnapshot(store_topic::Streams, End);
+}
+
 void router::onPeerCallServed(const peers::served_call &Call) {
   Metrics.counterOf("tamarack_peer_calls_served_total" + topicLabel(Call.Topic))
       .add();
--- a/packages/follow/include/tamarack/follow.hpp
+++ b/packages/follow/include/tamarack/follow.hpp
@@ -1,6 +1,7 @@
 // An instance's up-to-date view of the platform's keyed topics.
 //
 // Contents:
+//   snapshots      snapshot_end, readSnapshot
 //   one topic      topic_listener, follower_settings, topic_follower
 //   the endpoints  endpoint_directory
 //   own records    report_writer
@@ -12,6 +13,7 @@
 #include "tamarack/ports.hpp"
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -20,6 +22,33 @@
 
 namespace tamarack::follow {
 
+//---------------------------------------------------------------------------
+// Snapshots
+//---------------------------------------------------------------------------
+
+// How the read of a snapshot ended.
+struct snapshot_end {
+  store_status Status = store_status::Unavailable; // Ok: all pages arrived.
+  std::uint64_t Era = 0; // Of all pages, see store_era.
+  // A read from here on returns all records that the snapshot may lack.
+  std::uint64_t NextOffset = 0;
+  int StaleMs = 0; // Of the oldest page, see keyed_page.
+  int Pages = 0;
+  std::uint64_t Records = 0;
+  // The store repeats a page instead of sending the next one. Status is then
+  // Refused: the keys that follow are out of reach.
+  bool IsStuck = false;
+};
+
+using snapshot_end_handler = std::function<void(const snapshot_end &)>;
+
+// Reads a snapshot of Topic page by page. Only one page is in memory at a time:
+// other writers may have left more than this process can hold. OnPage gets each
+// page that arrives; OnEnd is called once, after the last one. Store must
+// outlive the read.
+void readSnapshot(keyed_store &Store, store_topic Topic, page_handler OnPage,
+                  snapshot_end_handler OnEnd);
+
 //---------------------------------------------------------------------------
 // One topic
 //---------------------------------------------------------------------------
@@ -33,6 +62,11 @@
   // snapshot does not exist.
   virtual void onSnapshotBegin() {}
   virtual void onSnapshotEnd() {}
+  // Instead of onSnapshotEnd: a later page could not be read, so nothing is
+  // known of the keys that are missing.
+  virtual void onSnapshotAbort() {}
+  // After onSnapshotEnd or onSnapshotAbort.
+  virtual void onSnapshotRead(const snapshot_end &) {}
   // The listener has got all records before offset NextOffset.
   virtual void onCaughtUp(std::uint64_t NextOffset) = 0;
   virtual void onStoreResponse() {}    // Before the records of each read.
@@ -47,6 +81,9 @@
   // only snapshots while records arrive in a burst or after an outage.
   bool SkipSuperseded = false;
   int BurstReadIntervalMs = 700; // Between snapshots during a burst.
+  // Goes on without the keys that a store which is stuck does not send. Only
+  // for topics whose live writers repeat their records.
+  bool AcceptStuckSnapshot = false;
 };
 
 // Follows a topic: reads a snapshot once, then the records appended after it.
@@ -71,9 +108,14 @@
   int lastReadMs() const { return LastReadMs; } // Duration, with a long poll.
 
 private:
-  void onPage(bool IsSnapshot, const keyed_page &Page);
+  void startSnapshot();
+  void onSnapshotPage(const keyed_page &Page);
+  void onSnapshotEnd(const snapshot_end &End);
+  void onPage(const keyed_page &Page);
+  void onReadFailed(time_ms Now);
+  void recordResponse(time_ms Now);
   void deliverRecords(const keyed_page &Page);
-  void restart(time_ms Now); // From a snapshot.
+  void restart(time_ms NextReadTime); // From a snapshot.
   bool detectBurst(const keyed_page &Page, time_ms Now);
 
   store_topic Topic;
@@ -81,8 +123,9 @@
   const clock &Clock;
   topic_listener &Listener;
   follower_settings Settings;
-  bool HasSnapshot = false; // False: the next read is a snapshot.
-  std::uint64_t Era = 0;    // Of the store, at the snapshot.
+  bool HasSnapshot = false;  // False: the next read is a snapshot.
+  bool IsInSnapshot = false; // At least one page of a snapshot has arrived.
+  std::uint64_t Era = 0;     // Of the store, at the snapshot.
   bool CaughtUp = false;
   bool ReadInProgress = false;
   bool StoreUnavailable = false;
@@ -139,9 +182,11 @@
   void onEraChanged(time_ms Now);
   // All records up to now were passed on.
   void onCaughtUp();
-  // Called before and after the entries of a snapshot.
+  // Called before and after the entries of a snapshot; abortSnapshot if the
+  // rest of it could not be read.
   void beginSnapshot();
   void endSnapshot(time_ms Now);
+  void abortSnapshot() { IsReadingSnapshot = false; }
 
   // Removes entries that are overdue. True if the list has changed since the
   // last call of update.
--- a/packages/follow/src/topic_follower.cpp
+++ b/packages/follow/src/topic_follower.cpp
@@ -2,6 +2,7 @@
 #include "tamarack/follow.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace tamarack::follow {
 
@@ -18,74 +19,101 @@
     return NextReadAt;
   ReadInProgress = true;
   ReadStartedAt = Clock.sinceBoot();
-  const bool IsSnapshot = !HasSnapshot;
-  page_handler Handler = [this, IsSnapshot](const keyed_page &Page) {
-    onPage(IsSnapshot, Page);
-  };
-  if (IsSnapshot)
-    Store.readSnapshot(Topic, std::move(Handler));
-  else
+  if (HasSnapshot)
     Store.read(Topic, NextOffset,
                StoreUnavailable || !CaughtUp ? 0 : Settings.LongPollMs,
-               std::move(Handler));
+               [this](const keyed_page &Page) { onPage(Page); });
+  else
+    startSnapshot();
   return Now + Settings.RetryDelayMs;
 }
 
-void topic_follower::onPage(bool IsSnapshot, const keyed_page &Page) {
+void topic_follower::startSnapshot() {
+  readSnapshot(
+      Store, Topic, [this](const keyed_page &Page) { onSnapshotPage(Page); },
+      [this](const snapshot_end &End) { onSnapshotEnd(End); });
+}
+
+void topic_follower::onSnapshotPage(const keyed_page &Page) {
+  if (Page.Era != Era)
+    NextOffset = 0;
+  Era = Page.Era;
+  recordResponse(Clock.monotonic());
+  if (!IsInSnapshot)
+    Listener.onSnapshotBegin();
+  IsInSnapshot = true;
+  deliverRecords(Page);
+}
+
+void topic_follower::onSnapshotEnd(const snapshot_end &End) {
+  const time_ms Now = Clock.monotonic();
+  ReadInProgress = false;
+  const bool IsComplete = End.Status == store_status::Ok ||
+                          (End.IsStuck && Settings.AcceptStuckSnapshot);
+  const bool HasBegun = std::exchange(IsInSnapshot, false);
+  if (HasBegun && !IsComplete)
+    Listener.onSnapshotAbort();
+  if (!IsComplete) {
+    Listener.onSnapshotRead(End);
+    return onReadFailed(Now);
+  }
+  HasSnapshot = true;
+  // Records that were appended during the read may be missing.
+  NextOffset = std::max(NextOffset, End.NextOffset);
+  CaughtUp = false;
+  Listener.onSnapshotEnd();
+  Listener.onSnapshotRead(End);
+  KnownAsOf = std::max(KnownAsOf, ReadStartedAt - End.StaleMs);
+  NextReadAt = Now;
+}
+
+void topic_follower::onPage(const keyed_page &Page) {
   const time_ms Now = Clock.monotonic();
   ReadInProgress = false;
   if (Page.Status == store_status::Trimmed)
     return restart(Now);
-  if (Page.Status != store_status::Ok) {
-    StoreUnavailable = true;
-    if (Settings.SkipSuperseded) {
-      HasSnapshot = false;
-      CaughtUp = false;
-    }
-    NextReadAt = Now + Settings.RetryDelayMs;
-    Listener.onStoreUnavailable();
-    return;
-  }
-  if (!IsSnapshot && Page.Era != Era)
+  if (Page.Status != store_status::Ok)
+    return onReadFailed(Now);
+  if (Page.Era != Era)
     return restart(Now);
-  if (IsSnapshot && Page.Era != Era)
-    NextOffset = 0;
-  Era = Page.Era;
-  StoreUnavailable = false;
-  LastResponseAt = Now;
-  LastReadMs = static_cast<int>(Clock.sinceBoot() - ReadStartedAt);
-  Listener.onStoreResponse();
-  if (IsSnapshot)
-    Listener.onSnapshotBegin();
+  recordResponse(Now);
   deliverRecords(Page);
-  HasSnapshot = true;
-  NextOffset = IsSnapshot || Page.Records.empty()
-                   ? std::max(NextOffset, Page.NextOffset)
-                   : Page.Records.back().Offset + 1;
-  if (IsSnapshot)
-    Listener.onSnapshotEnd();
-  // Records that were appended during the read of a snapshot may be missing
-  // from it. A read from the snapshot's NextOffset on returns these records.
-  const bool More = IsSnapshot || NextOffset < Page.NextOffset;
+  NextOffset = Page.Records.empty() ? std::max(NextOffset, Page.NextOffset)
+                                    : Page.Records.back().Offset + 1;
+  const bool More = NextOffset < Page.NextOffset;
   CaughtUp = !More;
-  if (IsSnapshot || CaughtUp)
+  if (CaughtUp) {
     KnownAsOf =
         std::max(KnownAsOf, ReadStartedAt - Page.StaleMs + Page.WaitedMs);
-  if (CaughtUp)
     Listener.onCaughtUp(Page.NextOffset);
+  }
   NextReadAt =
       More || Settings.LongPollMs > 0 ? Now : Now + Settings.PollIntervalMs;
-  if (!IsSnapshot && Settings.SkipSuperseded && detectBurst(Page, Now)) {
+  if (Settings.SkipSuperseded && detectBurst(Page, Now))
+    restart(Now + Settings.BurstReadIntervalMs);
+}
+
+void topic_follower::onReadFailed(time_ms Now) {
+  StoreUnavailable = true;
+  if (Settings.SkipSuperseded) {
     HasSnapshot = false;
     CaughtUp = false;
-    NextReadAt = Now + Settings.BurstReadIntervalMs;
   }
+  NextReadAt = Now + Settings.RetryDelayMs;
+  Listener.onStoreUnavailable();
 }
 
-void topic_follower::restart(time_ms Now) {
+void topic_follower::recordResponse(time_ms Now) {
+  StoreUnavailable = false;
+  LastResponseAt = Now;
+  LastReadMs = static_cast<int>(Clock.sinceBoot() - ReadStartedAt);
+  Listener.onStoreResponse();
+}
+
+void topic_follower::restart(time_ms NextReadTime) {
   HasSnapshot = false;
   CaughtUp = false;
-  NextReadAt = Now;
+  NextReadAt = NextReadTime;
 }
 
 void topic_follower::deliverRecords(const keyed_page &Page) {
--- a/packages/peers/include/tamarack/peers.hpp
+++ b/packages/peers/include/tamarack/peers.hpp
@@ -16,6 +16,7 @@
 #include "tamarack/edge.hpp"
 #include "tamarack/ports.hpp"
 
+#include <compare>
 #include <functional>
 #include <map>
 #include <memory>
@@ -32,22 +33,23 @@
 //---------------------------------------------------------------------------
 
 // Encoded by number; keep the order.
-enum class store_call { Snapshot, Read, AppendAs, Fence };
+enum class store_call { SnapshotPage, Read, AppendAs, Fence };
 
 // One call of keyed_store. Comments name the calls that use a member.
 struct store_request {
-  store_call Call = store_call::Snapshot;
+  store_call Call = store_call::SnapshotPage;
   store_topic Topic = store_topic::Configuration;
-  std::uint64_t From = 0; // Read: first offset.
-  store_writer Writer;    // AppendAs and Fence.
-  std::string Key;        // AppendAs.
-  std::string Value;      // AppendAs.
+  std::optional<std::string> After; // SnapshotPage.
+  std::uint64_t From = 0;           // Read: first offset.
+  store_writer Writer;              // AppendAs and Fence.
+  std::string Key;                  // AppendAs.
+  std::string Value;                // AppendAs.
 };
 
 struct store_response {
   store_status Status = store_status::Unavailable;
   std::uint64_t Era = 0; // Of the store, see store_era.
-  keyed_page Page;       // Snapshot and Read.
+  keyed_page Page;       // SnapshotPage and Read.
 };
 
 std::string encode(const store_request &Request);
@@ -86,7 +88,9 @@
                  random_source &Random, store_era &Era,
                  store_path_listener &Listener, failover_settings Settings);
 
-  void readSnapshot(store_topic Topic, page_handler Handler) override;
+  void readSnapshotPage(store_topic Topic,
+                        const std::optional<std::string> &After,
+                        page_handler Handler) override;
   void read(store_topic Topic, std::uint64_t From, int WaitMs,
             page_handler Handler) override;
   void appendAs(store_topic Topic, const store_writer &Writer,
@@ -104,6 +108,8 @@
 private:
   using response_handler = std::function<void(store_response)>;
 
+  void readPage(const store_request &Request, int WaitMs, page_handler Handler);
+  void write(const store_request &Request, append_handler Handler);
   void call(const store_request &Request, int WaitMs,
             const response_handler &Handler);
   void callDirect(const store_request &Request, int WaitMs, bool ThenPeers,
@@ -161,7 +167,9 @@
   shared_read_store(keyed_store &Store, const clock &Clock)
       : Store(Store), Clock(Clock) {}
 
-  void readSnapshot(store_topic Topic, page_handler Handler) override;
+  void readSnapshotPage(store_topic Topic,
+                        const std::optional<std::string> &After,
+                        page_handler Handler) override;
   // A read with WaitMs above 0 is not shared.
   void read(store_topic Topic, std::uint64_t From, int WaitMs,
             page_handler Handler) override;
@@ -172,8 +180,14 @@
              append_handler Handler) override;
 
 private:
-  // Topic and first offset, which is empty for a snapshot.
-  using read_key = std::pair<store_topic, std::optional<std::uint64_t>>;
+  // What is read, as in store_request.
+  struct read_key {
+    store_topic Topic = store_topic::Configuration;
+    store_call Call = store_call::SnapshotPage;
+    std::optional<std::string> After;
+    std::uint64_t From = 0;
+    auto operator<=>(const read_key &) const = default;
+  };
 
   struct waiting_reader {
     page_handler Handler;
@@ -200,7 +214,7 @@
 
 // One finished call on behalf of another instance.
 struct served_call {
-  store_call Call = store_call::Snapshot;
+  store_call Call = store_call::SnapshotPage;
   store_topic Topic = store_topic::Configuration;
   store_status Status = store_status::Unavailable;
   time_ms ElapsedMs = 0;         // Since the request was received.
--- a/packages/peers/src/failover_store.cpp
+++ b/packages/peers/src/failover_store.cpp
@@ -10,7 +10,7 @@
 constexpr char StorePath[] = "/store";
 
 bool isRead(store_call Call) {
-  return Call == store_call::Snapshot || Call == store_call::Read;
+  return Call == store_call::SnapshotPage || Call == store_call::Read;
 }
 
 bool isStoreReached(store_status Status) {
@@ -40,8 +40,8 @@
     Handler({Status, 0, {}});
   };
   switch (Request.Call) {
-  case store_call::Snapshot:
-    return Store.readSnapshot(Request.Topic, OnPage);
+  case store_call::SnapshotPage:
+    return Store.readSnapshotPage(Request.Topic, Request.After, OnPage);
   case store_call::Read:
     return Store.read(Request.Topic, Request.From, WaitMs, OnPage);
   case store_call::AppendAs:
@@ -173,39 +173,61 @@
       });
 }
 
-void failover_store::readSnapshot(store_topic Topic, page_handler Handler) {
-  call({store_call::Snapshot, Topic, 0, {}, {}, {}}, 0,
-       [Handler](store_response StoreResponse) {
+void failover_store::readPage(const store_request &Request, int WaitMs,
+                              page_handler Handler) {
+  call(Request, WaitMs,
+       [Handler = std::move(Handler)](store_response StoreResponse) {
          StoreResponse.Page.Status = StoreResponse.Status;
          Handler(std::move(StoreResponse.Page));
        });
 }
 
+void failover_store::readSnapshotPage(store_topic Topic,
+                                      const std::optional<std::string> &After,
+                                      page_handler Handler) {
+  store_request Request;
+  Request.Call = store_call::SnapshotPage;
+  Request.Topic = Topic;
+  Request.After = After;
+  readPage(Request, 0, std::move(Handler));
+}
+
 void failover_store::read(store_topic Topic, std::uint64_t From, int WaitMs,
                           page_handler Handler) {
-  call({store_call::Read, Topic, From, {}, {}, {}}, WaitMs,
-       [Handler](store_response StoreResponse) {
-         StoreResponse.Page.Status = StoreResponse.Status;
-         Handler(std::move(StoreResponse.Page));
+  store_request Request;
+  Request.Call = store_call::Read;
+  Request.Topic = Topic;
+  Request.From = From;
+  readPage(Request, WaitMs, std::move(Handler));
+}
+
+void failover_store::write(const store_request &Request,
+                           append_handler Handler) {
+  call(Request, 0,
+       [Handler = std::move(Handler)](const store_response &StoreResponse) {
+         Handler(StoreResponse.Status);
        });
 }
 
 void failover_store::appendAs(store_topic Topic, const store_writer &Writer,
                               std::string_view Key, std::string_view Value,
                               append_handler Handler) {
-  call({store_call::AppendAs, Topic, 0, Writer, std::string(Key),
-        std::string(Value)},
-       0, [Handler](const store_response &StoreResponse) {
-         Handler(StoreResponse.Status);
-       });
+  store_request Request;
+  Request.Call = store_call::AppendAs;
+  Request.Topic = Topic;
+  Request.Writer = Writer;
+  Request.Key = Key;
+  Request.Value = Value;
+  write(Request, std::move(Handler));
 }
 
 void failover_store::fence(store_topic Topic, const store_writer &Writer,
                            append_handler Handler) {
-  call({store_call::Fence, Topic, 0, Writer, {}, {}}, 0,
-       [Handler](const store_response &StoreResponse) {
-         Handler(StoreResponse.Status);
-       });
+  store_request Request;
+  Request.Call = store_call::Fence;
+  Request.Topic = Topic;
+  Request.Writer = Writer;
+  write(Request, std::move(Handler));
 }
 
 void peer_store_service::serve(const edge::request_message &Request,
--- a/packages/peers/src/shared_read_store.cpp
+++ b/packages/peers/src/shared_read_store.cpp
@@ -58,19 +58,21 @@
   };
 }
 
-void shared_read_store::readSnapshot(store_topic Topic, page_handler Handler) {
+void shared_read_store::readSnapshotPage(
+    store_topic Topic, const std::optional<std::string> &After,
+    page_handler Handler) {
   if (!isShared(Topic))
-    return Store.readSnapshot(Topic, std::move(Handler));
-  const read_key Key{Topic, std::nullopt};
+    return Store.readSnapshotPage(Topic, After, std::move(Handler));
+  const read_key Key{Topic, store_call::SnapshotPage, After, 0};
   if (joinRead(Key, Handler))
-    Store.readSnapshot(Topic, endOf(Key));
+    Store.readSnapshotPage(Topic, After, endOf(Key));
 }
 
 void shared_read_store::read(store_topic Topic, std::uint64_t From, int WaitMs,
                              page_handler Handler) {
   if (!isShared(Topic) || WaitMs > 0)
     return Store.read(Topic, From, WaitMs, std::move(Handler));
-  const read_key Key{Topic, From};
+  const read_key Key{Topic, store_call::Read, std::nullopt, From};
   if (joinRead(Key, Handler))
     Store.read(Topic, From, WaitMs, endOf(Key));
 }
--- a/packages/ports/include/tamarack/ports.hpp
+++ b/packages/ports/include/tamarack/ports.hpp
@@ -16,6 +16,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <span>
 #include <stdexcept>
 #include <string>
@@ -131,10 +132,10 @@
 
 struct keyed_page {
   store_status Status = store_status::Unavailable;
-  std::uint64_t Era = 0; // See store_era.
-  // Offset that the next append will get; for a snapshot, as of its beginning.
-  std::uint64_t NextOffset = 0;
+  std::uint64_t Era = 0;        // See store_era.
+  std::uint64_t NextOffset = 0; // Offset that the next append will get.
   std::vector<keyed_record> Records;
+  bool More = false; // Of a snapshot: further keys follow the last record's.
   // The page shows all that was stored when the read was started, or this much
   // earlier (ms): above 0 if the read was joined to one that had begun before.
   int StaleMs = 0;
@@ -195,9 +196,13 @@
 class keyed_store {
 public:
   virtual ~keyed_store() = default;
-  // Reads the newest record of each key. Records that are appended during the
-  // read may be missing; read() from the page's NextOffset on returns them.
-  virtual void readSnapshot(store_topic Topic, page_handler Handler) = 0;
+  // Reads the newest records of the keys that follow After in the store's order
+  // of keys, or of the first keys without After; a key may be empty. Records
+  // that are appended after the read may be missing; read() from the page's
+  // NextOffset on returns them. follow::readSnapshot reads all pages.
+  virtual void readSnapshotPage(store_topic Topic,
+                                const std::optional<std::string> &After,
+                                page_handler Handler) = 0;
   // Reads records from offset From on. Waits up to WaitMs for the first record.
   virtual void read(store_topic Topic, std::uint64_t From, int WaitMs,
                     page_handler Handler) = 0;
--- a/packages/streams/include/tamarack/streams.hpp
+++ b/packages/streams/include/tamarack/streams.hpp
@@ -137,6 +137,7 @@
   virtual ~origin_listener() = default;
   // A look-up has ended: find may have another result.
   virtual void onOriginsRead() = 0;
+  virtual void onSnapshotRead(const follow::snapshot_end &) {}
   virtual void onUnreadableRecord(std::string_view Key) = 0;
 };
 
@@ -166,6 +167,7 @@
   relay::stream_origin lookUp(const relay::call &Call) const;
   void startRead(time_ms Now);
   void onRecords(const keyed_page &Page);
+  void onReadEnded(const follow::snapshot_end &End);
   void addOwnRecord(const std::vector<origin> &Origins);
   void addOthersRecord(const std::vector<origin> &Origins);
 
@@ -179,6 +181,7 @@
   // Software by key, of the streams of other instances in the last read; empty
   // if there are two.
   std::unordered_map<std::uint64_t, software> Others;
+  std::unordered_map<std::uint64_t, software> NewOthers; // Read so far.
   bool HasPrevious = false; // The record of the previous incarnation is read.
   bool IsReading = false;
   bool WantsRead = true;       // Once at the start, then for each look-up.
--- a/packages/streams/src/origin_exchange.cpp
+++ b/packages/streams/src/origin_exchange.cpp
@@ -60,18 +60,14 @@
   WantsRead = false;
   ReadStartedAt = Now;
   ++Reads;
-  Store.readSnapshot(store_topic::Streams,
-                     [this](const keyed_page &Page) { onRecords(Page); });
+  NewOthers.clear();
+  follow::readSnapshot(
+      Store, store_topic::Streams,
+      [this](const keyed_page &Page) { onRecords(Page); },
+      [this](const follow::snapshot_end &End) { onReadEnded(End); });
 }
 
 void origin_exchange::onRecords(const keyed_page &Page) {
-  IsReading = false;
-  EndedReadStart = ReadStartedAt;
-  if (Page.Status != store_status::Ok) {
-    WantsRead = WantsRead || !HasPrevious;
-    return Listener.onOriginsRead();
-  }
-  Others.clear();
   for (const keyed_record &Record : Page.Records) {
     const std::optional<std::vector<origin>> Origins =
         decodeOrigins(Record.Value);
@@ -82,7 +78,18 @@
     else
       addOthersRecord(*Origins);
   }
-  HasPrevious = true;
+}
+
+void origin_exchange::onReadEnded(const follow::snapshot_end &End) {
+  IsReading = false;
+  EndedReadStart = ReadStartedAt;
+  Listener.onSnapshotRead(End);
+  if (End.Status == store_status::Ok) {
+    Others = std::exchange(NewOthers, {});
+    HasPrevious = true;
+  } else {
+    WantsRead = WantsRead || !HasPrevious;
+  }
   Listener.onOriginsRead();
 }
 
@@ -98,7 +105,8 @@
 
 void origin_exchange::addOthersRecord(const std::vector<origin> &Origins) {
   for (const origin &Origin : Origins) {
-    const auto [Known, IsNew] = Others.try_emplace(Origin.Key, Origin.Software);
+    const auto [Known, IsNew] =
+        NewOthers.try_emplace(Origin.Key, Origin.Software);
     if (!IsNew && Known->second != Origin.Software)
       Known->second = {};
   }
--- a/tests/process/entry_scenarios.py
+++ b/tests/process/entry_scenarios.py
@@ -5,6 +5,7 @@
 import collections
 import concurrent.futures
 import json
+import pathlib
 import time
 
 from harness import http, wait_until
@@ -15,6 +16,8 @@
 
 DEPTH = 100_000  # Of nested lists: 200 kB, near the largest record.
 STREAMS = 6
+MAX_ENTRY_BYTES = 262_144 - 100  # A record with its key.
+SMALLEST_INSTANCE_MB = 88  # memoryMb of the smallest instances in use.
 FAR_FUTURE = 9_007_199_254_740_991  # The largest exact integer of JSON.
 
 
@@ -90,6 +93,63 @@
         assert broken <= {"router-1"}, statuses
 
 
+def starts_with_entries(entries):
+    """Restarts all routers while another writer's entries are in the list.
+
+    Returns the largest memory of a router (MB) once all serve again.
+    """
+    with PlatformFleet(routers=2, engines=1, desks=2) as fleet:
+        for key, value in entries:
+            write_entry(fleet, key, value)
+        for name in fleet.routers:
+            fleet.processes[name].kill()
+            fleet.processes[name].wait()
+        for name in fleet.routers:
+            fleet.start_router(name)
+        for name in fleet.routers:
+            fleet.wait_ready(name)
+            wait_until(lambda: fleet.endpoint_count(name)
+                       == len(fleet.runners), "all endpoints")
+            answer = fleet.call(name, "/lookup/a", f"after-{name}")
+            assert answer.status == 200, answer.status
+        return max(peak_memory_mb(fleet.processes[name].pid)
+                   for name in fleet.routers)
+
+
+def peak_memory_mb(process_id):
+    status = pathlib.Path(f"/proc/{process_id}/status").read_text()
+    return int(status.split("VmHWM:")[1].split()[0]) / 1024
+
+
+def entries_under_odd_keys_keep_no_router_from_starting():
+    """Keys hold what separates or ends the parts of a request.
+
+    Guards against a router that asks for one page of the list without end,
+    because it does not name the key after which the next page begins.
+    """
+    keys = ["canary&", "canary ", "canary+", "canary%26", "canary#", "canary?",
+            "canary=", "canary/", "can\r\nX: y", "can\u00e9", ""]
+    entries = [(f"{key}{number}", b"\xff" * (MAX_ENTRY_BYTES // 4))
+               for key in keys for number in range(6)]
+    entries.append(("", b"\xff" * MAX_ENTRY_BYTES))
+    peak = starts_with_entries(entries)
+    print(f"peak memory {peak:.0f} MB", flush=True)
+    assert peak < SMALLEST_INSTANCE_MB, peak
+
+
+def many_large_entries_keep_no_router_from_starting():
+    """Unreadable entries that are larger than a router's memory in all.
+
+    Guards against a router that keeps the pages of the list until it has
+    read the last one, exceeds its memory and is killed at each start.
+    """
+    entries = [(f"canary{number:03}", b"\xff" * MAX_ENTRY_BYTES)
+               for number in range(450)]
+    peak = starts_with_entries(entries)
+    print(f"peak memory {peak:.0f} MB", flush=True)
+    assert peak < SMALLEST_INSTANCE_MB, peak
+
+
 def a_runner_that_falls_silent_keeps_its_running_work():
     """An engine stops reporting, and its entry lapses, while streams run there.
 
@@ -119,5 +179,7 @@
 
 SCENARIOS = [
     a_runner_that_falls_silent_keeps_its_running_work,
+    entries_under_odd_keys_keep_no_router_from_starting,
+    many_large_entries_keep_no_router_from_starting,
     odd_entries_harm_no_router,
 ]
