Don't pass over records that a page of the log tells of and lacks

When a read of a topic returned no record although the topic ends further on, the follower went on behind them, as caught up. Such a page comes from a store that looks at its end after its records.

--- a/packages/follow/src/topic_follower.cpp
+++ b/packages/follow/src/topic_follower.cpp
@@ -78,9 +78,12 @@
     return restart(Now);
   recordResponse(Now);
   deliverRecords(Page);
-  NextOffset = Page.Records.empty() ? std::max(NextOffset, Page.NextOffset)
-                                    : Page.Records.back().Offset + 1;
+  if (!Page.Records.empty())
+    NextOffset = Page.Records.back().Offset + 1;
   const bool More = NextOffset < Page.NextOffset;
+  // Nothing was sent of what is there. To go on behind it would lose it.
+  if (More && Page.Records.empty())
+    return restart(Now + Settings.RetryDelayMs);
   CaughtUp = !More;
   if (CaughtUp) {
     KnownAsOf =
--- a/tests/unit/follow_test.cpp
+++ b/tests/unit/follow_test.cpp
@@ -122,6 +122,22 @@
   CHECK(Fixture.Listener.Keys.back() == "n");
 }
 
+// Guards against records that are passed over because a page came without them.
+TEST_CASE("a page without the records that it tells of skips none",
+          "[follow]") {
+  follower_fixture Fixture;
+  Fixture.Follower.tick(0);
+  Fixture.Store.ReadPage.NextOffset = 7; // Records 5 and 6 are missing.
+  Fixture.Follower.tick(1'000);
+  CHECK(Fixture.Listener.CaughtUpReports == 0);
+  Fixture.Clock.Time = 2'000;
+  Fixture.Store.SnapshotPage.NextOffset = 7;
+  Fixture.Store.SnapshotPage.Records.push_back({6, "n", "v", false});
+  Fixture.Follower.tick(2'000);
+  CHECK(Fixture.Store.SnapshotReads == 2);
+  CHECK(Fixture.Listener.Keys.back() == "n");
+}
+
 TEST_CASE("a follower whose next records are trimmed reads a snapshot again",
           "[follow]") {
   follower_fixture Fixture;
