Reject pages of the own platform's log that bring no reader further

The readers of the log (ledger_stream, config_service, findCheckpoint, both readers of tamarackctl) go on until a page says that nothing follows, without a pause. A page that has other records than were asked for, that tells of records and has none, or that calls records deleted from an offset on which is still there, is asked for again without end; one record passed over would also end the process by an assertion.

Change: platform_log, through which all of them read, takes such a page for no answer (log_unavailable); they all pause, or end with a message, after that.

--- a/packages/adapters/src/platform.cpp
+++ b/packages/adapters/src/platform.cpp
@@ -36,6 +36,24 @@
   }
 }
 
+// Throws log_unavailable unless a reader of the records from From on comes
+// further with Page. Readers go on until they have all, without a pause.
+void requireProgress(const log_page &Page, std::uint64_t From) {
+  if (Page.Trimmed) {
+    if (Page.OldestOffset <= From)
+      throw log_unavailable("the platform's log calls records deleted that it "
+                            "still has");
+    return;
+  }
+  if (Page.Records.empty() && Page.NextOffset > From)
+    throw log_unavailable("the platform's log page lacks its records");
+  std::uint64_t Expected = From;
+  for (const log_record &Record : Page.Records)
+    if (Record.Offset != Expected++)
+      throw log_unavailable("the platform's log page has other records than "
+                            "were asked for");
+}
+
 } // namespace
 
 byte_string encodePage(const log_page &Page) {
@@ -128,6 +146,7 @@
   if (!Page)
     throw log_unavailable(
         "the platform's response to a read is not a log page");
+  requireProgress(*Page, From);
   return std::move(*Page);
 }
 
--- a/tests/unit/adapters_test.cpp
+++ b/tests/unit/adapters_test.cpp
@@ -5,7 +5,9 @@
 #include <catch2/catch.hpp>
 #include <rapidcheck.h>
 
+#include <algorithm>
 #include <cstdlib>
+#include <memory>
 
 using namespace tamarack;
 using namespace tamarack::adapters;
@@ -33,6 +35,36 @@
   return "";
 }
 
+// Answers every request with the same body.
+class fixed_body_client final : public endpoint_client {
+public:
+  explicit fixed_body_client(byte_string Body) : Body(std::move(Body)) {}
+  std::unique_ptr<response_source> send(std::string_view,
+                                        const endpoint_request &) override {
+    return std::make_unique<source>(Body);
+  }
+
+private:
+  class source final : public response_source {
+  public:
+    explicit source(byte_string Body) : Body(std::move(Body)) {}
+    int status() const override { return 200; }
+    std::string header(std::string_view) const override { return {}; }
+    std::size_t read(std::span<char> Buffer) override {
+      const std::size_t Count = std::min(Buffer.size(), Body.size());
+      std::copy_n(Body.begin(), Count, Buffer.begin());
+      Body.erase(Body.begin(),
+                 Body.begin() + static_cast<std::ptrdiff_t>(Count));
+      return Count;
+    }
+
+  private:
+    byte_string Body;
+  };
+
+  byte_string Body;
+};
+
 } // namespace
 
 TEST_CASE("flags override environment variables, which override defaults",
@@ -75,6 +107,42 @@
                   [](const byte_string &Bytes) { decodePage(Bytes); }));
 }
 
+// Guards against readers of the log that ask for the same page without end and
+// without a pause.
+TEST_CASE("a log page that brings no reader further is an error",
+          "[adapters]") {
+  constexpr std::uint64_t From = 4;
+  log_page Page;
+  Page.OldestOffset = 3;
+  Page.NextOffset = 6;
+  Page.Records = {{4, 77, {1}}, {5, 78, {}}};
+  const auto Read = [&Page] {
+    fixed_body_client Client(encodePage(Page));
+    return platform_log(Client, "http://platform").read("config", From, 0);
+  };
+  CHECK(Read().Records.size() == 2);
+  SECTION("records that are told of and missing") {
+    Page.Records.clear();
+    CHECK_THROWS_AS(Read(), log_unavailable);
+    Page.NextOffset = From;
+    CHECK(Read().Records.empty());
+  }
+  SECTION("records before those that were asked for") {
+    Page.Records = {{2, 77, {1}}, {3, 78, {}}};
+    CHECK_THROWS_AS(Read(), log_unavailable);
+  }
+  SECTION("a gap") {
+    Page.Records = {{4, 77, {1}}, {6, 78, {}}};
+    CHECK_THROWS_AS(Read(), log_unavailable);
+  }
+  SECTION("deleted records that are still there") {
+    Page.Trimmed = true;
+    CHECK_THROWS_AS(Read(), log_unavailable);
+    Page.OldestOffset = From + 1;
+    CHECK(Read().Trimmed);
+  }
+}
+
 TEST_CASE("burn rates and alarms are computed per time window", "[report]") {
   report::burn_tracker Tracker;
   constexpr time_ms Minute = 60'000;
