Start from no checkpoint of the configuration that lacks deleted records

A checkpoint names the first record that it lacks. If the log has deleted that one and still has the checkpoint, tamarackd and tamarackctl started from it, were told that the next record is deleted, and started from it again, without end and without a pause. The ledger's checkpoints were checked already.

Change: config_fold::restore takes the oldest offset of the log; a later checkpoint is used, or the error that there is none.

--- a/packages/config/include/tamarack/config.hpp
+++ b/packages/config/include/tamarack/config.hpp
@@ -284,8 +284,9 @@
   change_result apply(std::uint64_t Offset, byte_view Body);
 
   // Replaces the state by that of a checkpoint record. False if Body is no
-  // valid checkpoint or is older than the state.
-  bool restore(byte_view Body);
+  // valid checkpoint, is older than the state, or lacks records before
+  // OldestOffset, which the log has deleted.
+  bool restore(byte_view Body, std::uint64_t OldestOffset = 0);
 
   // Offset of the next record to apply.
   std::uint64_t nextOffset() const { return NextOffset; }
--- a/packages/config/src/config_fold.cpp
+++ b/packages/config/src/config_fold.cpp
@@ -226,7 +226,7 @@
   return change_result::Accepted;
 }
 
-bool config_fold::restore(byte_view Body) {
+bool config_fold::restore(byte_view Body, std::uint64_t OldestOffset) {
   try {
     const Poco::JSON::Object::Ptr Top = parse(Body);
     if (!Top->isObject("checkpoint"))
@@ -236,7 +236,8 @@
         State->getValue<Poco::UInt64>("upto");
     const std::uint64_t CheckpointVersion =
         State->getValue<Poco::UInt64>("version");
-    if (CheckpointNextOffset < NextOffset || CheckpointVersion < Version)
+    if (CheckpointNextOffset < std::max(NextOffset, OldestOffset) ||
+        CheckpointVersion < Version)
       return false;
     document Document;
     const Poco::JSON::Object::Ptr Kinds = State->getObject("kinds");
--- a/packages/control/src/log_reader.cpp
+++ b/packages/control/src/log_reader.cpp
@@ -34,7 +34,8 @@
         Page = Log.read(config::ConfigStream, NextOffset, 0);
         for (const log_record &Record : Page.Records) {
           NextOffset = Record.Offset + 1;
-          IsRestored = IsRestored || Fold.restore(Record.Body);
+          IsRestored =
+              IsRestored || Fold.restore(Record.Body, Page.OldestOffset);
         }
         if (Page.Records.empty())
           throw log_unavailable(
--- a/packages/daemon/src/config_service.cpp
+++ b/packages/daemon/src/config_service.cpp
@@ -152,7 +152,8 @@
 }
 
 // Called if the log no longer has the next record. Restores the first
-// checkpoint in the log that is newer than the state.
+// checkpoint in the log that is newer than the state and lacks no deleted
+// record.
 void config_service::startFromCheckpoint(std::uint64_t First) {
   std::uint64_t From = First;
   for (;;) {
@@ -162,7 +163,7 @@
       const std::lock_guard Guard(Lock);
       if (ConfigFold.nextOffset() >= Page.OldestOffset)
         return; // A peer has sent the missing records in the meantime.
-      if (!ConfigFold.restore(Record.Body))
+      if (!ConfigFold.restore(Record.Body, Page.OldestOffset))
         continue;
       FirstCachedOffset = ConfigFold.nextOffset();
       CachedRecords.clear();
--- a/tests/unit/config_test.cpp
+++ b/tests/unit/config_test.cpp
@@ -168,6 +168,17 @@
   CHECK(Reader.currentDocument().digest() == Fold.currentDocument().digest());
 }
 
+// Guards against a reader that starts from the same checkpoint without end: the
+// records that it would need next are deleted.
+TEST_CASE("a reader starts from no checkpoint that lacks deleted records",
+          "[config]") {
+  config_fold Fold;
+  Fold.apply(0, encodeChangeTo(Fold, smallDocument(), "first"));
+  const byte_string Checkpoint = encodeCheckpoint(Fold.makeCheckpoint());
+  CHECK_FALSE(config_fold().restore(Checkpoint, 2));
+  CHECK(config_fold().restore(Checkpoint, 1));
+}
+
 TEST_CASE("readers that get records twice reach the same state",
           "[config][property]") {
   CHECK(rc::check("concurrent changes, duplicates and checkpoints", [] {
