Pause after each failed read of a ledger stream, not only after some

Change: the pause of 200 ms stands where all failed reads are handled; a damaged checkpoint is such a failure too.

No test of its own: it takes a daemon whose log has lost its checkpoints, and the stand-in has no such fault. The process tests a_trimmed_log_is_read_from_checkpoints and a_platform_outage_stops_nothing_that_has_money pass.

--- a/packages/daemon/src/ledger_stream.cpp
+++ b/packages/daemon/src/ledger_stream.cpp
@@ -335,6 +335,7 @@
       readPage();
     } catch (const log_unavailable &Error) {
       Logger.warn(StreamName + ": read failed: " + Error.what() + ".");
+      std::this_thread::sleep_for(milliseconds(RetryMs));
       const std::lock_guard Guard(Lock);
       LedgerHome.onLogFailure(Clock.now());
       deliverResults();
@@ -351,13 +352,7 @@
     if (!LedgerHome.isCaughtUp())
       WaitMs = 0;
   }
-  log_page Page;
-  try {
-    Page = Log.read(StreamName, From, WaitMs);
-  } catch (const log_unavailable &) {
-    std::this_thread::sleep_for(milliseconds(RetryMs));
-    throw;
-  }
+  const log_page Page = Log.read(StreamName, From, WaitMs);
   if (Page.Trimmed)
     return startFromCheckpoint(Page.OldestOffset);
   const std::lock_guard Guard(Lock);
@@ -401,9 +396,8 @@
   }
   const std::lock_guard Guard(Lock);
   if (!LedgerHome.restore(*Checkpoint))
-    Logger.error(StreamName + ": the checkpoint is damaged.");
-  else
-    Logger.info(StreamName + ": starting from a checkpoint.");
+    throw log_unavailable("the checkpoint is damaged");
+  Logger.info(StreamName + ": starting from a checkpoint.");
 }
 
 // Called with Lock held. The home writes a checkpoint CheckpointRecords to 1.5
