Let no address that another instance states end the process

Records of grants name the address of their instance, any text of up to 256 bytes. Messages about tokens checked it; calls to the store through that instance didn't: parseAddress threw through the event loop and the process ended.

Change: http_channel itself takes such an address for one where nobody listens; the check in pool_link goes.

Test, red before (unexpected exception): "a channel to no address fails its requests".

--- a/packages/daemon/src/pool_link.cpp
+++ b/packages/daemon/src/pool_link.cpp
@@ -3,27 +3,9 @@
 
 namespace tamarack::daemon {
 
-namespace {
-
-// False if the record of an instance names no usable address.
-bool isAddress(const std::string &Text) {
-  try {
-    edge::parseAddress(Text);
-    return true;
-  } catch (const std::invalid_argument &) {
-    return false;
-  }
-}
-
-} // namespace
-
 void pool_link::send(const grants::pool_member &Holder,
                      const pools::pool_request &Request) {
   const std::string Name = Holder.Instance;
-  if (!isAddress(Holder.Address)) {
-    edge::net::post(Context, [this, Name] { Handler(Name, std::nullopt); });
-    return;
-  }
   std::shared_ptr<edge::http_channel> &Channel = Channels[Holder.Address];
   if (!Channel)
     Channel = std::make_shared<edge::http_channel>(Context, Holder.Address);
--- a/packages/edge/include/tamarack/edge.hpp
+++ b/packages/edge/include/tamarack/edge.hpp
@@ -282,7 +282,9 @@
 class http_channel : public std::enable_shared_from_this<http_channel> {
 public:
   http_channel(net::io_context &Context, std::string Address);
-  // Handler is called once, with nothing if no complete response arrived.
+  // Handler is called once, with nothing if no complete response arrived. Other
+  // instances state their addresses, so one that is no IP:PORT is like one
+  // where nobody listens.
   void request(channel_request Request, response_handler Handler);
   // Requests without a result yet, including the active one.
   std::size_t pendingCount() const { return Queue.size(); }
--- a/packages/edge/src/http_channel.cpp
+++ b/packages/edge/src/http_channel.cpp
@@ -111,12 +111,22 @@
 
 void http_channel::connect() {
   const std::shared_ptr<http_channel> Self = shared_from_this();
+  tcp::endpoint Target;
+  try {
+    Target = parseAddress(Address);
+  } catch (const std::invalid_argument &) {
+    net::post(Context, [Self, OwnAttempt = AttemptNumber] {
+      if (Self->HasActive && Self->AttemptNumber == OwnAttempt)
+        Self->finishRequest(std::nullopt);
+    });
+    return;
+  }
   const std::shared_ptr<connection> NewConnection =
       std::make_shared<connection>(Context);
   Connection = NewConnection;
   NewConnection->Socket.async_connect(
-      parseAddress(Address), [Self, NewConnection, OwnAttempt = AttemptNumber](
-                                 const error_code &Error) {
+      Target, [Self, NewConnection,
+               OwnAttempt = AttemptNumber](const error_code &Error) {
         if (!Self->HasActive || Self->AttemptNumber != OwnAttempt)
           return;
         if (Error)
--- a/tests/unit/edge_test.cpp
+++ b/tests/unit/edge_test.cpp
@@ -358,6 +358,33 @@
   }
 }
 
+// Guards against a process that ends because another instance has stated an
+// address that can't be read.
+TEST_CASE("a channel to no address fails its requests", "[edge]") {
+  net::io_context Context;
+  for (const char *Address :
+       {"", "x", "host:1", "127.0.0.1:65536", "127.0.0.1:1\r\nX: y"}) {
+    const std::shared_ptr<http_channel> Channel =
+        std::make_shared<http_channel>(Context, Address);
+    int Failures = 0;
+    for (int Count = 0; Count < 2; ++Count) {
+      channel_request Request;
+      Request.Message = request_message(http::verb::get, "/", 11);
+      Request.Repeatable = true;
+      Channel->request(std::move(Request),
+                       [&Failures](const std::optional<response_message> &Got,
+                                   const channel_timing &) {
+                         CHECK_FALSE(Got);
+                         ++Failures;
+                       });
+    }
+    CHECK(Failures == 0); // Not from within request().
+    Context.restart();
+    Context.run();
+    CHECK(Failures == 2);
+  }
+}
+
 TEST_CASE("a not repeatable request is not retried", "[edge]") {
   net::io_context Context;
   one_response_server Server(Context, 1);
