Percent-encode the id of a stream in the path of its resumption

In the product's own deployment an endpoint names its streams in X-Stream-Id, and a broken stream is resumed at /v1/streams/ID with the id as it is: a "?", a space or a "/../" in it asks for something else, or makes the request malformed.

Change: calls::resumptionPath encodes it (Poco::URI).

Test: "an odd stream id is one segment of the path"; it has no function to call before this change.

--- a/packages/calls/include/tamarack/calls.hpp
+++ b/packages/calls/include/tamarack/calls.hpp
@@ -206,6 +206,10 @@
   Foreign,     // Of another response or out of order: abort the stream.
 };
 
+// Path at which an endpoint goes on with the stream of this id. Endpoints choose
+// the ids, which may contain any characters of a header field.
+std::string resumptionPath(std::string_view StreamId);
+
 // Checks the events of one streamed response, also when it is resumed. An event
 // is valid only if its endpoint, stream id, response id and position continue
 // the events passed on so far.
--- a/packages/calls/src/stream_validator.cpp
+++ b/packages/calls/src/stream_validator.cpp
@@ -3,6 +3,7 @@
 
 #include <Poco/JSON/Object.h>
 #include <Poco/JSON/Parser.h>
+#include <Poco/URI.h>
 
 namespace tamarack::calls {
 
@@ -25,6 +26,13 @@
 
 } // namespace
 
+std::string resumptionPath(std::string_view StreamId) {
+  constexpr const char *Reserved = "!#$&'()*+,/:;=?@[]"; // RFC 3986.
+  std::string Path = "/v1/streams/";
+  Poco::URI::encode(std::string(StreamId), Reserved, Path);
+  return Path;
+}
+
 stream_validator::stream_validator(std::string RequestId)
     : RequestId(std::move(RequestId)) {}
 
--- a/packages/daemon/src/response_readers.cpp
+++ b/packages/daemon/src/response_readers.cpp
@@ -109,7 +109,7 @@
 completion_response_reader::resumptionRequest() const {
   endpoint_request Resumption;
   Resumption.Method = "GET";
-  Resumption.Path = "/v1/streams/" + std::string(Validator.streamId());
+  Resumption.Path = calls::resumptionPath(Validator.streamId());
   Resumption.Headers.push_back({"X-Request-Id", RequestId});
   Resumption.Headers.push_back({"Last-Event-ID", lastEventId()});
   return Resumption;
--- a/tests/unit/calls_test.cpp
+++ b/tests/unit/calls_test.cpp
@@ -137,6 +137,14 @@
   CHECK(Validator.checkEvent(3, event(3)) == event_check_result::Foreign);
 }
 
+// Guards against a resumption that asks for another path, or is no request,
+// because of what the endpoint calls its stream.
+TEST_CASE("an odd stream id is one segment of the path", "[calls]") {
+  CHECK(resumptionPath("engine-0.7_~") == "/v1/streams/engine-0.7_~");
+  CHECK(resumptionPath("a/../b?c#d e%2F\xe9") ==
+        "/v1/streams/a%2F..%2Fb%3Fc%23d%20e%252F%E9");
+}
+
 TEST_CASE("an end marker without content is not valid", "[calls]") {
   stream_validator Validator("req");
   CHECK(Validator.checkHead("e", "req", "s"));
