Bound the texts in log lines, and keep JSON lines JSON

Cause: the search for values of others in log lines. Request ids, keys and the errors of the JSON library (which quote what they could not read) went into the router's lines at any length: an entry of 64 KB that is no JSON could make a line of several times that, 200 times a second.

Change: event_log cuts a text at 512 bytes; escapeLogMessage escapes for JSON by the library and also replaces DEL.

Test: "a log line is one JSON object whatever it tells"; the two functions that it calls could not be called before (no line was visible to a test).

--- a/packages/adapters/include/tamarack/adapters.hpp
+++ b/packages/adapters/include/tamarack/adapters.hpp
@@ -26,6 +26,7 @@
 #include <mutex>
 #include <random>
 #include <set>
+#include <span>
 #include <string>
 #include <string_view>
 #include <thread>
@@ -137,6 +138,10 @@
 void startLogging(std::string_view Level, std::string_view Format,
                   std::string_view Instance);
 
+// Message without line breaks and other control characters; for JSON, as the
+// inside of a string, with bytes that are no UTF-8 replaced.
+std::string escapeLogMessage(std::string_view Message, bool ForJson);
+
 // Writes log lines that carry the name of one component of the program.
 class component_logger {
 public:
@@ -153,9 +158,12 @@
 // Writes decisions of the router as JSON lines:
 // {"time":MS,"instance":NAME,"event":NAME,...}. The lines of each event are
 // limited to a number per second. If lines of an event were skipped, the next
-// line of that event gives their number in the field "left_out_before".
+// line of that event gives their number in the field "left_out_before". Texts
+// may come from anybody: what is longer than MaxTextBytes is cut.
 class event_log {
 public:
+  static constexpr std::size_t MaxTextBytes = 512;
+
   struct field {
     std::string_view Name;
     std::variant<std::string_view, std::int64_t, double> Value;
@@ -163,6 +171,10 @@
 
   event_log(std::string Instance, const clock &Clock, int LinesPerSecond);
   void write(std::string_view Event, std::initializer_list<field> Fields);
+  // The line of an event. LeftOutBefore is shown if it is not 0.
+  static std::string format(time_ms Time, std::string_view Instance,
+                            std::string_view Event, int LeftOutBefore,
+                            std::span<const field> Fields);
 
 private:
   // Lines of one event in the current second.
--- a/packages/adapters/src/event_log.cpp
+++ b/packages/adapters/src/event_log.cpp
@@ -48,23 +48,31 @@
     return;
   }
   ++Window.WrittenLines;
+  static log4cplus::Logger Logger =
+      log4cplus::Logger::getInstance(EventLoggerName);
+  Logger.forcedLog(log4cplus::INFO_LOG_LEVEL,
+                   format(Clock.now(), Instance, Event, SkippedBefore, Fields));
+}
+
+std::string event_log::format(time_ms Time, std::string_view Instance,
+                              std::string_view Event, int LeftOutBefore,
+                              std::span<const field> Fields) {
   nlohmann::ordered_json Line;
-  Line["time"] = Clock.now();
+  Line["time"] = Time;
   Line["instance"] = Instance;
   Line["event"] = Event;
-  if (SkippedBefore > 0)
-    Line["left_out_before"] = SkippedBefore;
-  for (const field &Field : Fields)
-    std::visit(
-        [&Line, &Field](const auto &Value) {
-          Line[std::string(Field.Name)] = Value;
-        },
-        Field.Value);
-  static log4cplus::Logger Logger =
-      log4cplus::Logger::getInstance(EventLoggerName);
-  Logger.forcedLog(
-      log4cplus::INFO_LOG_LEVEL,
-      Line.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace));
+  if (LeftOutBefore > 0)
+    Line["left_out_before"] = LeftOutBefore;
+  for (const field &Field : Fields) {
+    const std::string Name(Field.Name);
+    if (const auto *Text = std::get_if<std::string_view>(&Field.Value))
+      Line[Name] = Text->substr(0, MaxTextBytes);
+    else if (const auto *Number = std::get_if<std::int64_t>(&Field.Value))
+      Line[Name] = *Number;
+    else
+      Line[Name] = std::get<double>(Field.Value);
+  }
+  return Line.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
 }
 
 } // namespace tamarack::adapters
--- a/packages/adapters/src/logs.cpp
+++ b/packages/adapters/src/logs.cpp
@@ -6,6 +6,7 @@
 #include <log4cplus/layout.h>
 #include <log4cplus/logger.h>
 #include <log4cplus/loggingmacros.h>
+#include <nlohmann/json.hpp>
 
 namespace tamarack::adapters {
 
@@ -30,30 +31,29 @@
   throw settings_error("--log-level must be debug, info, warn or error");
 }
 
-// Replaces control characters by spaces, so that a message stays on one line.
-// For JSON, also escapes quotes and backslashes.
-std::string escapeMessage(std::string_view Message) {
-  std::string Escaped;
-  for (char Character : Message) {
-    const bool NeedsBackslash =
-        UseJson && (Character == '"' || Character == '\\');
-    if (NeedsBackslash)
-      Escaped.push_back('\\');
-    const bool IsControl = static_cast<unsigned char>(Character) < 0x20;
-    Escaped.push_back(IsControl ? ' ' : Character);
-  }
-  return Escaped;
-}
-
 void writeLine(const std::string &Component, log4cplus::LogLevel Level,
                std::string_view Message) {
   log4cplus::Logger Logger = log4cplus::Logger::getInstance(Component);
   if (Logger.isEnabledFor(Level))
-    Logger.forcedLog(Level, escapeMessage(Message));
+    Logger.forcedLog(Level, escapeLogMessage(Message, UseJson));
 }
 
 } // namespace
 
+std::string escapeLogMessage(std::string_view Message, bool ForJson) {
+  std::string Line(Message);
+  for (char &Character : Line) {
+    const unsigned char Byte = static_cast<unsigned char>(Character);
+    if (Byte < 0x20 || Byte == 0x7f)
+      Character = ' ';
+  }
+  if (!ForJson)
+    return Line;
+  const std::string Quoted = nlohmann::json(Line).dump(
+      -1, ' ', false, nlohmann::json::error_handler_t::replace);
+  return Quoted.substr(1, Quoted.size() - 2);
+}
+
 void startLogging(std::string_view Level, std::string_view Format,
                   std::string_view Instance) {
   log4cplusInitializer();
--- a/tests/unit/adapters_test.cpp
+++ b/tests/unit/adapters_test.cpp
@@ -3,6 +3,7 @@
 #include "tamarack/report.hpp"
 
 #include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
 #include <rapidcheck.h>
 
 #include <algorithm>
@@ -143,6 +144,27 @@
   }
 }
 
+// Guards against log lines that break in two, are no JSON, or are as long as
+// what somebody has sent.
+TEST_CASE("a log line is one JSON object whatever it tells", "[adapters]") {
+  const std::string Odd = "a\"b\\c\r\nd\x01\xff\xc3";
+  const std::string Long(100'000, 'x');
+  const std::vector<event_log::field> Fields = {
+      {"odd", std::string_view(Odd)},
+      {"long", std::string_view(Long)},
+      {"number", std::int64_t(-7)}};
+  const std::string Line = event_log::format(5, Odd, "event", 0, Fields);
+  CHECK(Line.find('\n') == std::string::npos);
+  CHECK(Line.size() < 2 * event_log::MaxTextBytes);
+  const nlohmann::json Read = nlohmann::json::parse(Line);
+  CHECK(Read.at("long") == std::string(event_log::MaxTextBytes, 'x'));
+  CHECK(Read.at("number") == -7);
+  CHECK(escapeLogMessage("a\nb\"c", false) == "a b\"c");
+  const nlohmann::json Message =
+      nlohmann::json::parse('"' + escapeLogMessage(Odd, true) + '"');
+  CHECK(Message.get<std::string>().starts_with("a\"b\\c  d "));
+}
+
 TEST_CASE("burn rates and alarms are computed per time window", "[report]") {
   report::burn_tracker Tracker;
   constexpr time_ms Minute = 60'000;
