Start under no name that is no usable part of a key in the store

Cause: the search for values in keys. A router's name is a key of its records and, behind "lost/", "crash/", "limit/" or "start/", of others. A name that begins with one of them, or is longer than a key may be, was accepted: its records would be taken for another instance's, or refused.

Test: a_router_that_has_no_usable_name_does_not_start. Before, the process started under the name lost/router-1 (tried by hand).

--- a/packages/daemon/src/router_settings.cpp
+++ b/packages/daemon/src/router_settings.cpp
@@ -10,6 +10,8 @@
 namespace {
 
 constexpr double MsPerSecond = 1'000;
+// Names are parts of keys in the store, which take 255 bytes.
+constexpr std::size_t MaxInstanceBytes = 200;
 
 constexpr const char *AddressSettings[] = {"front-address", "ready-address",
                                            "peer-address", "metrics-address",
@@ -40,10 +42,11 @@
                 "most log lines per event and second");
 }
 
-class address_check final : public adapters::settings_check {
+class router_settings_check final : public adapters::settings_check {
 public:
   void check(const adapters::program_settings &Set,
              std::vector<std::string> &Errors) const override {
+    checkInstance(Set.getText("instance"), Errors);
     for (const char *Name : AddressSettings)
       if (!Set.getText(Name).empty())
         checkAddress(Name, Set.getText(Name), Errors);
@@ -52,6 +55,16 @@
   }
 
 private:
+  // A slash separates the kind of a record from the name in its key.
+  static void checkInstance(const std::string &Name,
+                            std::vector<std::string> &Errors) {
+    if (Name.empty() || Name.size() > MaxInstanceBytes ||
+        Name.find('/') != std::string::npos)
+      Errors.push_back("--instance takes 1 to " +
+                       std::to_string(MaxInstanceBytes) +
+                       " bytes without \"/\"");
+  }
+
   static void checkAddress(const std::string &Name, const std::string &Value,
                            std::vector<std::string> &Errors) {
     try {
@@ -69,8 +82,8 @@
   adapters::program_settings Set("tamarackd router",
                                  "router for prepaid token budgets");
   declareSettings(Set);
-  const address_check AddressCheck;
-  if (!Set.read(Count, Arguments, &AddressCheck))
+  const router_settings_check Check;
+  if (!Set.read(Count, Arguments, &Check))
     return false;
   Settings.Instance = Set.getText("instance");
   Settings.Zone = Set.getText("zone");
--- a/tests/process/configuration_scenarios.py
+++ b/tests/process/configuration_scenarios.py
@@ -1,10 +1,11 @@
-"""End-to-end tests of configurations that reach a router late.
+"""End-to-end tests of settings, and of configurations that reach a router late.
 
 Each function of SCENARIOS is one test. Its name says what must hold.
 """
+import subprocess
 import time
 
-from harness import wait_until
+from harness import BIN, wait_until
 from platform_fleet import PlatformFleet, idle_path
 from platform_scenarios import CONFIGURATION_BOUND_S
 
@@ -69,7 +70,24 @@
         assert status() == 404
 
 
+def a_router_that_has_no_usable_name_does_not_start():
+    """Names are parts of keys in the store.
+
+    Guards against records under another key than the one that is read.
+    """
+    for name in ("", "lost/router-1", "n" * 201):
+        result = subprocess.run(
+            [BIN / "tamarackd", "router", "--instance", name, "--zone", "z",
+             "--front-address", "127.0.0.1:1", "--ready-address",
+             "127.0.0.1:2", "--peer-address", "127.0.0.1:3",
+             "--metrics-address", "127.0.0.1:4", "--store-address",
+             "127.0.0.1:5"], capture_output=True, text=True, timeout=30)
+        assert result.returncode == 2, result
+        assert "--instance takes 1 to 200 bytes" in result.stderr, result
+
+
 SCENARIOS = [
+    a_router_that_has_no_usable_name_does_not_start,
     a_page_that_arrives_late_denies_no_newer_route,
     an_unreadable_version_denies_no_route,
 ]
