Log how many accounts a configuration has, and whether it needs keys

The log says which version is in force, not what it means for keys: a version without accounts, one that was not applied, and a look-up that uses a former table look alike.

Change: fields "accounts" and "needs_keys" of the line "configuration".

--- a/packages/daemon/src/router.cpp
+++ b/packages/daemon/src/router.cpp
@@ -358,13 +358,16 @@
   Codec.setRouteTable(RouteTable);
   Grants.setBudgets(RouteTable);
   Frontend.setLimits(RouteTable->Limits);
-  Log.write("configuration",
-            {{"version", RouteTable->Version},
-             {"before", PreviousVersion},
-             {"offset", static_cast<std::int64_t>(Record.Offset)},
-             {"bytes", static_cast<std::int64_t>(Record.Value.size())},
-             {"decode_ms", DecodedAt - ReceivedAt},
-             {"apply_ms", Clock.monotonic() - DecodedAt}});
+  Log.write(
+      "configuration",
+      {{"version", RouteTable->Version},
+       {"before", PreviousVersion},
+       {"offset", static_cast<std::int64_t>(Record.Offset)},
+       {"bytes", static_cast<std::int64_t>(Record.Value.size())},
+       {"accounts", static_cast<std::int64_t>(RouteTable->accounts().size())},
+       {"needs_keys", std::int64_t(RouteTable->NeedsKeys)},
+       {"decode_ms", DecodedAt - ReceivedAt},
+       {"apply_ms", Clock.monotonic() - DecodedAt}});
 }
 
 bool router::isConfigurationCurrent() const {
