Close all routes but public ones when no account is left

Cause: whether requests need keys was derived from the accounts that were added, so that a list that is there and empty counted as one that is absent.

Without the field routes are open, as the users' page says.

--- a/packages/relay/include/tamarack/relay.hpp
+++ b/packages/relay/include/tamarack/relay.hpp
@@ -102,7 +102,9 @@
 public:
   std::int64_t Version = -1;
   caller_limits Limits;
-  bool NeedsKeys = false; // At least one client account is configured.
+  // The configuration lists client accounts, possibly none: routes that are not
+  // public take only requests with the key of one.
+  bool NeedsKeys = false;
 
   // Ignores a route whose host and path prefix another route has already.
   void add(route Route);
--- a/packages/relay/src/route_table.cpp
+++ b/packages/relay/src/route_table.cpp
@@ -81,7 +81,6 @@
     AccountNameByKey[Key] = Account.Name;
   std::string Name = Account.Name;
   Accounts.insert_or_assign(std::move(Name), std::move(Account));
-  NeedsKeys = true;
 }
 
 const route *route_table::findRoute(std::string_view Host,
--- a/tests/process/configuration_scenarios.py
+++ b/tests/process/configuration_scenarios.py
@@ -2,11 +2,12 @@
 
 Each function of SCENARIOS is one test. Its name says what must hold.
 """
+import http.client
 import subprocess
 import time
 
 from harness import BIN, wait_until
-from platform_fleet import PlatformFleet, idle_path
+from platform_fleet import DESK_HOST, PlatformFleet, idle_path
 from platform_scenarios import CONFIGURATION_BOUND_S
 
 SLOW_KB_PER_S = 200  # Of responses of the store, on each connection.
@@ -70,6 +71,43 @@
         assert status() == 404
 
 
+def taking_the_last_account_away_closes_all_routes():
+    """A version has an empty list of accounts; then one has the account again.
+
+    Guards against routers that take an empty list for none, and then let
+    everybody in, also on connections that are open.
+    """
+    with PlatformFleet(routers=2) as fleet:
+        kept = {name: http.client.HTTPConnection("127.0.0.1", ports[0])
+                for name, ports in fleet.routers.items()}
+
+        def statuses(tag):
+            found = set()
+            for name, connection in kept.items():
+                for key in ("key-ring", "never-held", "", None):
+                    fields = {"Host": DESK_HOST, "Deadline-Ms": "8000",
+                              "Attempt-Id": f"{tag}-{name}-{key}"}
+                    if key is not None:
+                        fields["Key"] = key
+                    connection.request("POST", "/sale/a", "x", fields)
+                    answer = connection.getresponse()
+                    answer.read()
+                    found.add((key, answer.status))
+            return found
+
+        denied = {(key, 401) for key in ("never-held", "", None)}
+        assert statuses("before") == denied | {("key-ring", 200)}
+        fleet.publish(tenants=[])
+        time.sleep(CONFIGURATION_BOUND_S)
+        assert statuses("none") == denied | {("key-ring", 401)}
+        executed = fleet.executions_by_request()
+        assert not [one for one in executed if one.startswith("none-")], (
+            executed)
+        fleet.publish()
+        time.sleep(CONFIGURATION_BOUND_S)
+        assert statuses("again") == denied | {("key-ring", 200)}
+
+
 def a_router_that_has_no_usable_name_does_not_start():
     """Names are parts of keys in the store.
 
@@ -88,6 +126,7 @@
 
 SCENARIOS = [
     a_router_that_has_no_usable_name_does_not_start,
+    taking_the_last_account_away_closes_all_routes,
     a_page_that_arrives_late_denies_no_newer_route,
     an_unreadable_version_denies_no_route,
 ]
--- a/tests/unit/platform_test.cpp
+++ b/tests/unit/platform_test.cpp
@@ -401,6 +401,50 @@
   CHECK_FALSE(Fixture.decode().Call);
 }
 
+// Guards against routes that are open to everybody once the last account, or
+// the last key of an account, is taken away.
+TEST_CASE("without a key of an account no route is open that isn't public",
+          "[platform]") {
+  codec_fixture Fixture;
+  const std::string Text = Configuration;
+  const std::size_t At = Text.find("\"tenants\"");
+  const auto Tenants = [&Text, At](const std::string &Value) {
+    return decodeConfiguration(Text.substr(0, At) + "\"tenants\": " + Value +
+                               "}");
+  };
+  const auto RefuseAll = [&Fixture] {
+    for (const char *Key : {"k1", "none", ""}) {
+      Fixture.Request.set("Key", Key);
+      CHECK(Fixture.decode().Refusal == relay::error_kind::Unauthorized);
+      CHECK_FALSE(Fixture.decode().Call);
+    }
+    Fixture.Request.erase("Key");
+    CHECK(Fixture.decode().Refusal == relay::error_kind::Unauthorized);
+    Fixture.Request.target("/open/x");
+    CHECK(Fixture.decode().Call);
+  };
+  SECTION("no account") {
+    Fixture.Codec.setRouteTable(Tenants(GENERATE("[]", "null")));
+    RefuseAll();
+  }
+  SECTION("an account without keys") {
+    Fixture.Codec.setRouteTable(Tenants(
+        GENERATE(R"([{"name": "t1"}])", R"([{"name": "t1", "apiKeys": []}])",
+                 R"([{"name": "t1", "apiKeys": null}])")));
+    RefuseAll();
+  }
+  SECTION("no list of accounts at all") {
+    Fixture.Codec.setRouteTable(
+        decodeConfiguration(Text.substr(0, Text.rfind(',', At)) + "}"));
+    Fixture.Request.erase("Key");
+    CHECK(Fixture.decode().Call);
+  }
+  SECTION("something that is no list") {
+    for (const char *Value : {"{}", "7", "\"t1\"", "false"})
+      CHECK_THROWS_AS(Tenants(Value), document_error);
+  }
+}
+
 // Guards against a load that wraps around and makes a busy endpoint look idle.
 TEST_CASE("a load out of range is ignored", "[platform]") {
   codec_fixture Fixture;
