Take no empty text for a name, a key or a signature

An empty key of an account let requests without a key in as that account. An account with an empty name spent without a limit, since no account is a public route's. A budget of another type than a number was read as none, which is unlimited. An empty host, path prefix or service was accepted. A response with an empty signature was passed on as its endpoint's. Control characters in an account's name ended the header field that carries it to endpoints.

"prepaid": null still means no limit.

--- a/packages/relay/include/tamarack/relay.hpp
+++ b/packages/relay/include/tamarack/relay.hpp
@@ -109,6 +109,7 @@
   // Ignores a route whose host and path prefix another route has already.
   void add(route Route);
   void add(service Service);
+  // Empty keys are left out.
   void add(account Account, std::span<const std::string> Keys);
 
   // Returns the route of Host with the longest prefix of Path, nullptr if none.
--- a/packages/relay/src/route_table.cpp
+++ b/packages/relay/src/route_table.cpp
@@ -77,8 +77,10 @@
 }
 
 void route_table::add(account Account, std::span<const std::string> Keys) {
+  // A request without a key has an empty one.
   for (const std::string &Key : Keys)
-    AccountNameByKey[Key] = Account.Name;
+    if (!Key.empty())
+      AccountNameByKey[Key] = Account.Name;
   std::string Name = Account.Name;
   Accounts.insert_or_assign(std::move(Name), std::move(Account));
 }
--- a/tests/unit/platform_test.cpp
+++ b/tests/unit/platform_test.cpp
@@ -445,6 +445,49 @@
   }
 }
 
+// Guards against a key of no characters in the configuration, which every
+// request without a key would have.
+TEST_CASE("an empty key is nobody's", "[platform]") {
+  codec_fixture Fixture;
+  Fixture.Codec.setRouteTable(
+      decodeConfiguration(replaced(Configuration, "\"k3\"", "\"\", \"k3\"")));
+  Fixture.Request.set("Key", "k3");
+  CHECK(Fixture.decode().Call);
+  Fixture.Request.set("Key", "");
+  CHECK(Fixture.decode().Refusal == relay::error_kind::Unauthorized);
+  Fixture.Request.erase("Key");
+  CHECK(Fixture.decode().Refusal == relay::error_kind::Unauthorized);
+}
+
+// Guards against names that are taken for none, or that end the header field
+// that they are sent in, and against a budget that is read as unlimited.
+TEST_CASE("a configuration with unusable names or budgets is an error",
+          "[platform]") {
+  const auto Rejects = [](const char *Old, const char *New) {
+    CAPTURE(New);
+    CHECK_THROWS_AS(decodeConfiguration(replaced(Configuration, Old, New)),
+                    document_error);
+  };
+  for (const char *Name : {"\"\"", "\"a\\r\\nX: y\"", "\"a\\u0000b\"",
+                           "\"a\\u007f\"", "\" a\"", "\"a\\t\""})
+    Rejects("\"t1\"", Name);
+  for (const char *Budget : {"\"3114066\"", "true", "[]", "{}"})
+    Rejects("3114066", Budget);
+  Rejects("\"/a/\"", "\"\"");
+  Rejects("\"host\": \"h.example\"", "\"host\": \"\"");
+  Rejects("\"service\": \"engine\", \"maxAttempts\"",
+          "\"service\": \"\", \"maxAttempts\"");
+  Rejects("[{\"service\": \"desk\", \"weight\"",
+          "[{\"service\": \"\", \"weight\"");
+  Rejects("{\"name\": \"desk\"", "{\"name\": \"\"");
+  const std::shared_ptr<const relay::route_table> Table = decodeConfiguration(
+      replaced(Configuration, "\"t1\"", "\"associa\\u00e7\\u00e3o 1\""));
+  CHECK(Table->findAccountByKey("k1")->Name == "associa\xc3\xa7\xc3\xa3o 1");
+  CHECK_FALSE(decodeConfiguration(replaced(Configuration, "3114066", "null"))
+                  ->findAccountByKey("k1")
+                  ->PrepaidTokens);
+}
+
 // Guards against a load that wraps around and makes a busy endpoint look idle.
 TEST_CASE("a load out of range is ignored", "[platform]") {
   codec_fixture Fixture;
@@ -542,6 +585,10 @@
     Fields.erase("Server-Stamp");
     CHECK(Fixture.Codec.decodeResponseHead(Fields).Unusable);
   }
+  SECTION("an empty signature is none") {
+    Fields.set("Server-Stamp", "");
+    CHECK(Fixture.Codec.decodeResponseHead(Fields).Unusable);
+  }
   SECTION("a response with a content encoding is unusable") {
     Fields.set("Content-Encoding", "gzip");
     CHECK(Fixture.Codec.decodeResponseHead(Fields).Unusable);
