--- a/tests/unit/platform_test.cpp
+++ b/tests/unit/platform_test.cpp
@@ -5,6 +5,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <set>
+
 using namespace tamarack;
 using namespace tamarack::platform;
 
@@ -488,6 +490,28 @@
                   ->PrepaidTokens);
 }
 
+// Guards against a service that gets requests although its share is 0, and
+// against a sum of shares that wraps around.
+TEST_CASE("a service without a share gets no requests", "[platform]") {
+  codec_fixture Fixture;
+  const auto Use = [&Fixture](const char *Desk, const char *Engine) {
+    Fixture.Codec.setRouteTable(decodeConfiguration(
+        replaced(replaced(Configuration, "\"weight\": 90", Desk),
+                 "\"weight\": 10", Engine)));
+  };
+  Fixture.Request.target("/a/b/x");
+  Use("\"weight\": 0", "\"weight\": 1");
+  for (int Count = 0; Count < 20; ++Count)
+    CHECK(Fixture.decode().Call->Service == "engine");
+  Use("\"weight\": 2147483647", "\"weight\": 2147483647");
+  std::set<std::string> Services;
+  for (int Count = 0; Count < 50; ++Count)
+    Services.insert(Fixture.decode().Call->Service);
+  CHECK(Services == std::set<std::string>{"desk", "engine"});
+  Use("\"weight\": 0", "\"weight\": -3");
+  CHECK(Fixture.decode().Refusal == relay::error_kind::NoEndpoint);
+}
+
 // Guards against a load that wraps around and makes a busy endpoint look idle.
 TEST_CASE("a load out of range is ignored", "[platform]") {
   codec_fixture Fixture;
