Take an error that names no request for no answer on a kept connection

Report of operators: a faulty runner wrote an earlier refusal once more on a kept connection; clients were told "not run, try again" for requests that ran, or these ran at a second runner.

It can happen here. A response that names another request was skipped, but an error response that names none was taken for the one to the request in progress, with its "not run". Connections on which one came were closed after it; that helps against its copy, not against the first one of them.

Change: on a connection that has carried an earlier request, such a response breaks the attempt: the outcome is unknown, so only what may be repeated is sent again. On the first request of a connection it counts as before, since an endpoint that sheds load need not have read the request's id.

--- a/packages/edge/include/tamarack/edge.hpp
+++ b/packages/edge/include/tamarack/edge.hpp
@@ -73,7 +73,8 @@
 enum class response_match {
   Own,
   Other,    // Another request on the same connection.
-  Unmarked, // An error response that names no request.
+  Unmarked, // An error response that names no request. Belongs to the only
+            // request of a connection, and to none of several.
 };
 
 // Translates between HTTP messages and the types of relay::exchange. Only
--- a/packages/edge/src/endpoint_attempt.cpp
+++ b/packages/edge/src/endpoint_attempt.cpp
@@ -165,6 +165,9 @@
     return ++InterimResponses > MaxInterimResponses ? failBroken() : readHead();
   const response_match Match = Codec.matchResponse(Call, Fields);
   IsUnmarked = Match == response_match::Unmarked;
+  // It may belong to an earlier request, and say that this one has not run.
+  if (IsUnmarked && Connection->RequestCount > 1)
+    return failBroken();
   if (Match == response_match::Other) {
     if (++DiscardedResponses > MaxDiscardedResponses || Parser->need_eof())
       return failBroken();
--- a/stand_ins/runner.cpp
+++ b/stand_ins/runner.cpp
@@ -20,6 +20,10 @@
 //   alien      gets a response with a different Attempt-Id
 //   fail       is executed, but gets 500
 //   cut        gets a stream that breaks off within the third event
+//   stale_refusal  of requests on a connection that has carried another one:
+//              a refusal (503, Not-Executed) that names no request is written
+//              first; the request is executed and answered behind it
+//   stale_refusal_of_other  the same, and the refusal names another request
 // Other values:
 //   delay_ms   duration of each execution
 //   event_ms   pause before each event of a stream
@@ -48,6 +52,7 @@
 #include <atomic>
 #include <charconv>
 #include <cstdlib>
+#include <set>
 #include <sstream>
 #include <thread>
 
@@ -186,6 +191,7 @@
       Response.set("Instance-Id", Settings.Id);
       return sendText(Response, 421, "{}");
     }
+    repeatRefusal(Request);
     if (consumeFault("shed")) {
       Response.set("Not-Executed", "1");
       if (const std::int64_t PauseMs = controlValue("pause_ms"); PauseMs > 0)
@@ -210,6 +216,28 @@
     sendEvents(Request, Response);
   }
 
+  // Writes a refusal of an earlier request once more, if a fault says so.
+  void repeatRefusal(Poco::Net::HTTPServerRequest &Request) {
+    if (!hasCarriedRequest(Request))
+      return;
+    std::string Named;
+    if (consumeFault("stale_refusal_of_other"))
+      Named = "Attempt-Id: of-another\r\n";
+    else if (!consumeFault("stale_refusal"))
+      return;
+    const std::string Refusal = "HTTP/1.1 503 Service Unavailable\r\n" + Named +
+                                "Not-Executed: 1\r\nContent-Length: 2\r\n\r\n"
+                                "{}";
+    static_cast<Poco::Net::HTTPServerRequestImpl &>(Request).socket().sendBytes(
+        Refusal.data(), static_cast<int>(Refusal.size()));
+  }
+
+  // True if another request came before on this connection.
+  bool hasCarriedRequest(Poco::Net::HTTPServerRequest &Request) {
+    const std::lock_guard Guard(Lock);
+    return !UsedConnections.insert(Request.clientAddress().toString()).second;
+  }
+
   // Ends the process if crash_body says so. The connections of all other
   // requests in flight end with it.
   void crashOnBody(const std::string &Body) {
@@ -336,14 +364,15 @@
 
   runner_settings Settings;
   const std::int64_t StartTime = adapters::system_clock().now();
-  std::mutex Lock; // Guards ControlValues, Arrivals, ExecutionsById and
-                   // TokensByAccount.
+  std::mutex Lock; // Guards ControlValues, Arrivals, ExecutionsById,
+                   // TokensByAccount and UsedConnections.
   std::map<std::string, std::int64_t> ControlValues; // By name.
   std::vector<std::int64_t> Arrivals; // Unix ms, one for each request.
   std::map<std::string, std::int64_t> ExecutionsById; // By Attempt-Id.
   std::map<std::string, std::int64_t> TokensByAccount;
-  std::string LastStoreResponse; // Only for debugging.
-  std::atomic<int> Running = 0;  // Requests.
+  std::set<std::string> UsedConnections; // By the caller's address and port.
+  std::string LastStoreResponse;         // Only for debugging.
+  std::atomic<int> Running = 0;          // Requests.
   std::atomic<bool> Stopping = false;
   std::thread HeartbeatThread;
 };
--- a/tests/process/scenarios.py
+++ b/tests/process/scenarios.py
@@ -12,6 +12,7 @@
 import traceback
 from http.client import HTTPConnection
 
+import answer_scenarios
 import configuration_scenarios
 import delayed_stop_scenarios
 import drill_scenarios
@@ -651,7 +652,8 @@
      + limit_scenarios.SCENARIOS + request_scenarios.SCENARIOS
      + drill_scenarios.SCENARIOS + configuration_scenarios.SCENARIOS
      + version_scenarios.SCENARIOS + statement_scenarios.SCENARIOS
-     + entry_scenarios.SCENARIOS + pool_scenarios.SCENARIOS)
+     + entry_scenarios.SCENARIOS + pool_scenarios.SCENARIOS
+     + answer_scenarios.SCENARIOS)
 
 
 def read_known_red():
--- a/tests/unit/endpoint_attempt_test.cpp
+++ b/tests/unit/endpoint_attempt_test.cpp
@@ -283,13 +283,14 @@
 
 namespace {
 
-// Responds to each request with its body, on any number of connections. The
-// second request of a connection is first answered with a copy of the response
-// to the first one.
+// Responds to each request with its body, on any number of connections. Further
+// requests of a connection are first answered with Extra or, if that is empty,
+// with a copy of the response to the one before.
 class copying_server {
 public:
-  explicit copying_server(net::io_context &Context)
-      : Acceptor(Context, {net::ip::make_address("127.0.0.1"), 0}) {
+  explicit copying_server(net::io_context &Context, std::string Extra = {})
+      : Extra(std::move(Extra)),
+        Acceptor(Context, {net::ip::make_address("127.0.0.1"), 0}) {
     accept();
   }
   std::string address() const {
@@ -302,7 +303,7 @@
     tcp::socket Socket;
     boost::beast::flat_buffer Buffer;
     request_message Request;
-    std::string FirstResponse;
+    std::string Former; // What precedes the next response.
     std::string Response;
   };
 
@@ -326,11 +327,11 @@
   void respond(const std::shared_ptr<connection> &Connection) {
     const std::string &Body = Connection->Request.body();
     Connection->Response =
-        Connection->FirstResponse + "HTTP/1.1 200 OK\r\nAttempt-Id: " +
+        Connection->Former + "HTTP/1.1 200 OK\r\nAttempt-Id: " +
         std::string(Connection->Request["Attempt-Id"]) +
         "\r\nContent-Length: " + std::to_string(Body.size()) + "\r\n\r\n" +
         Body;
-    Connection->FirstResponse = Connection->Response;
+    Connection->Former = Extra.empty() ? Connection->Response : Extra;
     net::async_write(Connection->Socket, net::buffer(Connection->Response),
                      [this, Connection](const error_code &Error, std::size_t) {
                        if (!Error)
@@ -338,20 +339,16 @@
                      });
   }
 
+  std::string Extra;
   tcp::acceptor Acceptor;
 };
 
-} // namespace
+// Sends one request after the other to a server, on kept connections.
+struct repeated_fixture {
+  explicit repeated_fixture(std::string Extra = {})
+      : Pool(Context, Clock, {}), Server(Context, std::move(Extra)) {}
 
-// Guards against a late copy of a response that a later caller gets for its
-// own, because both callers chose the same id for their requests.
-TEST_CASE("a late copy of a response never reaches another caller", "[edge]") {
-  net::io_context Context;
-  adapters::system_clock Clock;
-  connection_pool Pool(Context, Clock, {});
-  attempt_id_codec Codec;
-  copying_server Server(Context);
-  const auto Fetch = [&](const std::string &Id, const std::string &Body) {
+  recording_listener fetch(const std::string &Id, const std::string &Body) {
     recording_listener Listener;
     relay::call Call;
     Call.Id = Id;
@@ -366,10 +363,45 @@
     Attempt->start(false);
     while (Listener.End == attempt_end::None)
       Context.run_one_for(std::chrono::milliseconds(50));
-    return Listener.Body;
-  };
-  CHECK(Fetch("a", "of the first caller") == "of the first caller");
-  CHECK(Fetch(GENERATE("a", "b"), "of the second") == "of the second");
+    return Listener;
+  }
+
+  net::io_context Context;
+  adapters::system_clock Clock;
+  connection_pool Pool;
+  attempt_id_codec Codec;
+  copying_server Server;
+};
+
+} // namespace
+
+// Guards against a late copy of a response that a later caller gets for its
+// own, because both callers chose the same id for their requests.
+TEST_CASE("a late copy of a response never reaches another caller", "[edge]") {
+  repeated_fixture Fixture;
+  CHECK(Fixture.fetch("a", "of the first caller").Body ==
+        "of the first caller");
+  CHECK(Fixture.fetch(GENERATE("a", "b"), "of the second").Body ==
+        "of the second");
+}
+
+// Guards against a refusal that is written once more and taken for the one of
+// the next request, which is then told that it has not run, or runs twice.
+TEST_CASE("an unmarked response on a kept connection is no answer", "[edge]") {
+  const std::string Rest = "Not-Executed: 1\r\nContent-Length: 2\r\n\r\n{}";
+  SECTION("it names no request") {
+    repeated_fixture Fixture("HTTP/1.1 503 Busy\r\n" + Rest);
+    CHECK(Fixture.fetch("a", "x").End == attempt_end::Complete);
+    const recording_listener Second = Fixture.fetch("b", "y");
+    CHECK(Second.End == attempt_end::Broken);
+    CHECK(Second.Status == 0);
+    CHECK(Fixture.Pool.idleCount() == 0);
+  }
+  SECTION("it names another one") {
+    repeated_fixture Fixture("HTTP/1.1 503 Busy\r\nAttempt-Id: z\r\n" + Rest);
+    CHECK(Fixture.fetch("a", "x").End == attempt_end::Complete);
+    CHECK(Fixture.fetch("b", "y").Body == "y");
+  }
 }
 
 // Guards against idle connections that keep the buffer of a large head.
