Own deployment: believe "not run" on a used connection only by its id

Cause: the report of a refusal that is written once more, in the product's own deployment. A 503 with X-Leaving was taken for "not run" whoever it named. What may run once goes out on new connections only, so nothing ran twice; a repeatable request could be called "not run" (X-Tamarack-Ran) while it ran.

Change: the refusal counts if it names the request, or is the first response of its connection; otherwise it is a failure, after which what is repeatable is sent elsewhere. The stand-ins name the request, as their other responses did.

Tests: "a refusal on a used connection must name its request", "a fetched response tells whether its connection was used before". No process test: the stand-ins of the own deployment can't write a response twice.

--- a/packages/adapters/src/http_client.cpp
+++ b/packages/adapters/src/http_client.cpp
@@ -30,8 +30,9 @@
 public:
   // Waits for the head of the response. Throws Poco::Exception.
   response(http_client &Client, std::string Url, session_ptr Session,
-           const std::string &Method)
-      : Client(Client), Url(std::move(Url)), Session(std::move(Session)) {
+           const std::string &Method, bool IsFirst)
+      : Client(Client), Url(std::move(Url)), Session(std::move(Session)),
+        IsFirst(IsFirst) {
     BodyStream = &this->Session->receiveResponse(Head);
     HasBody = Method != Poco::Net::HTTPRequest::HTTP_HEAD &&
               Head.getStatus() != Poco::Net::HTTPResponse::HTTP_NO_CONTENT;
@@ -51,6 +52,8 @@
     return Head.get(std::string(Name), "");
   }
 
+  bool isFirstOnConnection() const override { return IsFirst; }
+
   std::size_t read(std::span<char> Buffer) override {
     if (BodyComplete || !HasBody) {
       BodyComplete = true;
@@ -117,6 +120,7 @@
   Poco::Net::HTTPResponse Head;
   std::istream *BodyStream = nullptr; // Owned by Session.
   std::int64_t RemainingBytes = -1;   // Not yet read, -1 if unknown.
+  bool IsFirst = true;                // See isFirstOnConnection.
   bool HasBody = true;
   bool BodyComplete = false;
 };
@@ -176,14 +180,15 @@
     for (const header_field &Field : Request.Headers)
       Head.set(Field.Name, Field.Value);
     Head.setContentLength64(static_cast<Poco::Int64>(Request.Body.size()));
-    MayHaveSent = Session->connected();
+    const bool IsFirst = !Session->connected();
+    MayHaveSent = !IsFirst;
     std::ostream &Out = Session->sendRequest(Head);
     MayHaveSent = true;
     Out.write(Request.Body.data(),
               static_cast<std::streamsize>(Request.Body.size()));
     Out.flush();
     return std::make_unique<response>(*this, Server, std::move(Session),
-                                      Request.Method);
+                                      Request.Method, IsFirst);
   } catch (const Poco::Exception &Error) {
     if (MayHaveSent)
       throw endpoint_disconnected(Error.displayText());
--- a/packages/calls/include/tamarack/calls.hpp
+++ b/packages/calls/include/tamarack/calls.hpp
@@ -206,6 +206,12 @@
   Foreign,     // Of another response or out of order: abort the stream.
 };
 
+// True if an endpoint's refusal is certainly of the request RequestId and of no
+// earlier one on its connection. EchoedId: the id that the refusal names, may
+// be empty.
+bool isRefusalOf(std::string_view RequestId, std::string_view EchoedId,
+                 bool IsFirstOnConnection);
+
 // Path at which an endpoint goes on with the stream of this id. Endpoints choose
 // the ids, which may contain any characters of a header field.
 std::string resumptionPath(std::string_view StreamId);
--- a/packages/calls/src/stream_validator.cpp
+++ b/packages/calls/src/stream_validator.cpp
@@ -26,6 +26,11 @@
 
 } // namespace
 
+bool isRefusalOf(std::string_view RequestId, std::string_view EchoedId,
+                 bool IsFirstOnConnection) {
+  return EchoedId.empty() ? IsFirstOnConnection : EchoedId == RequestId;
+}
+
 std::string resumptionPath(std::string_view StreamId) {
   constexpr const char *Reserved = "!#$&'()*+,/:;=?@[]"; // RFC 3986.
   std::string Path = "/v1/streams/";
--- a/packages/daemon/src/exchange_driver.cpp
+++ b/packages/daemon/src/exchange_driver.cpp
@@ -134,7 +134,10 @@
   Head.Status = Response.status();
   Head.NotRun =
       Head.Status == Poco::Net::HTTPResponse::HTTP_SERVICE_UNAVAILABLE &&
-      Response.header("X-Leaving") == "true";
+      Response.header("X-Leaving") == "true" &&
+      calls::isRefusalOf(Context.IdempotencyKey.Text,
+                         Response.header("X-Request-Id"),
+                         Response.isFirstOnConnection());
   // Content-Type must be last: complete responses to the caller get the value
   // of the last field as their type.
   for (const char *Name : {"X-Request-Id", "X-Stream-Id", "Content-Type"})
--- a/packages/ports/include/tamarack/ports.hpp
+++ b/packages/ports/include/tamarack/ports.hpp
@@ -280,6 +280,9 @@
   virtual ~response_source() = default;
   virtual int status() const = 0;
   virtual std::string header(std::string_view Name) const = 0; // "" if absent.
+  // False if the connection may have carried an earlier request, of which a
+  // late copy of a response may come.
+  virtual bool isFirstOnConnection() const = 0;
   // Returns the number of bytes received into Buffer, 0 at the end of a
   // complete body. Throws endpoint_disconnected.
   virtual std::size_t read(std::span<char> Buffer) = 0;
--- a/stand_ins/engine.cpp
+++ b/stand_ins/engine.cpp
@@ -175,6 +175,7 @@
     }
     if (ActiveBehaviour.Leaving) {
       Response.set("X-Leaving", "true");
+      Response.set("X-Request-Id", Job.RequestId);
       return sendText(Response, 503, "{\"error\":\"leaving\"}");
     }
     if (MustFail)
--- a/stand_ins/service.cpp
+++ b/stand_ins/service.cpp
@@ -83,6 +83,7 @@
       const std::lock_guard Guard(Lock);
       if (Leaving) {
         Response.set("X-Leaving", "true");
+        Response.set("X-Request-Id", Key);
         return sendText(Response, 503, "{\"error\":\"leaving\"}");
       }
       ExecutionNumber = ++Executions;
--- a/tests/unit/adapters_test.cpp
+++ b/tests/unit/adapters_test.cpp
@@ -51,6 +51,7 @@
     explicit source(byte_string Body) : Body(std::move(Body)) {}
     int status() const override { return 200; }
     std::string header(std::string_view) const override { return {}; }
+    bool isFirstOnConnection() const override { return true; }
     std::size_t read(std::span<char> Buffer) override {
       const std::size_t Count = std::min(Buffer.size(), Body.size());
       std::copy_n(Body.begin(), Count, Buffer.begin());
--- a/tests/unit/calls_test.cpp
+++ b/tests/unit/calls_test.cpp
@@ -137,6 +137,17 @@
   CHECK(Validator.checkEvent(3, event(3)) == event_check_result::Foreign);
 }
 
+// Guards against "not run" for a request that runs, because an endpoint has
+// written an earlier refusal once more.
+TEST_CASE("a refusal on a used connection must name its request", "[calls]") {
+  CHECK(isRefusalOf("a", "a", true));
+  CHECK(isRefusalOf("a", "a", false));
+  CHECK(isRefusalOf("a", "", true));
+  CHECK_FALSE(isRefusalOf("a", "", false));
+  CHECK_FALSE(isRefusalOf("a", "b", true));
+  CHECK_FALSE(isRefusalOf("a", "b", false));
+}
+
 // Guards against a resumption that asks for another path, or is no request,
 // because of what the endpoint calls its stream.
 TEST_CASE("an odd stream id is one segment of the path", "[calls]") {
--- a/tests/unit/endpoint_attempt_test.cpp
+++ b/tests/unit/endpoint_attempt_test.cpp
@@ -488,6 +488,29 @@
   CHECK(IsFinished);
 }
 
+TEST_CASE("a fetched response tells whether its connection was used before",
+          "[edge]") {
+  net::io_context Context;
+  copying_server Server(Context);
+  std::thread ServerThread([&Context] { Context.run(); });
+  adapters::http_client Client;
+  const auto IsFirst = [&Client, &Server](bool FreshConnection) {
+    endpoint_request Request;
+    Request.FreshConnection = FreshConnection;
+    const std::unique_ptr<response_source> Source =
+        Client.send("http://" + Server.address(), Request);
+    std::array<char, 64> Buffer;
+    while (Source->read(Buffer) > 0) {
+    }
+    return Source->isFirstOnConnection();
+  };
+  CHECK(IsFirst(false));
+  CHECK_FALSE(IsFirst(false));
+  CHECK(IsFirst(true));
+  Context.stop();
+  ServerThread.join();
+}
+
 // Guards against a response that fills the memory of the instance.
 TEST_CASE("a fetched body without end breaks the fetch", "[edge]") {
   net::io_context Context;
