Don't keep a connection for which its endpoint states a timeout of 0

A timeout of millions of seconds wrapped around.

Change: the stated timeout is optional, and clamped to an hour.

Test, red before (2 of 7 checks): "a connection that is kept for no time is not reused".

--- a/packages/edge/src/endpoint_attempt.cpp
+++ b/packages/edge/src/endpoint_attempt.cpp
@@ -20,17 +20,21 @@
 // Idle connections are closed this long before the endpoint closes them, so
 // that no request is sent on a connection that the endpoint is closing.
 constexpr int KeepAliveMarginMs = 1'000;
+constexpr int MaxKeepAliveS = 3'600; // Longer timeouts count as this one.
 
-// Seconds of "timeout=N" in a Keep-Alive field, 0 if absent.
-int parseKeepAliveTimeoutS(std::string_view KeepAlive) {
+// Seconds of "timeout=N" in a Keep-Alive field.
+std::optional<int> parseKeepAliveTimeoutS(std::string_view KeepAlive) {
   constexpr std::string_view Name = "timeout=";
   const std::size_t At = KeepAlive.find(Name);
   if (At == std::string_view::npos)
-    return 0;
+    return std::nullopt;
   int Seconds = 0;
   const std::string_view Digits = KeepAlive.substr(At + Name.size());
-  std::from_chars(Digits.data(), Digits.data() + Digits.size(), Seconds);
-  return Seconds;
+  const std::from_chars_result Read =
+      std::from_chars(Digits.data(), Digits.data() + Digits.size(), Seconds);
+  if (Read.ec != std::errc())
+    return std::nullopt;
+  return std::clamp(Seconds, 0, MaxKeepAliveS);
 }
 
 } // namespace
@@ -250,10 +254,10 @@
 // Monotonic time until which the connection may stay in the pool.
 time_ms endpoint_attempt::idleExpiry(time_ms Now) const {
   const int MaxIdleMs = Pool.settings().MaxIdleMs;
-  if (ServerKeepAliveS == 0)
+  if (!ServerKeepAliveS)
     return Now + MaxIdleMs;
   return Now +
-         std::min(MaxIdleMs, ServerKeepAliveS * 1'000 - KeepAliveMarginMs);
+         std::min(MaxIdleMs, *ServerKeepAliveS * 1'000 - KeepAliveMarginMs);
 }
 
 void endpoint_attempt::complete() {
--- a/packages/edge/src/endpoint_attempt.hpp
+++ b/packages/edge/src/endpoint_attempt.hpp
@@ -106,9 +106,9 @@
   int InterimResponses = 0;
   int DiscardedResponses = 0; // To other requests.
   std::size_t DiscardedBytes = 0;
-  int ServerKeepAliveS = 0;  // From the Keep-Alive field, 0 if absent.
-  bool IsWriting = false;    // The request is not written completely.
-  bool IsReadPaused = false; // Until resume().
+  std::optional<int> ServerKeepAliveS; // Stated in the Keep-Alive field.
+  bool IsWriting = false;              // The request is not written completely.
+  bool IsReadPaused = false;           // Until resume().
   bool IsResponseComplete = false;
   bool IsUnmarked = false; // The response names no request.
 };
--- a/tests/unit/endpoint_attempt_test.cpp
+++ b/tests/unit/endpoint_attempt_test.cpp
@@ -273,6 +273,25 @@
   CHECK(Marked.Pool.idleCount() == 1);
 }
 
+// Guards against a request on a connection that its endpoint closes at once.
+TEST_CASE("a connection that is kept for no time is not reused", "[edge]") {
+  const auto IdleAfter = [](const std::string &KeepAlive) {
+    attempt_fixture Fixture(
+        {"HTTP/1.1 200 OK\r\nAttempt-Id: a\r\nContent-Length: 0\r\n" +
+             KeepAlive + "\r\n",
+         ""});
+    CHECK(Fixture.run() == attempt_end::Complete);
+    return Fixture.Pool.idleCount();
+  };
+  CHECK(IdleAfter("") == 1);
+  CHECK(IdleAfter("Keep-Alive: max=5\r\n") == 1);
+  CHECK(IdleAfter("Keep-Alive: timeout=5\r\n") == 1);
+  CHECK(IdleAfter("Keep-Alive: timeout=2000000000\r\n") == 1);
+  CHECK(IdleAfter("Keep-Alive: timeout=1\r\n") == 0);
+  CHECK(IdleAfter("Keep-Alive: timeout=0\r\n") == 0);
+  CHECK(IdleAfter("Keep-Alive: timeout=-3\r\n") == 0);
+}
+
 TEST_CASE("a head tells when its connection was opened", "[edge]") {
   attempt_fixture Fixture({UnframedHead, "", server_end::Close});
   const time_ms Before = Fixture.Clock.sinceBoot();
