Take a recorded version without a name for no version

An empty version binds a stream to none, so a record of an instance that names a service and an empty version would let its streams go on anywhere.

Change: such a row is read as "not certain", so that the stream can't be taken up.

Test, red before: a check of "records are encoded and decoded".

--- a/packages/streams/src/records.cpp
+++ b/packages/streams/src/records.cpp
@@ -40,8 +40,11 @@
   for (const auto &[Service, Version, Streams] : std::get<1>(*Fields)) {
     if (Service.size() > MaxTextBytes || Version.size() > MaxTextBytes)
       return std::nullopt;
+    // A version without a name would mean any version.
+    const software Software =
+        Version.empty() ? software() : software{Service, Version};
     for (const auto &[Key, AgeMs] : Streams)
-      Origins.push_back({Key, {Service, Version}, std::max(0, AgeMs)});
+      Origins.push_back({Key, Software, std::max(0, AgeMs)});
   }
   return Origins;
 }
--- a/tests/unit/streams_test.cpp
+++ b/tests/unit/streams_test.cpp
@@ -294,6 +294,11 @@
   CHECK((*Decoded)[1].Key == ~0ull);
   CHECK((*Decoded)[1].Software.Version == "v2");
   CHECK((*Decoded)[0].AgeMs == 5);
+  // Guards against a version that is empty and means any version.
+  const std::optional<std::vector<origin>> Unnamed =
+      decodeOrigins(encode({{7, {"engine", ""}, 1}}));
+  REQUIRE(Unnamed);
+  CHECK(Unnamed->front().Software == software());
   CHECK_FALSE(decodeOrigins("").has_value());
   CHECK_FALSE(decodeOrigins("\x91\x02").has_value());
 }
