Refuse a prepaid account's model call that states no numbers of tokens

A request without Token-Count, or with an empty one, counted as one of 0 tokens; an account with a budget got model calls for nothing, after its budget was spent too.

Change: on a route to a model engine such a request gets 400 invalid_request, unless its account has no limit.

--- a/tests/unit/platform_test.cpp
+++ b/tests/unit/platform_test.cpp
@@ -377,6 +377,16 @@
     Fixture.Request.set("Deadline-Ms", "soon");
     CHECK(Fixture.decode().Refusal == error_kind::InvalidRequest);
   }
+  // Guards against model calls that a prepaid account gets for nothing.
+  SECTION("no token counts for a model engine") {
+    Fixture.Request.set("Token-Count", "");
+    CHECK(Fixture.decode().Refusal == error_kind::InvalidRequest);
+    Fixture.Request.set("Key", "k3"); // Without a limit.
+    CHECK(Fixture.decode().Call);
+    Fixture.Request.set("Key", "k1");
+    Fixture.Request.erase("Token-Count");
+    CHECK(Fixture.decode().Refusal == error_kind::InvalidRequest);
+  }
   SECTION("malformed token counts") {
     Fixture.Request.set("Token-Count", "1,2,3");
     CHECK(Fixture.decode().Refusal == error_kind::InvalidRequest);
