Own deployment: reject the digest of an empty key

"Authorization: Bearer " without a key has the digest of no bytes; an account whose key_sha256 holds it, as when a variable was not set, could be used by everybody.

Change: tamarackctl check and the fold name it as an error.

Test, red before (1 of 2 checks): "the digest of an empty key is an error".

--- a/packages/config/src/build.cpp
+++ b/packages/config/src/build.cpp
@@ -60,6 +60,9 @@
     if (!IsDigest)
       Reader.addError("key_sha256",
                       "must contain SHA-256 digests in lower-case hex");
+    // Often of a variable that was not set; every caller could use it.
+    if (Digest == digestOfKey(""))
+      Reader.addError("key_sha256", "contains the digest of an empty key");
     const bool IsNewKey =
         Result.AccountByKeyDigest.emplace(Digest, Account.Name).second;
     if (!IsNewKey)
--- a/tests/unit/config_test.cpp
+++ b/tests/unit/config_test.cpp
@@ -84,6 +84,20 @@
   CHECK(hasErrorAt(Result, "/rules/r/pool"));
 }
 
+// Guards against an account that everybody can use, with a key of no
+// characters.
+TEST_CASE("the digest of an empty key is an error", "[config]") {
+  const auto HasError = [](std::string_view Key) {
+    return hasErrorAt(
+        readDocument(R"({"tamarackhall": 1, "accounts": [{"name": "a",
+                         "key_sha256": [")" +
+                     digestOfKey(Key) + "\"]}]}"),
+        "/accounts/a/key_sha256");
+  };
+  CHECK(HasError(""));
+  CHECK_FALSE(HasError("x"));
+}
+
 TEST_CASE("malformed documents are reported as errors", "[config]") {
   for (std::string_view Text :
        {"", "{", "[]", "{\"tamarackhall\": 1", "{\"tamarackhall\": 2}",
