Fit a stop into the grace time, however short it is

Report of operators: in a planned stop requests that came late in the grace were taken and passed on, and cut at its end without an answer.

With a grace of 8 s it can't happen here: what is read later than 2.5 s after SIGTERM is taken only if its own deadline ends before the cut, and the cut answers. With a grace of up to 3 s it could: requests of any length were taken for 2.5 s, and calls given up not before that, so that a process with a grace of 2 s took requests until it was killed with them.

Change: dispatch::planShutdown fits the three times of a stop (open until, cut at, end at) into the grace; 8 s has the same as before. The router has no times of its own any more.

--- a/packages/daemon/src/router.cpp
+++ b/packages/daemon/src/router.cpp
@@ -16,8 +16,6 @@
 namespace {
 
 constexpr int TickMs = 100;
-// From the failing readiness check until no new connections arrive.
-constexpr int DrainBeforeCloseMs = 2'500;
 constexpr int ConfigurationLongPollMs = 1'000; // Longest wait for a version.
 // An older configuration may lack routes that callers have been told of. Longer
 // than a long poll, less than the time until a version must be in force.
@@ -443,8 +441,8 @@
   Frontend.beginDrain();
   PoolServer.stop();
   // Settings that are read later don't move the limits of this stop.
-  CutAt = StopRequestedAt + Settings.ShutdownGraceMs - ForcedStopMarginMs;
-  ShutdownGate.beginShutdown(StopRequestedAt + DrainBeforeCloseMs, CutAt);
+  StopTimes = dispatch::planShutdown(StopRequestedAt, Settings.ShutdownGraceMs);
+  ShutdownGate.beginShutdown(StopTimes);
   Log.write("stop_begins",
             {{"busy", static_cast<std::int64_t>(Frontend.busySessionCount())},
              {"open", static_cast<std::int64_t>(Frontend.sessionCount())},
@@ -454,7 +452,7 @@
 void router::continueStop() {
   const time_ms Now = Clock.monotonic();
   const time_ms ElapsedMs = Now - StopRequestedAt;
-  if (IsAccepting && ElapsedMs >= DrainBeforeCloseMs) {
+  if (IsAccepting && Now >= StopTimes.OpenUntil) {
     IsAccepting = false;
     Log.write("stop_accepts_no_more",
               {{"stop_age_ms", ElapsedMs},
@@ -464,7 +462,7 @@
   }
   if (IsAccepting)
     return;
-  const bool IsOverdue = Now >= CutAt;
+  const bool IsOverdue = Now >= StopTimes.CutAt;
   if (IsOverdue && !HasGivenUp) {
     HasGivenUp = true;
     Log.write("stop_forced",
@@ -484,7 +482,7 @@
       (IdleSince >= 0 && Now - IdleSince >= LastSettlementsMs);
   const bool IsFinished =
       Frontend.sessionCount() == 0 && Grants.hasReturnedGrants() && HasSettled;
-  const bool MustEnd = Now >= CutAt + LastResponsesMs;
+  const bool MustEnd = Now >= StopTimes.EndAt;
   if (IsFinished || MustEnd)
     Context.stop();
 }
--- a/packages/daemon/src/router.hpp
+++ b/packages/daemon/src/router.hpp
@@ -167,12 +167,8 @@
   edge::response_message readinessResponse();
   edge::response_message metricsResponse();
 
-  // The forced stop comes this long before the end of the grace period.
-  static constexpr int ForcedStopMarginMs = 500;
   // After the last call, for its tokens to be settled at other instances.
   static constexpr int LastSettlementsMs = 500;
-  // Of ForcedStopMarginMs, for the last responses to reach their callers.
-  static constexpr int LastResponsesMs = 250;
 
   router_settings Settings;
   adapters::system_clock Clock;
@@ -253,7 +249,7 @@
   bool IsAccepting = true;     // New connections of callers.
   bool HasGivenUp = false;     // The forced stop has ended all calls.
   time_ms StopRequestedAt = 0; // Monotonic, when the signal came.
-  time_ms CutAt = 0;           // Monotonic, of the forced stop.
+  dispatch::shutdown_times StopTimes;
   // Monotonic, when the last connection of a caller had ended; -1 before.
   time_ms IdleSince = -1;
 };
--- a/packages/daemon/src/router_reports.cpp
+++ b/packages/daemon/src/router_reports.cpp
@@ -362,7 +362,7 @@
              {"connection", IsNewConnection ? "new" : "kept"},
              {"connection_age_ms", Request.ConnectionAgeMs},
              {"earlier_requests", std::int64_t(Request.EarlierRequests)},
-             {"until_cut_ms", CutAt - Clock.monotonic()}});
+             {"until_cut_ms", StopTimes.CutAt - Clock.monotonic()}});
 }
 
 edge::response_message router::readinessResponse() {
--- a/packages/dispatch/include/tamarack/dispatch.hpp
+++ b/packages/dispatch/include/tamarack/dispatch.hpp
@@ -358,15 +358,24 @@
 // Shutdown
 //---------------------------------------------------------------------------
 
+// When a process that stops does what, monotonic ms.
+struct shutdown_times {
+  time_ms OpenUntil = -1; // Takes new connections, and calls of any length.
+  time_ms CutAt = -1;     // Gives up the calls that have no final response.
+  time_ms EndAt = -1;     // Ends, at the latest.
+};
+
+// Fits a stop into the grace time that follows its request at RequestedAt.
+shutdown_times planShutdown(time_ms RequestedAt, int GraceMs);
+
 // Which calls and attempts a process that stops may still begin, so that it
 // begins nothing that it would cut off.
 class shutdown_schedule {
 public:
   // Calls that arrive until OpenUntil are taken, because callers are still sent
-  // here and may be sent from here to another instance that stops. At CutAt the
-  // process gives up the calls that have no final response.
-  void begin(time_ms OpenUntil, time_ms CutAt);
-  bool hasBegun() const { return CutAt >= 0; }
+  // here and may be sent from here to another instance that stops.
+  void begin(const shutdown_times &NewTimes) { Times = NewTimes; }
+  bool hasBegun() const { return Times.CutAt >= 0; }
   // True if the call may begin. After OpenUntil, only if its deadline is before
   // the cut.
   bool admitsCall(const relay::call &Call) const;
@@ -378,8 +387,7 @@
 private:
   bool endsBeforeCut(const relay::call &Call) const;
 
-  time_ms OpenUntil = -1;
-  time_ms CutAt = -1; // -1 before begin().
+  shutdown_times Times; // -1 before begin().
 };
 
 // Decorates a placement: refuses what the schedule does not admit.
@@ -389,9 +397,7 @@
       : placement_decorator(Inner) {}
 
   // See shutdown_schedule::begin.
-  void beginShutdown(time_ms OpenUntil, time_ms CutAt) {
-    Schedule.begin(OpenUntil, CutAt);
-  }
+  void beginShutdown(const shutdown_times &Times) { Schedule.begin(Times); }
 
   std::optional<relay::placement_refusal> admit(const relay::call &Call,
                                                 time_ms Now) override;
--- a/packages/dispatch/src/shutdown_gate.cpp
+++ b/packages/dispatch/src/shutdown_gate.cpp
@@ -1,32 +1,46 @@
 // What a stopping process may still begin.
 #include "tamarack/dispatch.hpp"
 
+#include <algorithm>
+
 namespace tamarack::dispatch {
 
 namespace {
 
 // An attempt needs at least this many times the objective for the first byte.
 constexpr int MinAttemptObjectives = 2;
+// From the failing readiness check until no new connections arrive.
+constexpr int OpenMs = 2'500;
+constexpr int CutMarginMs = 500; // Before the end of the grace time.
+// Parts of a grace time that is too short for these.
+constexpr int OpenFraction = 3;
+constexpr int CutMarginFraction = 4;
 
 } // namespace
 
-void shutdown_schedule::begin(time_ms NewOpenUntil, time_ms NewCutAt) {
-  OpenUntil = NewOpenUntil;
-  CutAt = NewCutAt;
+// The last responses have half of the margin to reach their callers.
+shutdown_times planShutdown(time_ms RequestedAt, int GraceMs) {
+  const int MarginMs = std::min(CutMarginMs, GraceMs / CutMarginFraction);
+  shutdown_times Times;
+  Times.OpenUntil = RequestedAt + std::min(OpenMs, GraceMs / OpenFraction);
+  Times.CutAt = RequestedAt + GraceMs - MarginMs;
+  Times.EndAt = Times.CutAt + MarginMs / 2;
+  return Times;
 }
 
 bool shutdown_schedule::endsBeforeCut(const relay::call &Call) const {
-  return Call.Deadline <= CutAt;
+  return Call.Deadline <= Times.CutAt;
 }
 
 bool shutdown_schedule::admitsCall(const relay::call &Call) const {
-  return !hasBegun() || Call.ArrivedAt <= OpenUntil || endsBeforeCut(Call);
+  return !hasBegun() || Call.ArrivedAt <= Times.OpenUntil ||
+         endsBeforeCut(Call);
 }
 
 bool shutdown_schedule::admitsAttempt(const relay::call &Call,
                                       time_ms Now) const {
   return !hasBegun() || endsBeforeCut(Call) ||
-         CutAt - Now >= MinAttemptObjectives * Call.TargetFirstByteMs;
+         Times.CutAt - Now >= MinAttemptObjectives * Call.TargetFirstByteMs;
 }
 
 std::optional<relay::placement_refusal>
--- a/tests/unit/shutdown_test.cpp
+++ b/tests/unit/shutdown_test.cpp
@@ -52,7 +52,7 @@
   shutdown_gate Gate(Placement);
   const relay::call Late = callOf(StopAt + 4'000, CutAt + 1);
   CHECK(isTaken(Gate, Late));
-  Gate.beginShutdown(OpenUntil, CutAt);
+  Gate.beginShutdown({OpenUntil, CutAt, CutAt + 250});
   const std::optional<relay::placement_refusal> Refusal =
       Gate.admit(Late, Late.ArrivedAt);
   REQUIRE(Refusal);
@@ -66,13 +66,31 @@
   CHECK_FALSE(isTaken(Gate, callOf(OpenUntil + 1, CutAt + 10'000)));
 }
 
+// Guards against a process that still takes calls when it has to give them up,
+// or is killed before it does.
+TEST_CASE("a stop fits into any grace time", "[dispatch][shutdown]") {
+  for (int GraceMs = 1'000; GraceMs <= 60'000; GraceMs += 100) {
+    CAPTURE(GraceMs);
+    const shutdown_times Times = planShutdown(StopAt, GraceMs);
+    CHECK(Times.OpenUntil > StopAt + 300);
+    CHECK(Times.OpenUntil <= StopAt + 2'500);
+    CHECK(Times.OpenUntil + GraceMs / 4 <= Times.CutAt);
+    CHECK(Times.CutAt + 100 <= Times.EndAt);
+    CHECK(Times.EndAt + 100 <= StopAt + GraceMs);
+  }
+  const shutdown_times Times = planShutdown(StopAt, 8'000);
+  CHECK(Times.OpenUntil == OpenUntil);
+  CHECK(Times.CutAt == CutAt);
+  CHECK(Times.EndAt == CutAt + 250);
+}
+
 // Guards against a retry or a resumed stream that is begun shortly before the
 // process gives it up.
 TEST_CASE("no attempt begins shortly before the cut unless it ends by itself",
           "[dispatch][shutdown]") {
   always_placing Placement;
   shutdown_gate Gate(Placement);
-  Gate.beginShutdown(OpenUntil, CutAt);
+  Gate.beginShutdown({OpenUntil, CutAt, CutAt + 250});
   const relay::call Long = callOf(StopAt - 1'000, CutAt + 5'000);
   const time_ms LatestStart = CutAt - 2 * Long.TargetFirstByteMs;
   CHECK(Gate.choose(Long, {}, LatestStart));
@@ -89,7 +107,7 @@
   CHECK(rc::check("nothing late is cut", [] {
     always_placing Placement;
     shutdown_gate Gate(Placement);
-    Gate.beginShutdown(OpenUntil, CutAt);
+    Gate.beginShutdown({OpenUntil, CutAt, CutAt + 250});
     const time_ms ArrivedAt =
         *rc::gen::inRange<time_ms>(StopAt - 5'000, CutAt + 500);
     const time_ms Deadline = ArrivedAt + *rc::gen::inRange<time_ms>(1, 15'000);
