Count a stop from its signal also if the process stood still within a tick

Seen once, in a run of the tests of stops: a_stop_counts_from_the_signal_also_ if_it_is_handled_late ended 8.7 s after SIGTERM, 8 s allowed. Its log: stop_begins at 603.355 s with handled_late_ms 0, while the process had stood still from 602.355 s on, which is when a tick was due (602.154 + 2 x 100 ms); no loop_delayed.

Cause: the age of the signal was taken from the tick that is due, or from the last one if that had just run late. A process that stands still within a tick sets the time of the next one after it, and the last one was on time: neither tells. The stop then lasts as much longer, and the platform kills the process.

Change: unless the next tick is overdue, the signal may have come since the last one was due (dispatch::earliestSignalTime). A tick that takes longer than its period is told as loop_delayed too.

Test: "a signal is as old as the process may have stood still", all five places where it may stand still; the section "within a run" is the case seen.

--- a/packages/daemon/src/router.cpp
+++ b/packages/daemon/src/router.cpp
@@ -287,7 +287,10 @@
 
 void router::tick() {
   const time_ms Now = Clock.monotonic();
-  recordLoopDelay(Now);
+  TickStartedAt = Now;
+  TickTimes.LastDueAt = TickTimes.NextDueAt;
+  if (TickTimes.LastDueAt >= 0)
+    recordLoopDelay(Now - TickTimes.LastDueAt);
   ConfigurationFollower.tick(Now);
   EndpointFollower.tick(Now);
   GrantFollower.tick(Now);
@@ -310,7 +313,10 @@
 }
 
 void router::scheduleTick() {
-  TickDueAt = Clock.monotonic() + TickMs;
+  const time_ms Now = Clock.monotonic();
+  if (Now - TickStartedAt >= TickMs)
+    recordLoopDelay(Now - TickStartedAt);
+  TickTimes.NextDueAt = Now + TickMs;
   TickTimer.expires_after(std::chrono::milliseconds(TickMs));
   TickTimer.async_wait([this](const edge::error_code &Error) {
     if (!Error)
@@ -424,20 +430,12 @@
   }
 }
 
-// The event loop handles a signal after everything else that became ready while
-// it stood still, also after a tick that was due in that time.
-time_ms router::earliestSignalTime(time_ms Now) const {
-  const bool WasTickJustLate = LastTickAt >= 0 && Now - LastTickAt < TickMs;
-  const time_ms IdleSince = WasTickJustLate ? LastTickDueAt : TickDueAt;
-  return IdleSince < 0 ? Now : std::min(Now, IdleSince);
-}
-
 void router::beginStop() {
   if (IsStopping)
     return;
   IsStopping = true;
   const time_ms Now = Clock.monotonic();
-  StopRequestedAt = earliestSignalTime(Now);
+  StopRequestedAt = dispatch::earliestSignalTime(TickTimes, Now);
   Frontend.beginDrain();
   PoolServer.stop();
   // Settings that are read later don't move the limits of this stop.
--- a/packages/daemon/src/router.hpp
+++ b/packages/daemon/src/router.hpp
@@ -134,7 +134,8 @@
   std::vector<std::string> otherInstances() const;
   void tick();
   void scheduleTick();
-  void recordLoopDelay(time_ms Now);
+  // The event loop did nothing else for DelayMs.
+  void recordLoopDelay(time_ms DelayMs);
   // How old what is known of a topic may be, -1 if nothing is.
   time_ms ageOf(const follow::topic_follower &Follower) const;
   void recordConfigurationRead();
@@ -158,8 +159,6 @@
   void waitForSignals();
   void reloadSettings();
   void beginStop();
-  // The earliest time at which a signal that is handled now can have come.
-  time_ms earliestSignalTime(time_ms Now) const;
   void continueStop();
   // Other instances have a newer configuration in force than this one.
   bool isBehindOthers() const;
@@ -223,10 +222,8 @@
   edge::net::steady_timer PoolTimer;
   bool IsPoolSendPosted = false;
   std::uint64_t LoggedPools = 0; // Version of the members, see logPools.
-  time_ms TickDueAt = -1;        // Monotonic, -1 before the first tick.
-  // Of the last tick, monotonic: when it was due and when it ran.
-  time_ms LastTickDueAt = -1;
-  time_ms LastTickAt = -1;
+  dispatch::task_times TickTimes;
+  time_ms TickStartedAt = 0; // Monotonic, of the last tick.
   std::shared_ptr<const relay::route_table> RouteTable;
   bool IsNewestVersionUnreadable = false; // The table is an older one.
   time_ms EndpointsKnownAsOf = -1; // See streams::listed_versions::knownAsOf.
--- a/packages/daemon/src/router_reports.cpp
+++ b/packages/daemon/src/router_reports.cpp
@@ -136,12 +136,7 @@
             {{"text", Text.substr(0, MaxLoggedTextBytes)}});
 }
 
-void router::recordLoopDelay(time_ms Now) {
-  if (TickDueAt < 0)
-    return;
-  LastTickDueAt = TickDueAt;
-  LastTickAt = Now;
-  const time_ms DelayMs = std::max<time_ms>(0, Now - TickDueAt);
+void router::recordLoopDelay(time_ms DelayMs) {
   Metrics.histogramOf("tamarack_loop_delay_ms")
       .observe(static_cast<double>(DelayMs));
   if (DelayMs >= LoggedLoopDelayMs)
--- a/packages/dispatch/include/tamarack/dispatch.hpp
+++ b/packages/dispatch/include/tamarack/dispatch.hpp
@@ -358,6 +358,18 @@
 // Shutdown
 //---------------------------------------------------------------------------
 
+// A periodic task of the event loop, monotonic ms.
+struct task_times {
+  time_ms NextDueAt = -1; // Set at the end of a run. -1 before the first one.
+  time_ms LastDueAt = -1; // Of the last run. -1 before the second one.
+};
+
+// The earliest time at which a signal that is handled now can have come. The
+// event loop handles a signal after everything else that became ready while the
+// process stood still, also after a run of the task that was due in that time.
+// The process may have stood still within that run, too.
+time_ms earliestSignalTime(const task_times &Task, time_ms Now);
+
 // When a process that stops does what, monotonic ms.
 struct shutdown_times {
   time_ms OpenUntil = -1; // Takes new connections, and calls of any length.
--- a/packages/dispatch/src/shutdown_gate.cpp
+++ b/packages/dispatch/src/shutdown_gate.cpp
@@ -18,6 +18,12 @@
 
 } // namespace
 
+time_ms earliestSignalTime(const task_times &Task, time_ms Now) {
+  const bool IsOverdue = Now >= Task.NextDueAt;
+  const time_ms IdleSince = IsOverdue ? Task.NextDueAt : Task.LastDueAt;
+  return IdleSince < 0 ? Now : std::min(Now, IdleSince);
+}
+
 // The last responses have half of the margin to reach their callers.
 shutdown_times planShutdown(time_ms RequestedAt, int GraceMs) {
   const int MarginMs = std::min(CutMarginMs, GraceMs / CutMarginFraction);
--- a/tests/unit/shutdown_test.cpp
+++ b/tests/unit/shutdown_test.cpp
@@ -66,6 +66,33 @@
   CHECK_FALSE(isTaken(Gate, callOf(OpenUntil + 1, CutAt + 10'000)));
 }
 
+// Guards against a stop that counts from the handling of its signal, after the
+// process has stood still: it would be killed before its own end.
+TEST_CASE("a signal is as old as the process may have stood still",
+          "[dispatch][shutdown]") {
+  constexpr int PeriodMs = 100;
+  constexpr time_ms DueAt = 10'000;
+  constexpr int StoppedMs = 1'000;
+  SECTION("before the first run") {
+    CHECK(earliestSignalTime({}, DueAt) == DueAt);
+  }
+  SECTION("not at all") {
+    CHECK(earliestSignalTime({DueAt + PeriodMs, DueAt}, DueAt + 50) == DueAt);
+  }
+  SECTION("between two runs, and the signal is handled before the next one") {
+    CHECK(earliestSignalTime({DueAt, DueAt - PeriodMs}, DueAt + StoppedMs) ==
+          DueAt);
+  }
+  SECTION("between two runs, and the signal is handled after the next one") {
+    const time_ms RunAt = DueAt + StoppedMs;
+    CHECK(earliestSignalTime({RunAt + PeriodMs, DueAt}, RunAt) == DueAt);
+  }
+  SECTION("within a run") {
+    const time_ms EndedAt = DueAt + StoppedMs;
+    CHECK(earliestSignalTime({EndedAt + PeriodMs, DueAt}, EndedAt) == DueAt);
+  }
+}
+
 // Guards against a process that still takes calls when it has to give them up,
 // or is killed before it does.
 TEST_CASE("a stop fits into any grace time", "[dispatch][shutdown]") {
