Read an empty number in settings as the default, not as 0

The platform's template puts nothing in place of a value that an installation does not have. "grace-s = " was then read as a grace of 0 s, "repeat-window-s = " as a window of 0: the checks of the range passed over an empty value, and its number is 0.

Change: an empty number, in a file, a variable or a flag, leaves the default.

Test, red before: "an empty number is the default".

--- a/packages/adapters/include/tamarack/adapters.hpp
+++ b/packages/adapters/include/tamarack/adapters.hpp
@@ -115,6 +115,7 @@
   void readSettingsFile(const std::string &Path,
                         const std::set<std::string> &AlreadySet,
                         std::vector<std::string> &Errors);
+  static void assign(setting &Setting, std::string Value);
   void checkValues(std::vector<std::string> &Errors);
   const setting &findSetting(std::string_view Name, value_type Type) const;
 
--- a/packages/adapters/src/settings.cpp
+++ b/packages/adapters/src/settings.cpp
@@ -161,8 +161,8 @@
                               : Option.original_tokens.front()));
         continue;
       }
-      Found->second.Value =
-          Option.value.empty() ? "true" : Option.value.front();
+      assign(Found->second,
+             Option.value.empty() ? "true" : Option.value.front());
       AlreadySet.insert(Option.string_key);
     }
     if (!FileSettingName.empty() && !getText(FileSettingName).empty())
@@ -194,7 +194,7 @@
     if (Found == Settings.end())
       Errors.push_back("unknown setting in " + Path + ": " + Option.string_key);
     else if (!AlreadySet.contains(Option.string_key) && !Option.value.empty())
-      Found->second.Value = Option.value.front();
+      assign(Found->second, Option.value.front());
   }
 }
 
@@ -214,12 +214,21 @@
       Errors.push_back("unknown environment variable: " + Variable);
       continue;
     }
-    Settings.find(Found->second)->second.Value =
-        std::string(Text.substr(Equals + 1));
+    assign(Settings.find(Found->second)->second,
+           std::string(Text.substr(Equals + 1)));
     AlreadySet.insert(Found->second);
   }
 }
 
+// A template leaves a value empty that its platform does not know. An empty
+// number would be read as 0.
+void program_settings::assign(setting &Setting, std::string Value) {
+  const bool IsNumber =
+      Setting.Type == value_type::Number || Setting.Type == value_type::Decimal;
+  Setting.Value =
+      IsNumber && Value.empty() ? Setting.Default : std::move(Value);
+}
+
 void program_settings::checkValues(std::vector<std::string> &Errors) {
   for (const auto &[Name, Setting] : Settings) {
     if (Setting.Required && Setting.Value.empty())
--- a/tests/unit/adapters_test.cpp
+++ b/tests/unit/adapters_test.cpp
@@ -8,6 +8,8 @@
 
 #include <algorithm>
 #include <cstdlib>
+#include <filesystem>
+#include <fstream>
 #include <memory>
 
 using namespace tamarack;
@@ -83,6 +85,32 @@
   CHECK(Settings.getFlag("json"));
 }
 
+// Guards against a setting that is 0 because a template had no value for it.
+TEST_CASE("an empty number is the default", "[adapters]") {
+  const auto PortOf = [](std::vector<const char *> Arguments) {
+    program_settings Settings = makeSettings();
+    Settings.addDecimal("ratio", "0.5", 0, 1, "a ratio");
+    Settings.addSettingsFile("file", "a file");
+    Arguments.insert(Arguments.begin(), {"sample", "--name", "x"});
+    CHECK(Settings.read(static_cast<int>(Arguments.size()), Arguments.data()));
+    CHECK(Settings.getDecimal("ratio") == 0.5);
+    return Settings.getNumber("port");
+  };
+  SECTION("of a flag") { CHECK(PortOf({"--port", "", "--ratio", ""}) == 80); }
+  SECTION("of an environment variable") {
+    ::setenv("TAMARACK_PORT", "", 1);
+    CHECK(PortOf({}) == 80);
+    ::unsetenv("TAMARACK_PORT");
+  }
+  SECTION("of a file") {
+    const std::string Path =
+        (std::filesystem::temp_directory_path() / "tamarack-empty").string();
+    std::ofstream(Path) << "port =\nratio = \n";
+    CHECK(PortOf({"--file", Path.c_str()}) == 80);
+    std::filesystem::remove(Path);
+  }
+}
+
 TEST_CASE("all wrong settings are reported together", "[adapters]") {
   ::setenv("TAMARACK_NONSENSE", "1", 1);
   const std::string Errors = readErrors({"--port", "99999", "--colour", "red"});
