--- a/bench/engine.cpp
+++ b/bench/engine.cpp
@@ -52,7 +52,7 @@
   }
   void endResponse() override {}
   void sendCompleteResponse(const relay::response_head &,
-                            std::string_view) override {}
+                            std::string) override {}
   void abortResponse() override {}
   void refuse(relay::error_kind, int) override {}
   std::size_t ForwardedBytes = 0;
@@ -128,7 +128,7 @@
     discarding_host Host;
     const std::size_t BytesAtStart = ::mallinfo2().uordblks;
     relay::numbered_event_reader Reader;
-    relay::response_memory Memory(MaxKeptBytes);
+    memory::memory_budget Memory(MaxKeptBytes);
     relay::exchange Exchange(makeCall(++Number), Fixture.LoadBalancer,
                              TokenBudget, Origins, Reader, Host, Memory);
     Exchange.start(0);
--- a/packages/calls/include/tamarack/calls.hpp
+++ b/packages/calls/include/tamarack/calls.hpp
@@ -45,6 +45,7 @@
   ClaimUnavailable,
   RateLimited,
   Overloaded,
+  InstanceFull,
   DeadlineTooShort,
   PromptQuarantined,
   RequestQuarantined,
@@ -212,8 +213,8 @@
 bool isRefusalOf(std::string_view RequestId, std::string_view EchoedId,
                  bool IsFirstOnConnection);
 
-// Path at which an endpoint goes on with the stream of this id. Endpoints choose
-// the ids, which may contain any characters of a header field.
+// Path at which an endpoint goes on with the stream of this id. Endpoints
+// choose the ids, which may contain any characters of a header field.
 std::string resumptionPath(std::string_view StreamId);
 
 // Checks the events of one streamed response, also when it is resumed. An event
--- a/packages/calls/src/errors.cpp
+++ b/packages/calls/src/errors.cpp
@@ -47,6 +47,9 @@
      "A limit of the client account is reached."},
     {Overloaded, "overloaded", 503, ran_at_endpoint::No, Later, 1'000,
      "All endpoints are busy and the queue is full."},
+    {InstanceFull, "instance_full", 503, ran_at_endpoint::No, Later, 500,
+     "The instance can't hold more requests and responses now; another one "
+     "may."},
     {DeadlineTooShort, "deadline_too_short", 503, ran_at_endpoint::No, Later,
      1'000, "The request can't be served before its deadline."},
     {PromptQuarantined, "prompt_quarantined", 503, ran_at_endpoint::No, Later,
--- a/packages/daemon/src/exchange_driver.cpp
+++ b/packages/daemon/src/exchange_driver.cpp
@@ -274,9 +274,9 @@
 }
 
 void exchange_driver::sendCompleteResponse(const relay::response_head &Head,
-                                           std::string_view Body) {
+                                           std::string Body) {
   const std::string &ContentType = Head.Fields.back().Value;
-  Execution.storeResponse(Head.Status, ContentType, std::string(Body));
+  Execution.storeResponse(Head.Status, ContentType, Body);
   Context.sendCompleteResponse(Head.Status, ContentType, Body);
 }
 
--- a/packages/daemon/src/exchange_driver.hpp
+++ b/packages/daemon/src/exchange_driver.hpp
@@ -81,7 +81,7 @@
   void forwardEvents(std::string_view Bytes) override;
   void endResponse() override {}
   void sendCompleteResponse(const relay::response_head &Head,
-                            std::string_view Body) override;
+                            std::string Body) override;
   void abortResponse() override;
   void refuse(relay::error_kind Kind, int RetryAfterMs) override;
 
@@ -98,8 +98,8 @@
   single_execution &Execution;
   prepaid_admission &Admission;
   resuming_response_reader &Reader;
-  relay::no_stream_origins Origins;      // Callers get the rest of no stream.
-  relay::response_memory ResponseMemory; // Of this call alone.
+  relay::no_stream_origins Origins;     // Callers get the rest of no stream.
+  memory::memory_budget ResponseMemory; // Of this call alone.
   relay::exchange Exchange;
 
   std::optional<config::endpoint> AcquiredEndpoint; // No request was sent yet.
--- a/packages/daemon/src/main.cpp
+++ b/packages/daemon/src/main.cpp
@@ -7,6 +7,7 @@
 
 #include <csignal>
 #include <iostream>
+#include <malloc.h>
 
 namespace {
 
@@ -26,12 +27,16 @@
 }
 
 constexpr std::string_view RouterCommand = "router";
+// Larger blocks are returned to the system when they are freed. By default the
+// allocator keeps them once some have been freed, up to many times this size.
+constexpr int MappedBlockBytes = 128 * 1024;
 
 // Runs "tamarackd router": a router instance on the platform's keyed store,
 // with one event loop.
 int runRouter(int Count, char **Arguments) {
   using namespace tamarack;
   std::signal(SIGPIPE, SIG_IGN);
+  mallopt(M_MMAP_THRESHOLD, MappedBlockBytes);
   daemon::router_settings Settings;
   if (!daemon::readRouterSettings(Count, Arguments, Settings))
     return 0;
--- a/packages/daemon/src/router.cpp
+++ b/packages/daemon/src/router.cpp
@@ -35,6 +35,15 @@
 constexpr follow::follower_settings EndpointReads{
     .PollIntervalMs = 600, .RetryDelayMs = 150, .AcceptStuckSnapshot = true};
 
+// Of the memory of the process, what it may hold for others. The rest is for
+// the program itself and for what such bytes take beyond their number.
+constexpr double HeldMemoryShare = 0.375;
+
+std::size_t heldBytesOf(std::size_t MemoryLimitBytes) {
+  return static_cast<std::size_t>(HeldMemoryShare *
+                                  static_cast<double>(MemoryLimitBytes));
+}
+
 } // namespace
 
 //---------------------------------------------------------------------------
@@ -187,7 +196,7 @@
 //---------------------------------------------------------------------------
 
 router::router(const router_settings &Settings)
-    : Settings(Settings),
+    : Settings(Settings), Memory(heldBytesOf(Settings.MemoryLimitBytes), this),
       Log(Settings.Instance, Clock, Settings.MaxLogLinesPerSecond),
       DirectStore(Context,
                   {.Address = Settings.StoreAddress, .CallsFor = "own"},
@@ -243,20 +252,20 @@
                     GrantReads),
       ConnectionPool(Context, Clock, {}),
       Frontend(Context, Clock, Codec, ShutdownGate, Budget, StreamOrigins,
-               *this, ConnectionPool, {}),
-      ReadinessServer(Context,
+               *this, ConnectionPool, Memory, Random, {}),
+      ReadinessServer(Context, Memory,
                       [this](const edge::request_message &,
                              const edge::respond_callback &Respond) {
                         Respond(readinessResponse());
                       }),
-      PeerServer(Context,
+      PeerServer(Context, Memory,
                  [this](const edge::request_message &Request,
                         const edge::respond_callback &Respond) {
                    if (Request.target() == pool_link::Path)
                      return Respond(servePoolRequest(PoolServer, Request));
                    PeerService.serve(Request, Respond);
                  }),
-      MetricsServer(Context,
+      MetricsServer(Context, Memory,
                     [this](const edge::request_message &,
                            const edge::respond_callback &Respond) {
                       Respond(metricsResponse());
@@ -275,10 +284,12 @@
   PeerServer.listen(edge::parseAddress(Settings.PeerAddress));
   MetricsServer.listen(edge::parseAddress(Settings.MetricsAddress));
   waitForSignals();
-  Log.write("start", {{"zone", std::string_view(Settings.Zone)},
-                      {"front", std::string_view(Settings.FrontendAddress)},
-                      {"store", std::string_view(Settings.StoreAddress)},
-                      {"since_boot_ms", Clock.sinceBoot()}});
+  Log.write("start",
+            {{"zone", std::string_view(Settings.Zone)},
+             {"front", std::string_view(Settings.FrontendAddress)},
+             {"store", std::string_view(Settings.StoreAddress)},
+             {"held_bytes_limit", static_cast<std::int64_t>(Memory.limit())},
+             {"since_boot_ms", Clock.sinceBoot()}});
   tick();
   Context.run();
   Log.write("stop", {{"open_connections",
@@ -324,6 +335,16 @@
   });
 }
 
+// What waits for memory is looked at once for all that was freed meanwhile.
+void router::onMemoryFreed() {
+  if (Context.stopped() || std::exchange(IsMemoryWakePosted, true))
+    return;
+  edge::net::post(Context, [this] {
+    IsMemoryWakePosted = false;
+    Frontend.onMemoryFreed();
+  });
+}
+
 //---------------------------------------------------------------------------
 // Configuration and peers
 //---------------------------------------------------------------------------
--- a/packages/daemon/src/router.hpp
+++ b/packages/daemon/src/router.hpp
@@ -16,6 +16,7 @@
 #include "tamarack/edge.hpp"
 #include "tamarack/follow.hpp"
 #include "tamarack/grants.hpp"
+#include "tamarack/memory.hpp"
 #include "tamarack/peers.hpp"
 #include "tamarack/platform.hpp"
 #include "tamarack/pools.hpp"
@@ -37,6 +38,7 @@
                      private dispatch::endpoint_statement_listener,
                      private streams::listed_versions,
                      private store_era_listener,
+                     private memory::memory_listener,
                      private streams::origin_listener {
 public:
   explicit router(const router_settings &Settings);
@@ -115,6 +117,9 @@
   void onFormerEra(std::uint64_t Stated, std::uint64_t Era) override;
   void onEraMissing(std::string_view Text) override;
 
+  // memory::memory_listener
+  void onMemoryFreed() override;
+
   // streams::origin_listener
   void onOriginsRead() override;
   void onSnapshotRead(const follow::snapshot_end &End) override;
@@ -172,6 +177,7 @@
   router_settings Settings;
   adapters::system_clock Clock;
   adapters::system_random Random;
+  memory::memory_budget Memory; // Outlives what Context still holds.
   edge::net::io_context Context{1};
   adapters::event_log Log;
   report::metrics_registry Metrics;
@@ -221,6 +227,7 @@
   edge::net::steady_timer TickTimer;
   edge::net::steady_timer PoolTimer;
   bool IsPoolSendPosted = false;
+  bool IsMemoryWakePosted = false;
   std::uint64_t LoggedPools = 0; // Version of the members, see logPools.
   dispatch::task_times TickTimes;
   time_ms TickStartedAt = 0; // Monotonic, of the last tick.
--- a/packages/daemon/src/router_reports.cpp
+++ b/packages/daemon/src/router_reports.cpp
@@ -373,6 +373,9 @@
       .set(ConnectionPool.idleCount());
   Metrics.counterOf("tamarack_endpoint_connections_total")
       .set(ConnectionPool.openedCount());
+  Metrics.gaugeOf("tamarack_held_bytes").set(Memory.used());
+  Metrics.gaugeOf("tamarack_held_bytes_limit").set(Memory.limit());
+  Metrics.counterOf("tamarack_memory_refusals_total").set(Memory.refusals());
   setTopicAge("configuration", ConfigurationFollower);
   setTopicAge("endpoints", EndpointFollower);
   setTopicAge("grants", GrantFollower);
--- a/packages/daemon/src/router_settings.cpp
+++ b/packages/daemon/src/router_settings.cpp
@@ -10,6 +10,7 @@
 namespace {
 
 constexpr double MsPerSecond = 1'000;
+constexpr double BytesPerMb = 1'048'576;
 // Names are parts of keys in the store, which take 255 bytes.
 constexpr std::size_t MaxInstanceBytes = 200;
 
@@ -38,6 +39,8 @@
   Set.addNumber("leave-notice-ms", "2000", 600, 3600000,
                 "shortest time that an endpoint serves after it is listed as "
                 "leaving, ms");
+  Set.addDecimal("memory-mb", "110", 32, 1e6,
+                 "memory that this process may use, MB");
   Set.addNumber("log-lines", "200", 1, 1000000,
                 "most log lines per event and second");
 }
@@ -100,6 +103,8 @@
   Settings.ShutdownGraceMs =
       static_cast<int>(Set.getDecimal("grace-s") * MsPerSecond);
   Settings.LeaveNoticeMs = static_cast<int>(Set.getNumber("leave-notice-ms"));
+  Settings.MemoryLimitBytes =
+      static_cast<std::size_t>(Set.getDecimal("memory-mb") * BytesPerMb);
   Settings.MaxLogLinesPerSecond = static_cast<int>(Set.getNumber("log-lines"));
   return true;
 }
--- a/packages/daemon/src/router_settings.hpp
+++ b/packages/daemon/src/router_settings.hpp
@@ -23,6 +23,8 @@
   int LeaveNoticeMs = 2'000;
   int ShutdownGraceMs = 8'000;    // From the stop signal to the forced stop.
   int MaxLogLinesPerSecond = 200; // For each event.
+  // The process is ended if it uses more.
+  std::size_t MemoryLimitBytes = 110u << 20;
 };
 
 // False if --help was given and has been printed. Throws
--- a/packages/edge/include/tamarack/edge.hpp
+++ b/packages/edge/include/tamarack/edge.hpp
@@ -16,6 +16,7 @@
 // by reference, must outlive all operations.
 #pragma once
 
+#include "tamarack/memory.hpp"
 #include "tamarack/relay.hpp"
 
 #include <utility> // Boost.Asio needs std::exchange and does not include it.
@@ -164,10 +165,9 @@
 struct frontend_settings {
   std::size_t MaxSessions = 3'000; // Connections beyond are closed at once.
   // Unsent bytes of one session at which the endpoint's response is no longer
-  // read.
+  // read, usually and while the memory budget is tight.
   std::size_t MaxUnsentBytes = 256 * 1024;
-  // Bytes kept of all responses that are not complete yet.
-  std::size_t MaxKeptResponseBytes = 16u << 20;
+  std::size_t MaxUnsentBytesIfTight = 16 * 1024;
   int LingeringCloseMs = 1'000; // See frontend_session::beginLingeringClose.
   int DrainIdleTimeoutMs = 250; // Idle timeout once draining has begun.
 };
@@ -201,7 +201,8 @@
                   exchange_codec &Codec, relay::placement &Placement,
                   relay::token_budget &Allowance,
                   relay::stream_origins &Origins, frontend_observer &Observer,
-                  connection_pool &Pool, frontend_settings Settings);
+                  connection_pool &Pool, memory::memory_budget &Memory,
+                  random_source &Random, frontend_settings Settings);
   ~frontend_server();
 
   // Throws boost::system::system_error.
@@ -219,6 +220,8 @@
   void onGrantsChanged();
   // Calls that wait for the origin of a stream look again.
   void onOriginsRead();
+  // Responses that wait for memory are read on as far as they fit.
+  void onMemoryFreed();
 
   std::size_t sessionCount() const { return Sessions.size(); }
   bool isDraining() const { return IsDraining; }
@@ -230,6 +233,8 @@
   // Closes the connection if there are MaxSessions sessions already.
   void startSession(tcp::socket Socket);
   void acceptWaiting();
+  // Spreads the callers that an instance has no memory for.
+  int memoryRetryAfterMs();
   void forEachSession(const std::function<void(frontend_session &)> &Action);
 
   net::io_context &Context;
@@ -240,8 +245,9 @@
   relay::stream_origins &Origins;
   frontend_observer &Observer;
   connection_pool &Pool;
+  memory::memory_budget &Memory;
+  random_source &Random;
   frontend_settings Settings;
-  relay::response_memory KeptResponses;
   relay::caller_limits Limits;
   tcp::acceptor Acceptor;
   net::steady_timer AcceptRetryTimer;
@@ -344,10 +350,12 @@
 
 class simple_http_session;
 
-// HTTP server for readiness checks, metrics and peers.
+// HTTP server for readiness checks, metrics and peers. Responds 503 if a
+// response does not fit into Memory.
 class simple_http_server {
 public:
-  simple_http_server(net::io_context &Context, http_request_handler Handler);
+  simple_http_server(net::io_context &Context, memory::memory_budget &Memory,
+                     http_request_handler Handler);
   ~simple_http_server();
   // Throws boost::system::system_error.
   void listen(const tcp::endpoint &Address);
@@ -357,6 +365,7 @@
   void accept();
 
   net::io_context &Context;
+  memory::memory_budget &Memory;
   http_request_handler Handler;
   tcp::acceptor Acceptor;
   std::set<std::shared_ptr<simple_http_session>> Sessions;
--- a/packages/edge/src/caller_output.cpp
+++ b/packages/edge/src/caller_output.cpp
@@ -5,6 +5,12 @@
 
 namespace tamarack::edge {
 
+namespace {
+
+constexpr std::size_t MaxJoinedBytes = 16 * 1024; // Of pieces that are joined.
+
+} // namespace
+
 std::string formatHead(const relay::response_head &Head, bool Chunked,
                        std::size_t Length, bool KeepAlive) {
   http::response_header<> Fields;
@@ -43,11 +49,23 @@
   return std::move(Out).str();
 }
 
+// Large pieces are not copied.
 void caller_output::append(std::string Bytes) {
-  if (Unsent.empty())
-    Unsent = std::move(Bytes);
+  if (Bytes.empty())
+    return;
+  UnsentBytes += Bytes.size();
+  Held.set(Held.bytes() + Bytes.size());
+  const bool MayJoin = !Unsent.empty() && Bytes.size() < MaxJoinedBytes &&
+                       Unsent.back().size() < MaxJoinedBytes;
+  if (MayJoin)
+    Unsent.back().append(Bytes);
   else
-    Unsent.append(Bytes);
+    Unsent.push_back(std::move(Bytes));
+}
+
+void caller_output::onWriteEnded() {
+  pieces().swap(BeingSent);
+  Held.set(UnsentBytes);
 }
 
 void caller_output::startWrite(std::shared_ptr<void> Owner,
@@ -55,8 +73,12 @@
   if (!BeingSent.empty() || Unsent.empty())
     return;
   BeingSent.swap(Unsent);
+  UnsentBytes = 0;
+  std::vector<net::const_buffer> Buffers;
+  for (const std::string &Piece : BeingSent)
+    Buffers.push_back(net::buffer(Piece));
   net::async_write(
-      Socket, net::buffer(BeingSent),
+      Socket, Buffers,
       [Owner = std::move(Owner), OnSent = std::move(OnSent)](
           const error_code &Error, std::size_t) { OnSent(Error); });
 }
--- a/packages/edge/src/caller_output.hpp
+++ b/packages/edge/src/caller_output.hpp
@@ -21,22 +21,28 @@
 public:
   using sent_handler = std::function<void(const error_code &)>;
 
-  explicit caller_output(tcp::socket &Socket) : Socket(Socket) {}
+  // All bytes that are not sent count in Memory.
+  caller_output(tcp::socket &Socket, memory::memory_budget &Memory)
+      : Socket(Socket), Held(Memory) {}
 
   void append(std::string Bytes);
   // Starts a write unless one is pending or there is nothing to send. OnSent is
   // called at its end, with Owner still alive.
   void startWrite(std::shared_ptr<void> Owner, sent_handler OnSent);
   // Called first by OnSent: the bytes of that write are sent or lost.
-  void onWriteEnded() { BeingSent.clear(); }
+  void onWriteEnded();
   bool isSent() const { return BeingSent.empty() && Unsent.empty(); }
   bool hasUnsent() const { return !Unsent.empty(); }
-  std::size_t unsentSize() const { return Unsent.size(); }
+  std::size_t unsentSize() const { return UnsentBytes; }
 
 private:
+  using pieces = std::vector<std::string>;
+
   tcp::socket &Socket;
-  std::string Unsent;    // Not passed to the socket yet.
-  std::string BeingSent; // Of the pending write, else empty.
+  pieces Unsent;               // Not passed to the socket yet.
+  std::size_t UnsentBytes = 0; // Of Unsent.
+  pieces BeingSent;            // Of the pending write, else empty.
+  memory::memory_charge Held;  // All pieces.
 };
 
 } // namespace tamarack::edge
--- a/packages/edge/src/connection_pool.cpp
+++ b/packages/edge/src/connection_pool.cpp
@@ -7,9 +7,6 @@
 
 namespace {
 
-// Bytes that were received and not parsed yet. The parser needs a whole head,
-// line of a chunk or trailer at once, and sets no limit for the last two.
-constexpr std::size_t MaxUnparsedBytes = 128 * 1024;
 // Requests on a connection until no copy of a response is expected any more.
 constexpr std::size_t MaxRecentIds = 16;
 
@@ -22,8 +19,7 @@
 endpoint_connection::endpoint_connection(net::io_context &Context,
                                          connection_pool &Pool,
                                          std::string Address)
-    : Socket(Context), Buffer(MaxUnparsedBytes), Pool(Pool),
-      Address(std::move(Address)) {}
+    : Socket(Context), Pool(Pool), Address(std::move(Address)) {}
 
 void endpoint_connection::watchWhileIdle() {
   const std::weak_ptr<endpoint_connection> Weak = weak_from_this();
--- a/packages/edge/src/endpoint_attempt.cpp
+++ b/packages/edge/src/endpoint_attempt.cpp
@@ -16,7 +16,13 @@
 constexpr int MaxInterimResponses = 100;
 constexpr std::uint32_t MaxHeadBytes = 64 * 1024;
 constexpr std::string_view HeadPrefix = "HTTP/1."; // Of every response.
-constexpr std::size_t FirstReadBytes = 512;
+constexpr std::size_t HeadReadBytes = 2'048;       // Per read operation.
+// Bytes of a head that count in no budget, since most heads are no larger.
+constexpr std::size_t UncountedHeadBytes = 4'096;
+// Bytes that were received and not parsed yet. The parser needs a whole head,
+// line of a chunk or trailer at once, and sets no limit for the last two.
+constexpr std::size_t MaxUnparsedHeadBytes = 128 * 1024;
+constexpr std::size_t MaxUnparsedBodyBytes = 16 * 1024;
 // Idle connections are closed this long before the endpoint closes them, so
 // that no request is sent on a connection that the endpoint is closing.
 constexpr int KeepAliveMarginMs = 1'000;
@@ -41,12 +47,14 @@
 
 endpoint_attempt::endpoint_attempt(net::io_context &Context, const clock &Clock,
                                    connection_pool &Pool, exchange_codec &Codec,
-                                   attempt_listener &Listener, relay::call Call,
+                                   attempt_listener &Listener,
+                                   memory::memory_budget &Memory,
+                                   relay::call Call,
                                    relay::endpoint_choice Target,
                                    request_message Request)
     : Context(Context), Clock(Clock), Pool(Pool), Codec(Codec),
       Listener(&Listener), Call(std::move(Call)), Target(std::move(Target)),
-      Request(std::move(Request)), ConnectTimer(Context) {}
+      Request(std::move(Request)), ConnectTimer(Context), HeadCharge(Memory) {}
 
 void endpoint_attempt::start(bool OnlyRecentConnection) {
   Connection = Pool.acquireIdle(Target.Address, OnlyRecentConnection);
@@ -129,34 +137,46 @@
   Parser->body_limit(std::numeric_limits<std::uint64_t>::max());
   if (Request.method() == http::verb::head)
     Parser->skip(true);
-  readHeadPrefix();
+  Connection->Buffer.max_size(MaxUnparsedHeadBytes);
+  parseHead();
 }
 
-// The parser looks at a head only when it is complete. Bytes that begin no
-// response are recognized here, instead of waiting for the end of a head.
-void endpoint_attempt::readHeadPrefix() {
+// Bytes that begin no response are recognized at once, instead of waiting for
+// the end of a line.
+void endpoint_attempt::parseHead() {
   const net::const_buffer Received = Connection->Buffer.cdata();
   const std::string_view Begin(static_cast<const char *>(Received.data()),
                                std::min(Received.size(), HeadPrefix.size()));
-  if (!HeadPrefix.starts_with(Begin))
+  const bool IsStartLine = !Parser->got_some();
+  if (IsStartLine && !HeadPrefix.starts_with(Begin))
+    return failBroken();
+  if (IsStartLine && Begin.size() < HeadPrefix.size())
+    return readMoreOfHead();
+  error_code Error;
+  Connection->Buffer.consume(Parser->put(Received, Error));
+  if (Error == http::error::need_more)
+    return readMoreOfHead();
+  Connection->Buffer.max_size(
+      std::max(MaxUnparsedBodyBytes, Connection->Buffer.size()));
+  onHead(Error);
+}
+
+void endpoint_attempt::readMoreOfHead() {
+  const std::size_t Size = Connection->Buffer.size() + HeadReadBytes;
+  if (Size > UncountedHeadBytes && Size > HeadCharge.bytes() &&
+      !HeadCharge.trySet(Size))
     return failBroken();
   const std::shared_ptr<endpoint_attempt> Self = shared_from_this();
-  if (Begin.size() < HeadPrefix.size()) {
-    Connection->Socket.async_read_some(
-        Connection->Buffer.prepare(FirstReadBytes),
-        [Self](const error_code &Error, std::size_t Count) {
-          if (Self->Listener == nullptr)
-            return;
-          if (Error)
-            return Self->failBroken();
-          Self->Connection->Buffer.commit(Count);
-          Self->readHeadPrefix();
-        });
-    return;
-  }
-  http::async_read_header(
-      Connection->Socket, Connection->Buffer, *Parser,
-      [Self](const error_code &Error, std::size_t) { Self->onHead(Error); });
+  Connection->Socket.async_read_some(
+      Connection->Buffer.prepare(HeadReadBytes),
+      [Self](const error_code &Error, std::size_t Count) {
+        if (Self->Listener == nullptr)
+          return;
+        if (Error)
+          return Self->failBroken();
+        Self->Connection->Buffer.commit(Count);
+        Self->parseHead();
+      });
 }
 
 void endpoint_attempt::onHead(const error_code &Error) {
@@ -185,6 +205,9 @@
   const std::shared_ptr<endpoint_attempt> Self = shared_from_this();
   relay::response_head Head = Codec.decodeResponseHead(Fields);
   Head.EndsWithConnection = Parser->need_eof();
+  const boost::optional<std::uint64_t> Length = Parser->content_length();
+  if (Length && Request.method() != http::verb::head)
+    Head.BodyBytes = *Length;
   Head.ConnectedAt = Connection->ConnectedAt;
   Listener->onHead(this, std::move(Head));
   readBody();
--- a/packages/edge/src/endpoint_attempt.hpp
+++ b/packages/edge/src/endpoint_attempt.hpp
@@ -65,8 +65,9 @@
 public:
   endpoint_attempt(net::io_context &Context, const clock &Clock,
                    connection_pool &Pool, exchange_codec &Codec,
-                   attempt_listener &Listener, relay::call Call,
-                   relay::endpoint_choice Target, request_message Request);
+                   attempt_listener &Listener, memory::memory_budget &Memory,
+                   relay::call Call, relay::endpoint_choice Target,
+                   request_message Request);
 
   // OnlyRecentConnection: see connection_pool::acquireIdle.
   void start(bool OnlyRecentConnection);
@@ -81,7 +82,8 @@
   void send();
   void withdraw();
   void readHead();
-  void readHeadPrefix();
+  void parseHead();
+  void readMoreOfHead();
   void onHead(const error_code &Error);
   void readBody();
   void onBody(const error_code &Error);
@@ -101,6 +103,7 @@
   request_message Request;
   std::shared_ptr<endpoint_connection> Connection;
   net::steady_timer ConnectTimer;
+  memory::memory_charge HeadCharge; // Received bytes of a head.
   std::optional<http::response_parser<http::buffer_body>> Parser;
   std::array<char, 4096> BodyBuffer;
   int InterimResponses = 0;
--- a/packages/edge/src/frontend_server.cpp
+++ b/packages/edge/src/frontend_server.cpp
@@ -6,6 +6,9 @@
 namespace {
 
 constexpr int AcceptRetryMs = 50; // Pause after a failed accept.
+// Range of Retry-After for callers that this instance has no memory for.
+constexpr int MinMemoryRetryAfterMs = 100;
+constexpr int MemoryRetrySpreadMs = 500;
 
 } // namespace
 
@@ -13,11 +16,12 @@
     net::io_context &Context, const clock &Clock, exchange_codec &Codec,
     relay::placement &Placement, relay::token_budget &Allowance,
     relay::stream_origins &Origins, frontend_observer &Observer,
-    connection_pool &Pool, frontend_settings Settings)
+    connection_pool &Pool, memory::memory_budget &Memory, random_source &Random,
+    frontend_settings Settings)
     : Context(Context), Clock(Clock), Codec(Codec), Placement(Placement),
       Allowance(Allowance), Origins(Origins), Observer(Observer), Pool(Pool),
-      Settings(Settings), KeptResponses(Settings.MaxKeptResponseBytes),
-      Acceptor(Context), AcceptRetryTimer(Context) {}
+      Memory(Memory), Random(Random), Settings(Settings), Acceptor(Context),
+      AcceptRetryTimer(Context) {}
 
 frontend_server::~frontend_server() = default;
 
@@ -98,6 +102,15 @@
   forEachSession([](frontend_session &Session) { Session.onOriginsRead(); });
 }
 
+void frontend_server::onMemoryFreed() {
+  forEachSession([](frontend_session &Session) { Session.onMemoryFreed(); });
+}
+
+int frontend_server::memoryRetryAfterMs() {
+  return MinMemoryRetryAfterMs +
+         static_cast<int>(Random.next() % MemoryRetrySpreadMs);
+}
+
 std::size_t frontend_server::busySessionCount() const {
   std::size_t Count = 0;
   for (const std::shared_ptr<frontend_session> &Session : Sessions)
--- a/packages/edge/src/frontend_session.cpp
+++ b/packages/edge/src/frontend_session.cpp
@@ -6,8 +6,13 @@
 namespace {
 
 constexpr std::size_t ReadAheadBytes = 4'096; // Per read operation.
-// Bytes of later requests that are buffered. Reading ahead stops at this size.
+// Bytes of later requests that are buffered, usually and while the memory
+// budget is tight. Reading ahead stops at this size.
 constexpr std::size_t MaxReadAheadBytes = 64 * 1024;
+constexpr std::size_t MaxReadAheadBytesIfTight = ReadAheadBytes;
+
+// Of a call in progress: its state, its attempt and their buffers.
+constexpr std::size_t CallBytes = 16 * 1024;
 
 // A sound caller may pause for some seconds while it reads.
 constexpr int CallerTcpUserTimeoutMs = 10'000;
@@ -16,7 +21,8 @@
 
 frontend_session::frontend_session(frontend_server &Server, tcp::socket Socket)
     : Server(Server), Socket(std::move(Socket)), Timer(Server.Context),
-      AcceptedAt(Server.Clock.monotonic()) {}
+      AcceptedAt(Server.Clock.monotonic()), BufferCharge(Server.Memory),
+      CallCharge(Server.Memory), Output(this->Socket, Server.Memory) {}
 
 time_ms frontend_session::now() const { return Server.Clock.monotonic(); }
 
@@ -48,8 +54,9 @@
 }
 
 void frontend_session::readAhead() {
-  if (IsReadingAhead || Phase == phase::Closed ||
-      Buffer.size() >= MaxReadAheadBytes)
+  const std::size_t MaxBytes =
+      Server.Memory.isTight() ? MaxReadAheadBytesIfTight : MaxReadAheadBytes;
+  if (IsReadingAhead || Phase == phase::Closed || Buffer.size() >= MaxBytes)
     return;
   IsReadingAhead = true;
   const std::shared_ptr<frontend_session> Self = shared_from_this();
@@ -74,6 +81,7 @@
     return close();
   }
   Buffer.commit(Size);
+  chargeBuffer();
   if (Phase == phase::Idle)
     return readRequest();
   if (Phase == phase::Closing) {
@@ -83,6 +91,13 @@
   readAhead();
 }
 
+// What a request usually takes is in CallBytes.
+void frontend_session::chargeBuffer() {
+  if (Buffer.size() == 0 && Buffer.capacity() > 2 * ReadAheadBytes)
+    Buffer.shrink_to_fit();
+  BufferCharge.set(Buffer.size() > ReadAheadBytes ? Buffer.size() : 0);
+}
+
 void frontend_session::readRequest() {
   Phase = phase::ReadingRequest;
   Parser.emplace();
@@ -180,12 +195,12 @@
     Server.Observer.onRequestWhileDraining(
         {Decoded.Id, now() - AcceptedAt, RequestCount});
   ++RequestCount;
-  if (!Decoded.Call) {
-    Server.Observer.onRequestRefused(Decoded);
-    writeResponse(Server.Codec.makeErrorResponse(
-        Decoded.Refusal, calls::definitionOf(Decoded.Refusal).RetryAfterMs,
-        Decoded.Id));
-    return finishRequest();
+  if (!Decoded.Call)
+    return refuse(Decoded, calls::definitionOf(Decoded.Refusal).RetryAfterMs);
+  if (!CallCharge.trySet(CallBytes)) {
+    Decoded.Refusal = relay::error_kind::InstanceFull;
+    Decoded.Detail = "too many calls and bytes are held";
+    return refuse(Decoded, Server.memoryRetryAfterMs());
   }
   ForwardRequest = std::move(Decoded.ForwardRequest);
   Decoded.Call->Number = ++Server.CallCount;
@@ -193,11 +208,20 @@
   Reader = {};
   Exchange = std::make_unique<relay::exchange>(
       std::move(*Decoded.Call), Server.Placement, Server.Allowance,
-      Server.Origins, Reader, *this, Server.KeptResponses);
+      Server.Origins, Reader, *this, Server.Memory);
   Exchange->start(now());
   afterExchangeEvent();
 }
 
+// Before the request became a call.
+void frontend_session::refuse(const decoded_request &Request,
+                              int RetryAfterMs) {
+  Server.Observer.onRequestRefused(Request);
+  writeResponse(Server.Codec.makeErrorResponse(Request.Refusal, RetryAfterMs,
+                                               Request.Id));
+  finishRequest();
+}
+
 //---------------------------------------------------------------------------
 // relay::exchange_host
 //---------------------------------------------------------------------------
@@ -208,9 +232,9 @@
   const relay::call &Call = Exchange->request();
   request_message Request = ForwardRequest;
   Server.Codec.prepareAttempt(Call, To, Options, Now, Request);
-  Attempt = std::make_shared<endpoint_attempt>(Server.Context, Server.Clock,
-                                               Server.Pool, Server.Codec, *this,
-                                               Call, To, std::move(Request));
+  Attempt = std::make_shared<endpoint_attempt>(
+      Server.Context, Server.Clock, Server.Pool, Server.Codec, *this,
+      Server.Memory, Call, To, std::move(Request));
   Attempt->start(Options.FreshConnection);
 }
 
@@ -239,13 +263,13 @@
 void frontend_session::endResponse() { queueBytes(formatLastChunk()); }
 
 void frontend_session::sendCompleteResponse(const relay::response_head &Head,
-                                            std::string_view Body) {
+                                            std::string Body) {
   if (Server.isDraining())
     KeepAlive = false;
-  std::string Text = formatHead(Head, false, Body.size(), KeepAlive);
+  Output.append(formatHead(Head, false, Body.size(), KeepAlive));
   if (!IsHeadRequest)
-    Text.append(Body);
-  queueBytes(std::move(Text));
+    Output.append(std::move(Body));
+  startWrite();
 }
 
 // The exchange is done after this call, so afterExchangeEvent() closes the
@@ -328,7 +352,16 @@
 }
 
 bool frontend_session::canAcceptBody() {
-  return Output.unsentSize() < Server.Settings.MaxUnsentBytes;
+  const std::size_t MaxUnsent = Server.Memory.isTight()
+                                    ? Server.Settings.MaxUnsentBytesIfTight
+                                    : Server.Settings.MaxUnsentBytes;
+  return Output.unsentSize() < MaxUnsent &&
+         (!Exchange || Exchange->canReceiveBody());
+}
+
+void frontend_session::onMemoryFreed() {
+  if (Attempt && canAcceptBody())
+    Attempt->resume();
 }
 
 //---------------------------------------------------------------------------
@@ -423,6 +456,7 @@
   ExchangeTimerDue = 0;
   Timer.cancel();
   ForwardRequest = {};
+  CallCharge.set(0);
   const bool IsSent = Output.isSent();
   if (!KeepAlive) {
     Phase = phase::Closing;
@@ -437,6 +471,8 @@
 
 void frontend_session::awaitNextRequest() {
   Phase = phase::Idle;
+  if (!IsReadingAhead) // Else Buffer is in use.
+    chargeBuffer();
   startIdleTimer();
   if (Buffer.size() > 0 && IsReadingAhead) {
     // onReadAhead() goes on with the request. Nothing else is pending on the
--- a/packages/edge/src/frontend_session.hpp
+++ b/packages/edge/src/frontend_session.hpp
@@ -17,6 +17,7 @@
   void start();
   void onGrantsChanged();
   void onOriginsRead();
+  void onMemoryFreed();
   // A new connection is left to its idle timeout.
   void closeIfIdle();
   // Ends the call in progress. Without one, closes the connection unless a
@@ -39,12 +40,14 @@
   // notices when the caller closes the connection.
   void readAhead();
   void onReadAhead(const error_code &Error, std::size_t Size);
+  void chargeBuffer();
   void readRequest();
   void onRequestHead(const error_code &Error);
   void onRequest(const error_code &Error);
   void refuseUnreadableRequest(relay::error_kind Kind);
   bool hasUnambiguousFraming() const;
   void serveRequest();
+  void refuse(const decoded_request &Request, int RetryAfterMs);
   void startIdleTimer();
   void closeAfter(int Ms);
 
@@ -56,7 +59,7 @@
   void forwardEvents(std::string_view Bytes) override;
   void endResponse() override;
   void sendCompleteResponse(const relay::response_head &Head,
-                            std::string_view Body) override;
+                            std::string Body) override;
   void abortResponse() override;
   void refuse(relay::error_kind Kind, int RetryAfterMs) override;
 
@@ -102,13 +105,16 @@
   time_ms AcceptedAt;           // Monotonic.
   int RequestCount = 0;         // Requests read on this connection.
 
+  memory::memory_charge BufferCharge; // Of Buffer, if it holds much.
+
   // The call that is being served; Exchange is null if there is none.
+  memory::memory_charge CallCharge; // What serving a call takes in any case.
   request_message ForwardRequest;
   relay::numbered_event_reader Reader;
   std::unique_ptr<relay::exchange> Exchange;
   std::shared_ptr<endpoint_attempt> Attempt;
 
-  caller_output Output{Socket};
+  caller_output Output;
 };
 
 } // namespace tamarack::edge
--- a/packages/edge/src/simple_http_server.cpp
+++ b/packages/edge/src/simple_http_server.cpp
@@ -5,7 +5,8 @@
 
 namespace {
 
-constexpr std::uint64_t MaxBodyBytes = 8u << 20;
+// Of a request. The largest one holds a record of the store.
+constexpr std::uint64_t MaxBodyBytes = 1u << 20;
 // Bytes that were received and not parsed yet, such as a chunk extension.
 constexpr std::size_t MaxUnparsedBytes = 128 * 1024;
 // Longest time from the start of waiting for a request to its last byte.
@@ -19,7 +20,7 @@
 public:
   simple_http_session(simple_http_server &Server, tcp::socket Socket)
       : Server(Server), Socket(std::move(Socket)), Timer(Server.Context),
-        Buffer(MaxUnparsedBytes) {}
+        Buffer(MaxUnparsedBytes), ResponseCharge(Server.Memory) {}
 
   void readRequest() {
     Parser.emplace();
@@ -51,19 +52,24 @@
     request_message Request = Parser->release();
     const bool KeepAlive = Request.keep_alive();
     const std::shared_ptr<simple_http_session> Self = shared_from_this();
-    Server.Handler(
-        std::move(Request), [Self, KeepAlive](response_message NewResponse) {
-          Self->Response = std::move(NewResponse);
-          Self->Response.keep_alive(KeepAlive);
-          Self->Response.prepare_payload();
-          http::async_write(
-              Self->Socket, Self->Response,
-              [Self, KeepAlive](const error_code &Error, std::size_t) {
-                if (Error || !KeepAlive)
-                  return Self->close();
-                Self->readRequest();
-              });
-        });
+    Server.Handler(std::move(Request), [Self, KeepAlive](
+                                           response_message NewResponse) {
+      const bool Fits = Self->ResponseCharge.trySet(NewResponse.body().size());
+      Self->Response =
+          Fits ? std::move(NewResponse)
+               : response_message(http::status::service_unavailable, 11);
+      Self->Response.keep_alive(KeepAlive);
+      Self->Response.prepare_payload();
+      http::async_write(
+          Self->Socket, Self->Response,
+          [Self, KeepAlive](const error_code &Error, std::size_t) {
+            Self->Response = {};
+            Self->ResponseCharge.set(0);
+            if (Error || !KeepAlive)
+              return Self->close();
+            Self->readRequest();
+          });
+    });
   }
 
   simple_http_server &Server;
@@ -72,11 +78,14 @@
   boost::beast::flat_buffer Buffer;
   std::optional<http::request_parser<http::string_body>> Parser;
   response_message Response; // Being written.
+  memory::memory_charge ResponseCharge;
 };
 
 simple_http_server::simple_http_server(net::io_context &Context,
+                                       memory::memory_budget &Memory,
                                        http_request_handler Handler)
-    : Context(Context), Handler(std::move(Handler)), Acceptor(Context) {}
+    : Context(Context), Memory(Memory), Handler(std::move(Handler)),
+      Acceptor(Context) {}
 
 simple_http_server::~simple_http_server() = default;
 
--- a/packages/peers/include/tamarack/peers.hpp
+++ b/packages/peers/include/tamarack/peers.hpp
@@ -163,6 +163,8 @@
 class shared_read_store final : public keyed_store {
 public:
   static constexpr int ReuseMs = 500; // After the end of a read.
+  // Of the pages that are kept for reuse.
+  static constexpr std::size_t MaxKeptBytes = 2u << 20;
 
   shared_read_store(keyed_store &Store, const clock &Clock)
       : Store(Store), Clock(Clock) {}
@@ -205,6 +207,7 @@
   // waits for a read in progress.
   bool joinRead(const read_key &Key, page_handler &Handler);
   page_handler endOf(const read_key &Key);
+  std::size_t keptBytes() const;
   void removeExpired();
 
   keyed_store &Store;
--- a/packages/peers/src/shared_read_store.cpp
+++ b/packages/peers/src/shared_read_store.cpp
@@ -11,8 +11,22 @@
   return Topic == store_topic::Configuration || Topic == store_topic::Endpoints;
 }
 
+std::size_t bytesOf(const keyed_page &Page) {
+  std::size_t Bytes = 0;
+  for (const keyed_record &Record : Page.Records)
+    Bytes += sizeof Record + Record.Key.size() + Record.Value.size();
+  return Bytes;
+}
+
 } // namespace
 
+std::size_t shared_read_store::keptBytes() const {
+  std::size_t Bytes = 0;
+  for (const auto &[Key, Read] : Reads)
+    Bytes += bytesOf(Read.Page);
+  return Bytes;
+}
+
 void shared_read_store::removeExpired() {
   const time_ms Now = Clock.monotonic();
   std::erase_if(Reads, [Now](const auto &Item) {
@@ -41,14 +55,16 @@
 
 page_handler shared_read_store::endOf(const read_key &Key) {
   return [this, Key](const keyed_page &Page) {
-    shared_read &Read = Reads[Key];
-    const std::vector<waiting_reader> Waiting =
-        std::exchange(Read.Waiting, std::vector<waiting_reader>());
-    if (Page.Status == store_status::Ok) {
+    const time_ms StartedAt = Reads[Key].StartedAt;
+    const std::vector<waiting_reader> Waiting = std::move(Reads[Key].Waiting);
+    Reads.erase(Key);
+    removeExpired();
+    const bool MayKeep = bytesOf(Page) + keptBytes() <= MaxKeptBytes;
+    if (Page.Status == store_status::Ok && MayKeep) {
+      shared_read &Read = Reads[Key];
       Read.Page = Page;
+      Read.StartedAt = StartedAt;
       Read.EndedAt = Clock.monotonic();
-    } else {
-      Reads.erase(Key);
     }
     for (const waiting_reader &Reader : Waiting) {
       keyed_page Shared = Page;
--- a/packages/relay/include/tamarack/relay.hpp
+++ b/packages/relay/include/tamarack/relay.hpp
@@ -21,6 +21,7 @@
 #pragma once
 
 #include "tamarack/calls.hpp"
+#include "tamarack/memory.hpp"
 #include "tamarack/ports.hpp"
 
 #include <cstdint>
@@ -366,7 +367,8 @@
   bool NotRun = false;    // The endpoint reports that it did not run the call.
   bool Misplaced = false; // From another endpoint than the expected one.
   bool Unusable = false;  // Must not be forwarded to the caller.
-  bool EndsWithConnection = false; // Neither a length nor chunks.
+  bool EndsWithConnection = false;        // Neither a length nor chunks.
+  std::optional<std::uint64_t> BodyBytes; // Stated length of the body.
   time_ms ConnectedAt = 0; // When its connection was opened, by sinceBoot.
   std::vector<header_field> Fields; // Forwarded unchanged.
 };
@@ -390,30 +392,13 @@
   virtual void endResponse() = 0; // The stream is complete.
   // Sends a response that is not streamed.
   virtual void sendCompleteResponse(const response_head &Head,
-                                    std::string_view Body) = 0;
+                                    std::string Body) = 0;
   // The streamed response has begun and can't be completed.
   virtual void abortResponse() = 0;
   // Sends an error response. RetryAfterMs is 0 if there is no advice.
   virtual void refuse(error_kind Kind, int RetryAfterMs) = 0;
 };
 
-// Bytes that all calls of a process may keep of responses that are not complete
-// yet, so that endpoints that send without end can't exhaust its memory.
-class response_memory {
-public:
-  explicit response_memory(std::size_t Limit) : Limit(Limit) {}
-
-  // False if the bytes may not be kept. A call that keeps little may go on, so
-  // that large responses don't break off the others.
-  bool tryKeep(std::size_t Bytes, std::size_t KeptByCall);
-  void release(std::size_t Bytes) { Kept -= Bytes; }
-  std::size_t kept() const { return Kept; }
-
-private:
-  std::size_t Limit;
-  std::size_t Kept = 0;
-};
-
 //---------------------------------------------------------------------------
 // Event streams
 //---------------------------------------------------------------------------
@@ -539,8 +524,7 @@
 public:
   exchange(call Call, placement &Placement, token_budget &Budget,
            stream_origins &Origins, response_reader &Reader,
-           exchange_host &Host, response_memory &Memory);
-  ~exchange();
+           exchange_host &Host, memory::memory_budget &Memory);
   exchange(const exchange &) = delete;
   exchange &operator=(const exchange &) = delete;
 
@@ -556,6 +540,10 @@
   // sent.
   void onWithdrawn(time_ms Now);
   void onHead(response_head Head, time_ms Now);
+  // False if the body of the response does not fit into the memory that is left
+  // now: nothing more is to be read of it. True at the latest after some of the
+  // memory was freed, or the call ends at its deadline.
+  bool canReceiveBody();
   void onBody(std::string_view Bytes, time_ms Now);
   void onEnd(time_ms Now);    // The endpoint's response ended normally.
   void onBroken(time_ms Now); // The connection broke after the send.
@@ -589,10 +577,8 @@
   bool tryRetry(time_ms Now);
   void replaceUnsent(attempt_outcome Outcome, time_ms Now);
   void beginStream();
-  // Keeps Bytes more of the current attempt's response; false if it is too
-  // large.
-  bool keepBytes(std::size_t Bytes, std::size_t Limit);
-  void releaseBytes();
+  bool isForwarded() const;
+  bool makeRoom(std::size_t Size);
   void cancelAttempt(time_ms Now); // If one is in flight.
   attempt_outcome outcomeOfComplete() const;
   void endAttempt(attempt_outcome Outcome, time_ms Now);
@@ -615,7 +601,6 @@
   stream_origins &Origins;
   response_reader &Reader;
   exchange_host &Host;
-  response_memory &Memory;
 
   state State = state::New;
   exchange_report Report;
@@ -625,7 +610,7 @@
   std::string Body;           // Of a response that is not a stream.
   event_stream_parser Parser; // Of the current attempt.
   std::string FinalEvent;     // Held back until the call is settled.
-  std::size_t KeptBytes = 0;  // Of the current attempt, in Memory.
+  memory::memory_charge Kept; // Of the current attempt's response.
   bool HoldsReservation = false;
   bool AttemptInFlight = false;
   bool MayHaveRun = false;   // At least one attempt may have run the call.
--- a/packages/relay/src/exchange.cpp
+++ b/packages/relay/src/exchange.cpp
@@ -16,36 +16,16 @@
 constexpr int MinAttemptMs = 20;         // A shorter attempt is not worthwhile.
 constexpr std::size_t MaxCompleteBodyBytes = 8u << 20;
 constexpr std::size_t MaxEventBytes = 1u << 20;
-// What a call may keep also while all calls together keep too much.
-constexpr std::size_t MinBytesPerCall = 64u << 10;
 
 bool isSuccess(int Status) { return Status >= 200 && Status < 300; }
 
 } // namespace
 
-bool response_memory::tryKeep(std::size_t Bytes, std::size_t KeptByCall) {
-  if (Kept + Bytes > Limit && KeptByCall + Bytes > MinBytesPerCall)
-    return false;
-  Kept += Bytes;
-  return true;
-}
-
 exchange::exchange(call Call, placement &Placement, token_budget &Budget,
                    stream_origins &Origins, response_reader &Reader,
-                   exchange_host &Host, response_memory &Memory)
+                   exchange_host &Host, memory::memory_budget &Memory)
     : Call(std::move(Call)), Placement(Placement), Budget(Budget),
-      Origins(Origins), Reader(Reader), Host(Host), Memory(Memory) {}
-
-exchange::~exchange() { releaseBytes(); }
-
-bool exchange::keepBytes(std::size_t Bytes, std::size_t Limit) {
-  if (KeptBytes + Bytes > Limit || !Memory.tryKeep(Bytes, KeptBytes))
-    return false;
-  KeptBytes += Bytes;
-  return true;
-}
-
-void exchange::releaseBytes() { Memory.release(std::exchange(KeptBytes, 0)); }
+      Origins(Origins), Reader(Reader), Host(Host), Kept(Memory) {}
 
 void exchange::start(time_ms Now) {
   assert(State == state::New && "an exchange starts once");
@@ -142,7 +122,7 @@
   Head = {};
   Body = {};
   Parser.clear();
-  releaseBytes();
+  Kept.set(0);
   if (!StreamBegun)
     Reader.restart();
   Target = *Choice;
@@ -244,6 +224,21 @@
   if (!Reader.onHead(Head, Report.LastEndpoint))
     return onBroken(Now);
   State = state::Receiving;
+  if (!isForwarded() && Head.BodyBytes.value_or(0) > MaxCompleteBodyBytes)
+    onBroken(Now);
+}
+
+// True if the response is passed on event by event, so that little of it is
+// kept.
+bool exchange::isForwarded() const {
+  return isStream(Call.Kind) && isSuccess(Head.Status);
+}
+
+bool exchange::canReceiveBody() {
+  if (State != state::Receiving || isForwarded() || !Head.BodyBytes)
+    return true;
+  const std::size_t Size = static_cast<std::size_t>(*Head.BodyBytes);
+  return Kept.bytes() >= Size || Kept.trySet(Size);
 }
 
 void exchange::recordFirstByte(time_ms Now) {
@@ -258,16 +253,32 @@
 void exchange::onBody(std::string_view Bytes, time_ms Now) {
   if (State != state::Receiving)
     return;
-  if (isStream(Call.Kind) && isSuccess(Head.Status)) {
+  if (isForwarded()) {
     Parser.push(Bytes);
     return processEvents(Now);
   }
-  if (!keepBytes(Bytes.size(), MaxCompleteBodyBytes))
+  if (!makeRoom(Body.size() + Bytes.size()))
     return onBroken(Now);
   Body.append(Bytes);
   recordFirstByte(Now);
 }
 
+// Enlarges Body for a size of Size bytes; false if that is too much.
+bool exchange::makeRoom(std::size_t Size) {
+  if (Size > MaxCompleteBodyBytes)
+    return false;
+  if (Size <= Body.capacity() && Size <= Kept.bytes())
+    return true;
+  // By steps that grow, so that few of them copy what was received.
+  const std::size_t Stated = static_cast<std::size_t>(
+      Head.BodyBytes.value_or(std::max(Size, 2 * Body.capacity())));
+  const std::size_t Capacity = std::clamp(Stated, Size, MaxCompleteBodyBytes);
+  if (!Kept.trySet(std::max(Capacity, Kept.bytes())))
+    return false;
+  Body.reserve(Capacity);
+  return true;
+}
+
 void exchange::processEvents(time_ms Now) {
   std::string ToForward;
   while (std::optional<stream_event> Event = Parser.next()) {
@@ -288,8 +299,7 @@
     }
   }
   forwardEvents(ToForward, Now);
-  releaseBytes();
-  if (!keepBytes(Parser.pending(), MaxEventBytes))
+  if (Parser.pending() > MaxEventBytes || !Kept.trySet(Parser.pending()))
     onBroken(Now);
 }
 
@@ -322,7 +332,7 @@
 void exchange::onEnd(time_ms Now) {
   if (State != state::Receiving)
     return;
-  if (!isStream(Call.Kind) || !isSuccess(Head.Status))
+  if (!isForwarded())
     return finishCompleteResponse(Now);
   const bool EndsInsideEvent = Parser.pending() > 0;
   if (EndsInsideEvent || !Reader.isComplete())
@@ -345,7 +355,8 @@
   Report.Status = Head.Status;
   if (!settle(delivery::Complete))
     return failUnstoredBill();
-  Host.sendCompleteResponse(Head, Body);
+  Host.sendCompleteResponse(Head, std::move(Body));
+  Kept.set(0);
   finish(delivery::Complete);
 }
 
--- a/stand_ins/runner.cpp
+++ b/stand_ins/runner.cpp
@@ -24,6 +24,9 @@
 //              a refusal (503, Not-Executed) that names no request is written
 //              first; the request is executed and answered behind it
 //   stale_refusal_of_other  the same, and the refusal names another request
+//   endless_head, endless_body, endless_event  is answered by a head, a body of
+//              no stated length, or an event that does not end: a large part at
+//              once, then a byte now and then until the caller closes
 // Other values:
 //   delay_ms   duration of each execution
 //   event_ms   pause before each event of a stream
@@ -63,6 +66,9 @@
 constexpr char FirstSoftware[] = "v1";
 constexpr int HeartbeatMs = 400;    // Between two registrations.
 constexpr int CrashExitStatus = 86; // Of a crash by crash_part; tests know it.
+// Of a response without end: sent at once, and the pause before each byte more.
+constexpr std::size_t EndlessBytes = 60'000;
+constexpr std::chrono::milliseconds EndlessPause(200);
 
 struct runner_settings {
   std::string Id;
@@ -199,6 +205,8 @@
       return sendText(Response, 503, "{}");
     }
     countExecution(Request, AttemptId);
+    if (sendWithoutEnd(Request, AttemptId))
+      return;
     std::this_thread::sleep_for(std::chrono::milliseconds(DelayMs));
     crashOnBody(Body);
     if (consumeFault("lose"))
@@ -216,6 +224,30 @@
     sendEvents(Request, Response);
   }
 
+  // Answers by bytes without end if a fault says so.
+  bool sendWithoutEnd(Poco::Net::HTTPServerRequest &Request,
+                      const std::string &AttemptId) {
+    std::string Begin = "HTTP/1.1 200 OK\r\nAttempt-Id: " + AttemptId +
+                        "\r\nServer-Stamp: s\r\n";
+    if (consumeFault("endless_head"))
+      Begin += "X: ";
+    else if (consumeFault("endless_body"))
+      Begin += "\r\n";
+    else if (consumeFault("endless_event"))
+      Begin += "Content-Type: text/event-stream\r\n\r\nid: 1\ndata: ";
+    else
+      return false;
+    Begin.append(EndlessBytes, 'x');
+    Poco::Net::StreamSocket &Socket =
+        static_cast<Poco::Net::HTTPServerRequestImpl &>(Request).socket();
+    Socket.sendBytes(Begin.data(), static_cast<int>(Begin.size()));
+    // Ends with the exception of a connection that the caller has closed.
+    for (;;) {
+      std::this_thread::sleep_for(EndlessPause);
+      Socket.sendBytes("x", 1);
+    }
+  }
+
   // Writes a refusal of an earlier request once more, if a fault says so.
   void repeatRefusal(Poco::Net::HTTPServerRequest &Request) {
     if (!hasCarriedRequest(Request))
--- a/tests/process/platform_fleet.py
+++ b/tests/process/platform_fleet.py
@@ -33,17 +33,19 @@
     with streams, and of the plain service "desk".
     prepaid: prepaid tokens of the only account, "ring".
     grace_s, repeat_slack: settings of the routers.
+    slots: requests that a runner executes at once, as it registers.
     cut_off: the last so many routers never reach the store themselves.
     """
 
     def __init__(self, routers=2, engines=2, desks=2, prepaid=1_000_000,
-                 grace_s=8, cut_off=0, repeat_slack=50):
+                 grace_s=8, cut_off=0, repeat_slack=50, slots=8):
         self.folder = pathlib.Path(tempfile.mkdtemp())
         self.processes = {}
         self.prepaid = prepaid
         self.version = 0
         self.grace_s = grace_s
         self.repeat_slack = repeat_slack
+        self.slots = slots
         ports = free_ports(2 + engines + desks + 4 * routers)
         self.store_port = ports.pop()
         self.closed_port = ports.pop()  # Nobody listens on it.
@@ -88,6 +90,7 @@
         self.start(name, ["stand_ins/standin-runner", "--id", name,
                           "--service", service, "--port", str(port),
                           "--store-port", str(self.store_port),
+                          "--slots", str(self.slots),
                           "--software", self.software.get(name, "v1")])
 
     def restart_runner(self, name):
--- a/tests/unit/edge_test.cpp
+++ b/tests/unit/edge_test.cpp
@@ -185,12 +185,14 @@
     Handler(store_status::Ok);
   }
   // Ends the oldest read.
-  void complete(store_status Status) {
+  void complete(store_status Status, std::size_t Bytes = 0) {
     const page_handler Handler = std::move(Handlers.front());
     Handlers.pop_front();
     keyed_page Page;
     Page.Status = Status;
     Page.NextOffset = 9;
+    if (Bytes > 0)
+      Page.Records.push_back({8, "k", std::string(Bytes, 'x'), false});
     Handler(std::move(Page));
   }
 
@@ -218,7 +220,7 @@
                   [] { return std::vector<std::string>(); }, Clock, Random,
                   PeerEra, Listener, {}),
         Service(PeerDirectStore, PeerStore, PeerEra, Clock, ServiceListener),
-        Server(Context,
+        Server(Context, Memory,
                [this](const request_message &Request,
                       const respond_callback &Respond) {
                  Service.serve(Request, Respond);
@@ -249,6 +251,7 @@
     return *Outcome;
   }
 
+  memory::memory_budget Memory{16u << 20};
   net::io_context Context;
   adapters::system_clock Clock;
   tests::seeded_random Random{1};
@@ -602,6 +605,64 @@
   CHECK(Fixture.PeerDirectStore.Calls == Calls);
 }
 
+// Guards against pages that are kept for other instances without a bound.
+TEST_CASE("few bytes of pages are kept for reuse", "[peers]") {
+  constexpr int Pages = 10;
+  tests::manual_clock Clock;
+  pending_store Store;
+  peers::shared_read_store Shared(Store, Clock);
+  const auto ReadAll = [&] {
+    for (int Page = 0; Page < Pages; ++Page)
+      Shared.readSnapshotPage(store_topic::Endpoints, std::to_string(Page),
+                              [](const keyed_page &) {});
+    const std::size_t Started = Store.Handlers.size();
+    while (!Store.Handlers.empty())
+      Store.complete(store_status::Ok, 500'000);
+    return Started;
+  };
+  CHECK(ReadAll() == Pages);
+  const std::size_t ReadAgain = ReadAll();
+  CHECK(ReadAgain >= Pages - 4);
+  CHECK(ReadAgain < Pages);
+}
+
+// Guards against responses to many instances that fill the memory together.
+TEST_CASE("a response that does not fit into the memory is refused", "[edge]") {
+  memory::memory_budget Memory(64 * 1024);
+  net::io_context Context;
+  tcp::acceptor PortFinder(Context, {net::ip::make_address("127.0.0.1"), 0});
+  const tcp::endpoint Address = PortFinder.local_endpoint();
+  PortFinder.close();
+  std::size_t Bytes = 0;
+  simple_http_server Server(
+      Context, Memory,
+      [&Bytes](const request_message &, const respond_callback &Respond) {
+        response_message Message(http::status::ok, 11);
+        Message.body().assign(Bytes, 'x');
+        Respond(std::move(Message));
+      });
+  Server.listen(Address);
+  const std::shared_ptr<http_channel> Channel = std::make_shared<http_channel>(
+      Context, "127.0.0.1:" + std::to_string(Address.port()));
+  const auto StatusOf = [&](std::size_t Size) {
+    Bytes = Size;
+    std::optional<unsigned> Status;
+    channel_request Request;
+    Request.Message = request_message(http::verb::get, "/", 11);
+    Channel->request(std::move(Request),
+                     [&Status](const std::optional<response_message> &Got,
+                               const channel_timing &) {
+                       Status = Got ? Got->result_int() : 0;
+                     });
+    while (!Status)
+      Context.run_one();
+    return *Status;
+  };
+  CHECK(StatusOf(1'000) == 200);
+  CHECK(StatusOf(100'000) == 503);
+  CHECK(StatusOf(1'000) == 200);
+}
+
 TEST_CASE("addresses must be numeric", "[edge]") {
   CHECK(parseAddress("10.0.0.1:80").port() == 80);
   for (const char *Wrong : {"", "10.0.0.1", "host:80", "10.0.0.1:0",
--- a/tests/unit/endpoint_attempt_test.cpp
+++ b/tests/unit/endpoint_attempt_test.cpp
@@ -150,7 +150,7 @@
     request_message Request(http::verb::get, "/x", 11);
     Request.set(http::field::host, "h");
     Attempt = std::make_shared<endpoint_attempt>(
-        Context, Clock, Pool, Codec, Listener, Call,
+        Context, Clock, Pool, Codec, Listener, Memory, Call,
         relay::endpoint_choice{"e", Server.address()}, std::move(Request));
     Attempt->start(false);
   }
@@ -164,6 +164,7 @@
     return Listener.End;
   }
 
+  memory::memory_budget Memory{16u << 20};
   net::io_context Context;
   adapters::system_clock Clock;
   scripted_server Server;
@@ -377,7 +378,7 @@
     Request.prepare_payload();
     const std::shared_ptr<endpoint_attempt> Attempt =
         std::make_shared<endpoint_attempt>(
-            Context, Clock, Pool, Codec, Listener, Call,
+            Context, Clock, Pool, Codec, Listener, Memory, Call,
             relay::endpoint_choice{"e", Server.address()}, std::move(Request));
     Attempt->start(false);
     while (Listener.End == attempt_end::None)
@@ -385,6 +386,7 @@
     return Listener;
   }
 
+  memory::memory_budget Memory{16u << 20};
   net::io_context Context;
   adapters::system_clock Clock;
   connection_pool Pool;
--- a/tests/unit/frontend_test.cpp
+++ b/tests/unit/frontend_test.cpp
@@ -7,8 +7,10 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
 #include <array>
 #include <random>
+#include <set>
 
 using namespace tamarack;
 using namespace tamarack::edge;
@@ -19,13 +21,17 @@
 constexpr std::chrono::seconds LongestWait(5);
 const tcp::endpoint AnyPort(net::ip::make_address("127.0.0.1"), 0);
 
-// Refuses every request with a body of ResponseBytes bytes.
+// Refuses every request with a body of ResponseBytes bytes, or accepts it as a
+// call for which there is no endpoint.
 class refusing_codec final : public exchange_codec {
 public:
   decoded_request decodeRequest(request_message Request, time_ms) override {
     Targets.emplace_back(Request.target());
     BodyBytes += Request.body().size();
-    return {};
+    decoded_request Decoded;
+    if (AcceptsCalls)
+      Decoded.Call.emplace();
+    return Decoded;
   }
   void prepareAttempt(const relay::call &, const relay::endpoint_choice &,
                       const relay::send_options &, time_ms,
@@ -39,16 +45,21 @@
   }
   void recordEndpointState(const relay::endpoint_choice &,
                            const response_fields &, time_ms) override {}
-  response_message makeErrorResponse(relay::error_kind, int,
+  response_message makeErrorResponse(relay::error_kind Kind, int RetryAfterMs,
                                      std::string_view) override {
+    Refusals.push_back(Kind);
+    RetriesAfterMs.push_back(RetryAfterMs);
     response_message Response(http::status::service_unavailable, 11);
     Response.body().assign(ResponseBytes, 'x');
     return Response;
   }
 
+  bool AcceptsCalls = false;
   std::size_t ResponseBytes = 0;
-  std::vector<std::string> Targets; // Of the requests, in order.
-  std::size_t BodyBytes = 0;        // Of all requests.
+  std::vector<relay::error_kind> Refusals; // In order.
+  std::vector<int> RetriesAfterMs;         // Of the refusals.
+  std::vector<std::string> Targets;        // Of the requests, in order.
+  std::size_t BodyBytes = 0;               // Of all requests.
 };
 
 class no_budget final : public relay::token_budget {
@@ -77,9 +88,11 @@
 }
 
 struct frontend_fixture {
-  explicit frontend_fixture(std::size_t MaxSessions = 100)
-      : Server(Context, Clock, Codec, Placement, Budget, Origins, Observer,
-               Pool, makeSettings(MaxSessions)) {
+  explicit frontend_fixture(std::size_t MaxSessions = 100,
+                            std::size_t MemoryLimit = 64u << 20)
+      : Memory(MemoryLimit),
+        Server(Context, Clock, Codec, Placement, Budget, Origins, Observer,
+               Pool, Memory, Random, makeSettings(MaxSessions)) {
     tcp::acceptor PortFinder(Context, AnyPort);
     Address = PortFinder.local_endpoint();
     PortFinder.close();
@@ -103,6 +116,7 @@
     runUntil([] { return false; }, Time);
   }
 
+  memory::memory_budget Memory;
   net::io_context Context;
   net::executor_work_guard<net::io_context::executor_type> Work{
       Context.get_executor()};
@@ -113,6 +127,7 @@
   silent_observer Observer;
   connection_pool Pool{Context, Clock, {}};
   relay::no_stream_origins Origins;
+  tests::seeded_random Random{1};
   frontend_server Server;
   tcp::endpoint Address;
 };
@@ -355,3 +370,55 @@
   Caller.close();
   CHECK(Frontend.runUntil([&] { return Frontend.Server.sessionCount() == 0; }));
 }
+
+// Guards against responses that wait for slow callers in no bound.
+TEST_CASE("what a caller has not read counts until it has", "[edge]") {
+  constexpr std::size_t ResponseBytes = 16u << 20; // More than sockets hold.
+  frontend_fixture Frontend;
+  Frontend.Codec.ResponseBytes = ResponseBytes;
+  test_caller Caller(Frontend);
+  Caller.send(formatRequest("/x"));
+  CHECK(Frontend.runUntil([&] { return Frontend.Memory.used() > 0; }));
+  CHECK(Frontend.Memory.used() >= ResponseBytes);
+  CHECK(Frontend.runUntil([&] {
+    Caller.receive();
+    return Frontend.Memory.used() == 0;
+  }));
+  CHECK(Caller.bodyBytes() == ResponseBytes);
+}
+
+// Guards against calls in progress that fill the memory, and against callers
+// who then all come back at the same moment.
+TEST_CASE("a call is refused at once when the memory is full", "[edge]") {
+  frontend_fixture Frontend(100, 10 * 1024);
+  Frontend.Codec.AcceptsCalls = true;
+  test_caller Caller(Frontend);
+  for (std::size_t Count = 1; Count <= 20; ++Count) {
+    Caller.send(formatRequest("/x"));
+    CHECK(Frontend.runUntil([&] { return Caller.responseCount() == Count; }));
+  }
+  CHECK(Frontend.Codec.Refusals ==
+        std::vector<relay::error_kind>(20, relay::error_kind::InstanceFull));
+  const std::vector<int> &Waits = Frontend.Codec.RetriesAfterMs;
+  CHECK(std::set<int>(Waits.begin(), Waits.end()).size() > 10);
+  CHECK(*std::min_element(Waits.begin(), Waits.end()) >= 100);
+  CHECK(*std::max_element(Waits.begin(), Waits.end()) <= 600);
+  CHECK_FALSE(Caller.IsClosed);
+}
+
+// Guards against callers that each send much ahead on many connections.
+TEST_CASE("requests that are sent ahead count and stop at a bound", "[edge]") {
+  frontend_fixture Frontend(100, 256 * 1024);
+  Frontend.Codec.ResponseBytes = 16u << 20; // Nothing is sent of a second one.
+  std::list<test_caller> Callers;
+  std::string Ahead;
+  while (Ahead.size() < 100'000)
+    Ahead += formatRequest("/x", std::string(500, 'x'));
+  for (int Count = 0; Count < 20; ++Count) {
+    Callers.emplace_back(Frontend);
+    Callers.back().send(Ahead);
+    Frontend.runFor(std::chrono::milliseconds(10));
+  }
+  const std::size_t Responses = 20 * (Frontend.Codec.ResponseBytes + 1'000);
+  CHECK(Frontend.Memory.used() < Responses + 20 * 16 * 1024);
+}
--- a/tests/unit/platform_test.cpp
+++ b/tests/unit/platform_test.cpp
@@ -763,6 +763,7 @@
 // the truth, against an era that can't be read and holds everything up, and
 // against a store whose first era is 0 and whose first drill goes unnoticed.
 TEST_CASE("the era of the store is read from its responses", "[platform]") {
+  memory::memory_budget Memory(16u << 20);
   edge::net::io_context Context;
   edge::tcp::acceptor PortFinder(Context,
                                  {edge::net::ip::make_address("127.0.0.1"), 0});
@@ -771,8 +772,9 @@
   PortFinder.close();
   std::string Stated;
   edge::simple_http_server Server(
-      Context, [&Stated](const edge::request_message &,
-                         const edge::respond_callback &Respond) {
+      Context, Memory,
+      [&Stated](const edge::request_message &,
+                const edge::respond_callback &Respond) {
         edge::response_message Response(edge::http::status::ok, 11);
         if (!Stated.empty())
           Response.set("Store-Era", Stated);
@@ -818,6 +820,7 @@
 // damaged value that makes the other records of its page unreadable.
 TEST_CASE("values of a snapshot are decoded, damaged ones are empty",
           "[platform]") {
+  memory::memory_budget Memory(16u << 20);
   edge::net::io_context Context;
   edge::tcp::acceptor PortFinder(Context,
                                  {edge::net::ip::make_address("127.0.0.1"), 0});
@@ -825,7 +828,7 @@
       "127.0.0.1:" + std::to_string(PortFinder.local_endpoint().port());
   PortFinder.close();
   edge::simple_http_server Server(
-      Context,
+      Context, Memory,
       [](const edge::request_message &, const edge::respond_callback &Respond) {
         edge::response_message Response(edge::http::status::ok, 11);
         Response.body() = R"({"end": 9, "more": false, "items": [
--- a/tests/unit/quarantine_test.cpp
+++ b/tests/unit/quarantine_test.cpp
@@ -132,7 +132,7 @@
   void forwardEvents(std::string_view) override {}
   void endResponse() override {}
   void sendCompleteResponse(const relay::response_head &,
-                            std::string_view) override {}
+                            std::string) override {}
   void abortResponse() override {}
   void refuse(relay::error_kind, int) override {}
 };
@@ -166,7 +166,7 @@
     silent_host Host;
     no_budget Budget;
     relay::numbered_event_reader Reader;
-    relay::response_memory Memory(1u << 20);
+    memory::memory_budget Memory(1u << 20);
     relay::no_stream_origins Origins;
     relay::exchange Exchange(Call, Guard, Budget, Origins, Reader, Host,
                              Memory);
--- a/tests/unit/relay_test.cpp
+++ b/tests/unit/relay_test.cpp
@@ -115,7 +115,7 @@
   void forwardEvents(std::string_view Bytes) override { Body.append(Bytes); }
   void endResponse() override { ++FinalResponses; }
   void sendCompleteResponse(const response_head &Head,
-                            std::string_view Bytes) override {
+                            std::string Bytes) override {
     Status = Head.Status;
     Body = Bytes;
     ++FinalResponses;
@@ -167,11 +167,11 @@
 struct exchange_fixture {
   explicit exchange_fixture(call Call)
       : exchange_fixture(std::move(Call), OwnMemory) {}
-  exchange_fixture(call Call, response_memory &Memory)
+  exchange_fixture(call Call, memory::memory_budget &Memory)
       : Exchange(std::move(Call), Placement, Budget, Origins, Reader, Host,
                  Memory) {}
 
-  response_memory OwnMemory{64u << 20};
+  memory::memory_budget OwnMemory{64u << 20};
 
   fake_placement Placement;
   fake_token_budget Budget;
@@ -541,7 +541,7 @@
   constexpr std::size_t Limit = 1u << 20;
   constexpr std::size_t PartBytes = 32u << 10;
   const std::string Part(PartBytes, 'x');
-  response_memory Memory(Limit);
+  memory::memory_budget Memory(Limit);
   std::vector<std::unique_ptr<exchange_fixture>> Endless;
   for (int Number = 0; Number < 20; ++Number) {
     Endless.push_back(std::make_unique<exchange_fixture>(
@@ -552,7 +552,7 @@
   for (int Round = 0; Round < 64; ++Round)
     for (const std::unique_ptr<exchange_fixture> &Fixture : Endless)
       Fixture->Exchange.onBody(Part, Start + 2);
-  CHECK(Memory.kept() <= Limit + 20 * 64 * 1024);
+  CHECK(Memory.used() <= Limit);
   int Broken = 0;
   for (const std::unique_ptr<exchange_fixture> &Fixture : Endless)
     Broken += Fixture->Exchange.isDone() ? 1 : 0;
@@ -565,7 +565,50 @@
   Small.Exchange.onEnd(Start + 4);
   CHECK(Small.Host.Body == "small");
   Endless.clear();
-  CHECK(Memory.kept() == 5);
+  CHECK(Memory.used() == 0);
+}
+
+// Guards against responses that fill the memory together, each within its
+// bound, and against one that is given up although memory becomes free.
+TEST_CASE("a response that does not fit waits until it does", "[relay]") {
+  memory::memory_budget Memory(10u << 20);
+  const auto Begin = [](exchange_fixture &Fixture) {
+    Fixture.Exchange.start(Start);
+    response_head Head = headOf(200);
+    Head.BodyBytes = 4u << 20;
+    Fixture.Exchange.onHead(Head, Start + 1);
+  };
+  std::optional<exchange_fixture> First;
+  First.emplace(callOf(call_kind::NotRepeatable), Memory);
+  exchange_fixture Second(callOf(call_kind::NotRepeatable), Memory);
+  Begin(*First);
+  Begin(Second);
+  CHECK(First->Exchange.canReceiveBody());
+  CHECK_FALSE(Second.Exchange.canReceiveBody());
+  CHECK(Memory.used() == 4u << 20);
+  SECTION("it is received") {
+    First.reset();
+    CHECK(Second.Exchange.canReceiveBody());
+    Second.Exchange.onBody(std::string(4u << 20, 'x'), Start + 2);
+    Second.Exchange.onEnd(Start + 3);
+    CHECK(Second.Host.Body.size() == 4u << 20);
+    CHECK(Memory.used() == 0);
+  }
+  SECTION("its deadline ends the wait") {
+    Second.Exchange.onTimer(Start + Timeout);
+    CHECK(Second.Exchange.isDone());
+    CHECK(Second.Exchange.report().Error == error_kind::OutcomeUnknown);
+  }
+}
+
+TEST_CASE("a response that states too great a length is broken", "[relay]") {
+  exchange_fixture Fixture(callOf(call_kind::NotRepeatable));
+  Fixture.Exchange.start(Start);
+  response_head Head = headOf(200);
+  Head.BodyBytes = 99'999'999'999;
+  Fixture.Exchange.onHead(Head, Start + 1);
+  CHECK(Fixture.Exchange.isDone());
+  CHECK(Fixture.Exchange.report().Error == error_kind::EndpointFailed);
 }
 
 // Guards against a connection that ends without a response when the process
--- a/tests/unit/store_test.cpp
+++ b/tests/unit/store_test.cpp
@@ -32,7 +32,7 @@
 struct store_fixture {
   store_fixture()
       : Address(freeAddress(Context)),
-        Server(Context,
+        Server(Context, Memory,
                [this](const edge::request_message &Request,
                       const edge::respond_callback &Respond) {
                  Targets.emplace_back(Request.target().data(),
@@ -69,6 +69,7 @@
     return Values;
   }
 
+  memory::memory_budget Memory{16u << 20};
   edge::net::io_context Context;
   std::string Address;
   std::vector<std::string> Targets;
