--- a/packages/peers/include/tamarack/peers.hpp
+++ b/packages/peers/include/tamarack/peers.hpp
@@ -16,13 +16,13 @@
 #include "tamarack/edge.hpp"
 #include "tamarack/ports.hpp"
 
-#include <compare>
 #include <functional>
 #include <map>
 #include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
+#include <tuple>
 #include <utility>
 #include <vector>
 
@@ -188,7 +188,11 @@
     store_call Call = store_call::SnapshotPage;
     std::optional<std::string> After;
     std::uint64_t From = 0;
-    auto operator<=>(const read_key &) const = default;
+
+    bool operator<(const read_key &Other) const {
+      return std::tie(Topic, Call, After, From) <
+             std::tie(Other.Topic, Other.Call, Other.After, Other.From);
+    }
   };
 
   struct waiting_reader {
