--- a/tests/unit/platform_test.cpp
+++ b/tests/unit/platform_test.cpp
@@ -365,6 +365,13 @@
     Fixture.Request.insert("Key", "k1");
     CHECK(Fixture.decode().Refusal == error_kind::InvalidRequest);
   }
+  // Guards against a process that ends: the library builds no such request.
+  SECTION("TRACE with a body") {
+    Fixture.Request.method(edge::http::verb::trace);
+    CHECK(Fixture.decode().Call);
+    Fixture.Request.body() = "body";
+    CHECK(Fixture.decode().Refusal == error_kind::InvalidRequest);
+  }
   SECTION("no request id") {
     Fixture.Request.erase("Attempt-Id");
     CHECK(Fixture.decode().Refusal == error_kind::InvalidRequest);
