Bound what a caller sends between chunks, and let no long field end a process

Callers would have seen two things. One caller that sends a chunk extension, or a trailer, without end makes the router keep all of it until idleTimeoutMs, beyond maxBodyBytes. And one trailer field of 64 KB or more, in a caller's request, in an endpoint's response before, or in a response of the store, ends the process: the requests of all others on it end without an answer.

Cause: the parser of Boost.Beast has no limit for a chunk's line or the trailers, and the buffer of a caller's connection had none either; where it had one, of 128 KB, a field could be longer than the 65,533 bytes for which the library's fields throw std::length_error, through the event loop.

Change: one constant, MaxUnparsedBytes, of 65,535 bytes for all four kinds of connections, so that no field in it can be too long; 16 KB of it while the body of a caller's or endpoint's message is read. A head that does not fit is headers_too_large, the rest is invalid_request, and the connection is closed.

Tests, red before: "bytes between the chunks of a body stay within a bound" (800 KB taken, no answer, 3 of 3 cases), "a trailer of any size ends no process" and the new second case of "a chunk extension without end breaks a request on a channel" (unexpected exception: field value too large). New: "a field of any size in a response ends no process"; before not run.

--- a/packages/edge/src/endpoint_attempt.cpp
+++ b/packages/edge/src/endpoint_attempt.cpp
@@ -1,5 +1,6 @@
 // One attempt to send a call to an endpoint.
 #include "endpoint_attempt.hpp"
+#include "sockets.hpp"
 
 #include <charconv>
 #include <limits>
@@ -14,15 +15,11 @@
 // Interim (1xx) responses before a response. An endpoint may report progress
 // for as long as the call takes.
 constexpr int MaxInterimResponses = 100;
-constexpr std::uint32_t MaxHeadBytes = 64 * 1024;
 constexpr std::string_view HeadPrefix = "HTTP/1."; // Of every response.
 constexpr std::size_t HeadReadBytes = 2'048;       // Per read operation.
+constexpr std::uint32_t MaxHeadBytes = MaxUnparsedBytes - HeadReadBytes;
 // Bytes of a head that count in no budget, since most heads are no larger.
 constexpr std::size_t UncountedHeadBytes = 4'096;
-// Bytes that were received and not parsed yet. The parser needs a whole head,
-// line of a chunk or trailer at once, and sets no limit for the last two.
-constexpr std::size_t MaxUnparsedHeadBytes = 128 * 1024;
-constexpr std::size_t MaxUnparsedBodyBytes = 16 * 1024;
 // Idle connections are closed this long before the endpoint closes them, so
 // that no request is sent on a connection that the endpoint is closing.
 constexpr int KeepAliveMarginMs = 1'000;
@@ -137,7 +134,7 @@
   Parser->body_limit(std::numeric_limits<std::uint64_t>::max());
   if (Request.method() == http::verb::head)
     Parser->skip(true);
-  Connection->Buffer.max_size(MaxUnparsedHeadBytes);
+  Connection->Buffer.max_size(MaxUnparsedBytes);
   parseHead();
 }
 
--- a/packages/edge/src/frontend_session.cpp
+++ b/packages/edge/src/frontend_session.cpp
@@ -1,5 +1,6 @@
 // One caller's connection and the call that is being served on it.
 #include "frontend_session.hpp"
+#include "sockets.hpp"
 
 namespace tamarack::edge {
 
@@ -8,7 +9,7 @@
 constexpr std::size_t ReadAheadBytes = 4'096; // Per read operation.
 // Bytes of later requests that are buffered, usually and while the memory
 // budget is tight. Reading ahead stops at this size.
-constexpr std::size_t MaxReadAheadBytes = 64 * 1024;
+constexpr std::size_t MaxReadAheadBytes = MaxUnparsedBytes - ReadAheadBytes;
 constexpr std::size_t MaxReadAheadBytesIfTight = ReadAheadBytes;
 
 // Of a call in progress: its state, its attempt and their buffers.
@@ -21,8 +22,9 @@
 
 frontend_session::frontend_session(frontend_server &Server, tcp::socket Socket)
     : Server(Server), Socket(std::move(Socket)), Timer(Server.Context),
-      AcceptedAt(Server.Clock.monotonic()), BufferCharge(Server.Memory),
-      CallCharge(Server.Memory), Output(this->Socket, Server.Memory) {}
+      Buffer(MaxUnparsedBytes), AcceptedAt(Server.Clock.monotonic()),
+      BufferCharge(Server.Memory), CallCharge(Server.Memory),
+      Output(this->Socket, Server.Memory) {}
 
 time_ms frontend_session::now() const { return Server.Clock.monotonic(); }
 
@@ -129,7 +131,9 @@
 void frontend_session::onRequestHead(const error_code &Error) {
   if (Phase != phase::ReadingRequest)
     return;
-  if (Error == http::error::header_limit)
+  const bool IsTooLarge = Error == http::error::header_limit ||
+                          Error == http::error::buffer_overflow;
+  if (IsTooLarge)
     return refuseUnreadableRequest(relay::error_kind::HeadersTooLarge);
   if (Error == http::error::body_limit)
     return refuseUnreadableRequest(relay::error_kind::BodyTooLarge);
@@ -146,8 +150,10 @@
   const std::shared_ptr<frontend_session> Self = shared_from_this();
   // The idle timeout also limits the time for the body.
   closeAfter(Server.Limits.IdleTimeoutMs);
+  Buffer.max_size(std::max(MaxUnparsedBodyBytes, Buffer.size()));
   http::async_read(Socket, Buffer, *Parser,
                    [Self](const error_code &ReadError, std::size_t) {
+                     Self->Buffer.max_size(MaxUnparsedBytes);
                      Self->onRequest(ReadError);
                    });
 }
--- a/packages/edge/src/http_channel.cpp
+++ b/packages/edge/src/http_channel.cpp
@@ -7,8 +7,6 @@
 
 // A page of the store has up to 1 MB, and more in JSON or as a message.
 constexpr std::uint64_t MaxBodyBytes = 4u << 20;
-// Bytes that were received and not parsed yet, such as a chunk extension.
-constexpr std::size_t MaxUnparsedBytes = 128 * 1024;
 // A timer that runs out later than this shows that the process stood still.
 constexpr int MaxTimerDelayMs = 50;
 // Time to read what has arrived while the process stood still.
--- a/packages/edge/src/simple_http_server.cpp
+++ b/packages/edge/src/simple_http_server.cpp
@@ -7,8 +7,6 @@
 
 // Of a request. The largest one holds a record of the store.
 constexpr std::uint64_t MaxBodyBytes = 1u << 20;
-// Bytes that were received and not parsed yet, such as a chunk extension.
-constexpr std::size_t MaxUnparsedBytes = 128 * 1024;
 // Longest time from the start of waiting for a request to its last byte.
 constexpr int ReadTimeoutMs = 30'000;
 
--- a/packages/edge/src/sockets.hpp
+++ b/packages/edge/src/sockets.hpp
@@ -5,6 +5,13 @@
 
 namespace tamarack::edge {
 
+// Bytes that were received and not parsed yet. The parser needs a whole head,
+// line of a chunk or trailer at once, and sets no limit for the last two. It
+// throws for a field of 64 KB or more, which does not fit here.
+constexpr std::size_t MaxUnparsedBytes = (1u << 16) - 1;
+// The same while the body of a message of a caller or endpoint is read.
+constexpr std::size_t MaxUnparsedBodyBytes = 16 * 1024;
+
 struct socket_options {
   // A connection breaks when sent bytes or keepalive probes stay
   // unacknowledged, or when the peer takes no bytes, for this time
--- a/tests/unit/endpoint_attempt_test.cpp
+++ b/tests/unit/endpoint_attempt_test.cpp
@@ -199,6 +199,22 @@
         attempt_end::Broken);
 }
 
+// Guards against a field that the library throws for, which ended the process.
+TEST_CASE("a field of any size in a response ends no process", "[edge]") {
+  const std::size_t Size =
+      GENERATE(100u, 16'000u, 61'000u, 63'400u, 64'000u, 65'540u, 130'000u);
+  const std::string Field = "X: " + std::string(Size, 'x') + "\r\n\r\n";
+  attempt_fixture InHead({"HTTP/1.1 200 OK\r\nAttempt-Id: a\r\n"
+                          "Content-Length: 4\r\n" +
+                              Field + "body",
+                          ""});
+  CHECK(InHead.run() ==
+        (Size <= 63'400 ? attempt_end::Complete : attempt_end::Broken));
+  attempt_fixture InTrailer({ChunkedHead + "4\r\nbody\r\n0\r\n" + Field, ""});
+  CHECK(InTrailer.run() ==
+        (Size <= 16'000 ? attempt_end::Complete : attempt_end::Broken));
+}
+
 // Guards against interim responses that are read until the call's deadline.
 TEST_CASE("interim responses without end break the attempt", "[edge]") {
   CHECK(attempt_fixture({"", "HTTP/1.1 102 Processing\r\n\r\n"}).run() ==
@@ -483,12 +499,18 @@
   }
 }
 
-// Guards against a chunk extension that a channel buffers without limit.
+// Guards against a chunk extension that a channel buffers without limit, and
+// against a trailer that the library throws for, which ended the process.
 TEST_CASE("a chunk extension without end breaks a request on a channel",
           "[edge]") {
   net::io_context Context;
-  scripted_server Server(Context,
-                         {ChunkedHead + "1;", std::string(64 * 1024, 'x')});
+  const std::string Padding(64 * 1024, 'x');
+  const response_script Script =
+      GENERATE_COPY(response_script{ChunkedHead + "1;", Padding},
+                    response_script{ChunkedHead + "0\r\nX: " + Padding +
+                                        Padding.substr(100) + "\r\n\r\n",
+                                    ""});
+  scripted_server Server(Context, Script);
   const std::shared_ptr<http_channel> Channel =
       std::make_shared<http_channel>(Context, Server.address());
   channel_request Request;
--- a/tests/unit/frontend_test.cpp
+++ b/tests/unit/frontend_test.cpp
@@ -422,3 +422,47 @@
   const std::size_t Responses = 20 * (Frontend.Codec.ResponseBytes + 1'000);
   CHECK(Frontend.Memory.used() < Responses + 20 * 16 * 1024);
 }
+
+// Guards against a caller that fills the memory, or ends the process, with
+// bytes of a chunked body that are no data: the library has no limit for them
+// and keeps no field of 64 KB or more.
+TEST_CASE("bytes between the chunks of a body stay within a bound", "[edge]") {
+  constexpr std::size_t PieceBytes = 8 * 1024;
+  constexpr std::size_t MaxPieces = 100;
+  frontend_fixture Frontend;
+  test_caller Caller(Frontend);
+  const std::string Start =
+      GENERATE("5;", "0\r\nx-trailer: ", "5\r\nbytes\r\n0\r\nx-trailer: ");
+  Caller.send("POST /x HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n"
+              "\r\n" +
+              Start);
+  std::size_t Pieces = 0;
+  while (Pieces < MaxPieces && Caller.responseCount() == 0) {
+    Caller.send(std::string(PieceBytes, 'x'));
+    ++Pieces;
+    Frontend.runFor(std::chrono::milliseconds(2));
+  }
+  CHECK(Pieces < MaxPieces);
+  CHECK(Frontend.Codec.Refusals ==
+        std::vector<relay::error_kind>{relay::error_kind::InvalidRequest});
+  test_caller Other(Frontend);
+  Other.send(formatRequest("/other"));
+  CHECK(Frontend.runUntil([&] { return Other.responseCount() == 1; }));
+}
+
+// Guards against the same by a whole trailer, also of a request that is sent
+// ahead and lies in the buffer before it is parsed.
+TEST_CASE("a trailer of any size ends no process", "[edge]") {
+  frontend_fixture Frontend;
+  test_caller Caller(Frontend);
+  const std::size_t Size = GENERATE(100u, 20'000u, 65'400u, 65'540u, 200'000u);
+  const std::string Request =
+      "POST /x HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n"
+      "x-trailer: " +
+      std::string(Size, 'x') + "\r\n\r\n";
+  Caller.send(formatRequest("/first") + Request);
+  CHECK(Frontend.runUntil([&] { return Caller.responseCount() == 2; }));
+  test_caller Other(Frontend);
+  Other.send(formatRequest("/other"));
+  CHECK(Frontend.runUntil([&] { return Other.responseCount() == 1; }));
+}
