Evacuation: send nothing to the endpoints of a zone that operators have evacuated

Cause: the records that evacuate a zone come with the configuration, and nothing read them. Change: zone_evacuations keeps the zones, the load balancer withholds their endpoints (also from calls that wait for a connection or need a version), and lets them back by the steps that follow a pause.

--- a/packages/daemon/src/router.cpp
+++ b/packages/daemon/src/router.cpp
@@ -55,7 +55,9 @@
   explicit configuration_listener(router &Router) : Router(Router) {}
 
   void onRecord(const keyed_record &Record) override {
-    if (Record.Key != platform::ConfigurationKey || Record.Removed)
+    if (Record.Key != platform::ConfigurationKey)
+      return readEvacuation(Record);
+    if (Record.Removed)
       return;
     const time_ms ReceivedAt = Router.Clock.monotonic();
     try {
@@ -72,10 +74,16 @@
                         {"error", std::string_view(Error.what())}});
     }
   }
+  void onSnapshotBegin() override { Router.Evacuations.beginSnapshot(); }
   void onSnapshotRead(const follow::snapshot_end &End) override {
     Router.recordSnapshot(store_topic::Configuration, End);
+    if (End.Status == store_status::Ok)
+      Router.Evacuations.endSnapshot(End.NextOffset, Router.Clock.monotonic());
+    else
+      Router.Evacuations.abortSnapshot();
+    Router.refreshEvacuations();
   }
-  void onCaughtUp(std::uint64_t) override {}
+  void onCaughtUp(std::uint64_t) override { Router.refreshEvacuations(); }
   void onStoreResponse() override {
     Router.recordConfigurationRead();
     if (IsUnavailable)
@@ -89,6 +97,29 @@
   }
 
 private:
+  // Only the key counts, whatever the value is.
+  void readEvacuation(const keyed_record &Record) {
+    const time_ms Now = Router.Clock.monotonic();
+    try {
+      const std::optional<std::string_view> Zone =
+          platform::decodeEvacuatedZone(Record.Key);
+      if (!Zone)
+        return;
+      if (Record.Removed)
+        return Router.Evacuations.onRemoved(*Zone, Record.Offset);
+      if (!Router.Evacuations.onRecord(*Zone, Record.Offset, Now))
+        logUnreadable(Record, "too many zones");
+    } catch (const platform::document_error &Error) {
+      logUnreadable(Record, Error.what());
+    }
+  }
+  void logUnreadable(const keyed_record &Record, std::string_view Error) {
+    Router.Metrics.counterOf("tamarack_unreadable_records_total").add();
+    Router.Log.write("evacuation_unreadable",
+                     {{"offset", static_cast<std::int64_t>(Record.Offset)},
+                      {"error", Error}});
+  }
+
   router &Router;
   bool IsUnavailable = false;
 };
@@ -306,6 +337,7 @@
   EndpointFollower.tick(Now);
   GrantFollower.tick(Now);
   refreshEndpoints();
+  refreshEvacuations();
   if (!IsPreviousWatermarkKnown)
     readPreviousWatermark(false);
   writeGrants();
@@ -408,13 +440,14 @@
 
 // An instance that starts after the store has come back from a copy may find an
 // older configuration than the one in force elsewhere. Operators write the
-// newest one again; until then the others serve.
+// newest one again; until then the others serve. So they do until this one
+// knows which zones are evacuated.
 bool router::isReady() {
   if (!RouteTable || IsStopping)
     return false;
   const bool MayWait =
       !WasReady && Clock.monotonic() - StartedAt < MaxConfigurationWaitMs;
-  if (MayWait && isBehindOthers())
+  if (MayWait && (isBehindOthers() || !Evacuations.isKnown()))
     return false;
   WasReady = true;
   return true;
--- a/packages/daemon/src/router.hpp
+++ b/packages/daemon/src/router.hpp
@@ -135,6 +135,7 @@
                              const keyed_record &Record, time_ms ReceivedAt,
                              time_ms DecodedAt);
   void refreshEndpoints();
+  void refreshEvacuations();
   // Names of the other instances that have not left.
   std::vector<std::string> otherInstances() const;
   void tick();
@@ -212,6 +213,7 @@
   follow::report_writer LostRecords; // See grants::lostRecordKey.
   streams::origin_exchange StreamOrigins;
   follow::endpoint_directory Directory;
+  follow::zone_evacuations Evacuations;
   std::unique_ptr<configuration_listener> ConfigurationListener;
   std::unique_ptr<endpoint_listener> EndpointListener;
   std::unique_ptr<grant_listener> GrantListener;
--- a/packages/daemon/src/router_endpoints.cpp
+++ b/packages/daemon/src/router_endpoints.cpp
@@ -1,4 +1,5 @@
-// A router instance: the list of endpoints, and what they state in responses.
+// A router instance: the list of endpoints, the evacuated zones, and what
+// endpoints state in responses.
 #include "router.hpp"
 
 namespace tamarack::daemon {
@@ -21,6 +22,22 @@
             {{"count", static_cast<std::int64_t>(Entries.size())}});
 }
 
+void router::refreshEvacuations() {
+  const time_ms Now = Clock.monotonic();
+  const std::vector<follow::zone_change> Changes = Evacuations.update(Now);
+  if (Changes.empty())
+    return;
+  const std::vector<std::string> Zones = Evacuations.zones();
+  LoadBalancer.setEvacuatedZones(Zones, Now);
+  Metrics.gaugeOf("tamarack_evacuated_zones").set(Zones.size());
+  for (const follow::zone_change &Change : Changes)
+    Log.write(Change.IsEvacuated ? "zone_evacuated" : "zone_returned",
+              {{"zone", std::string_view(Change.Zone)},
+               {"offset", static_cast<std::int64_t>(Change.Offset)},
+               {"since_ms", Now - Change.EvacuatedAt},
+               {"read_ms_ago", ageOf(ConfigurationFollower)}});
+}
+
 // No later than now: the next request must not go there.
 void router::onLeavingStated(const relay::endpoint_choice &Source,
                              time_ms Now) {
--- a/packages/daemon/src/router_reports.cpp
+++ b/packages/daemon/src/router_reports.cpp
@@ -116,6 +116,7 @@
   if (Before == 0)
     return;
   Directory.onEraChanged(Clock.monotonic());
+  Evacuations.onEraChanged(Clock.monotonic());
   CrashReports.repeat();
   StreamOrigins.repeat();
   Metrics.counterOf("tamarack_store_era_changes_total").add();
--- a/packages/dispatch/include/tamarack/dispatch.hpp
+++ b/packages/dispatch/include/tamarack/dispatch.hpp
@@ -86,13 +86,14 @@
   Unlisted,    // The platform does not list it any more.
   Leaving,     // It takes no new work, by the list or its own responses.
   Misplaced,   // Another endpoint responded at its address.
+  Evacuated,   // Operators have evacuated its availability zone.
   Paused,      // It asked this instance for a pause, which lasts or has just
                // ended.
   Limited,     // The share of this instance of its rate limit is used up.
   Unreachable, // Several attempts in a row failed to connect.
 };
 
-inline constexpr std::size_t WithheldReasons = 7;
+inline constexpr std::size_t WithheldReasons = 8;
 
 std::string_view toString(withheld_reason Reason);
 
@@ -114,7 +115,8 @@
   void reset();
   void setListed(bool To) { IsListed = To; }
   void setLeaving(bool To) { IsLeaving = To; }
-  // The endpoint wants no requests before this time. An earlier, longer pause
+  void setEvacuated(bool To) { IsEvacuated = To; }
+  // The endpoint gets no requests before this time. An earlier, longer pause
   // goes on.
   void pauseUntil(time_ms Until);
   // Slots: requests at once with which the steps after a pause end.
@@ -130,6 +132,11 @@
   bool mayStillSend(time_ms Now) const;
   bool isListed() const { return IsListed; }
   bool isLeaving() const { return IsLeaving || IsMisplaced; }
+  bool isEvacuated() const { return IsEvacuated; }
+  // False if only a change of the endpoint or its zone can bring it work.
+  bool takesNewWork() const {
+    return IsListed && !isLeaving() && !IsEvacuated;
+  }
   // True for some time after a failure to connect. After that time one call at
   // a time tests the endpoint, until one of them gets a response.
   bool isAvoided(time_ms Now) const;
@@ -144,6 +151,7 @@
   bool IsListed = true;     // In the platform's current list.
   bool IsLeaving = false;   // By the list or by a response.
   bool IsMisplaced = false; // Another endpoint responded at its address.
+  bool IsEvacuated = false; // With its availability zone.
   int Slots = 1;            // Requests that it processes concurrently.
   int InFlight = 0;         // Requests of this instance.
   time_ms PausedUntil = 0;
@@ -267,6 +275,9 @@
   // Replaces the complete list of endpoints. An entry whose StartedAt changed
   // is a new endpoint.
   void setEndpoints(std::span<const endpoint_entry> Entries, time_ms Now);
+  // Replaces the complete list of evacuated zones. Their endpoints get nothing
+  // new; what they run goes on. They come back as after a pause.
+  void setEvacuatedZones(std::span<const std::string> Zones, time_ms Now);
   void setTable(std::shared_ptr<const relay::route_table> Table);
   // Number of instances that share the retries, this one included.
   void setInstanceCount(int Count) { InstanceCount = std::max(1, Count); }
@@ -332,6 +343,9 @@
   std::optional<int> pauseRetryAfterMs(const relay::call &Call) const;
   // Spreads what all instances would do at the same moment.
   int spread(int MaxMs) const;
+  // From the end of a pause until this instance sends again.
+  int resumeDelayMs() const;
+  void updateEvacuation(endpoint_state &State, time_ms Now);
   // True if no endpoint of the version that the call needs takes new work.
   bool isVersionGone(const relay::call &Call) const;
   endpoint_state *findEndpoint(std::string_view Endpoint);
@@ -350,6 +364,7 @@
   std::map<std::string, endpoint_state, std::less<>> Endpoints; // By id.
   std::map<std::string, std::vector<std::string>, std::less<>>
       EndpointsByService; // Ids.
+  std::set<std::string, std::less<>> EvacuatedZones;
   std::map<std::string, fleet_retry_budget, std::less<>>
       RetryBudgets; // By service.
 };
--- a/packages/dispatch/src/endpoint_availability.cpp
+++ b/packages/dispatch/src/endpoint_availability.cpp
@@ -26,6 +26,8 @@
     return "leaving";
   case withheld_reason::Misplaced:
     return "misplaced";
+  case withheld_reason::Evacuated:
+    return "evacuated";
   case withheld_reason::Paused:
     return "paused";
   case withheld_reason::Limited:
@@ -109,6 +111,8 @@
     return withheld_reason::Leaving;
   if (IsMisplaced)
     return withheld_reason::Misplaced;
+  if (IsEvacuated)
+    return withheld_reason::Evacuated;
   const bool AreStepsFull =
       ResumeWindow > 0 &&
       Unanswered.size() >= static_cast<std::size_t>(ResumeWindow);
@@ -120,7 +124,7 @@
 }
 
 bool endpoint_availability::mayStillSend(time_ms Now) const {
-  return IsListed && !isLeaving() && PausedUntil <= Now;
+  return takesNewWork() && PausedUntil <= Now;
 }
 
 } // namespace tamarack::dispatch
--- a/packages/dispatch/src/load_balancer.cpp
+++ b/packages/dispatch/src/load_balancer.cpp
@@ -81,6 +81,7 @@
     State.Availability.setListed(true);
     State.Availability.setLeaving(Entry.Leaving);
     State.Availability.setSlots(Entry.Slots);
+    updateEvacuation(State, Now);
     EndpointsByService[Entry.Service].push_back(Entry.Id);
   }
   std::erase_if(Endpoints, [Now](const auto &Item) {
@@ -89,6 +90,21 @@
   });
 }
 
+void load_balancer::setEvacuatedZones(std::span<const std::string> Zones,
+                                      time_ms Now) {
+  EvacuatedZones = {Zones.begin(), Zones.end()};
+  for (auto &[Id, State] : Endpoints)
+    updateEvacuation(State, Now);
+}
+
+// To all instances an endpoint that comes back looks idle, and it may be cold.
+void load_balancer::updateEvacuation(endpoint_state &State, time_ms Now) {
+  const bool IsEvacuated = EvacuatedZones.contains(State.Entry.Zone);
+  if (State.Availability.isEvacuated() && !IsEvacuated)
+    State.Availability.pauseUntil(Now + resumeDelayMs());
+  State.Availability.setEvacuated(IsEvacuated);
+}
+
 load_balancer::endpoint_state *
 load_balancer::findEndpoint(std::string_view Endpoint) {
   const auto Found = Endpoints.find(Endpoint);
@@ -111,15 +127,19 @@
   return static_cast<int>(Random.next() % static_cast<unsigned>(MaxMs));
 }
 
+int load_balancer::resumeDelayMs() const {
+  const int SpreadMs = std::min(MaxPauseSpreadMs, InstanceCount.value_or(1) *
+                                                      PauseSpreadPerInstanceMs);
+  return spread(SpreadMs);
+}
+
 void load_balancer::onPauseStated(std::string_view Endpoint, int DurationMs,
                                   time_ms Now) {
   endpoint_state *State = findEndpoint(Endpoint);
   if (State == nullptr || DurationMs <= 0)
     return;
   const bool IsNew = State->Availability.pausedUntil() <= Now;
-  const int SpreadMs = std::min(MaxPauseSpreadMs, InstanceCount.value_or(1) *
-                                                      PauseSpreadPerInstanceMs);
-  State->Availability.pauseUntil(Now + DurationMs + spread(SpreadMs));
+  State->Availability.pauseUntil(Now + DurationMs + resumeDelayMs());
   if (IsNew)
     Listener.onWithheld(Endpoint, withheld_reason::Paused, DurationMs);
 }
@@ -353,8 +373,7 @@
   return std::none_of(Endpoints.begin(), Endpoints.end(),
                       [&Call](const auto &Item) {
                         const endpoint_state &State = Item.second;
-                        return State.Availability.isListed() &&
-                               !State.Availability.isLeaving() &&
+                        return State.Availability.takesNewWork() &&
                                State.Entry.Service == Call.Service &&
                                State.Entry.Version == Call.RequiredVersion;
                       });
--- a/packages/follow/include/tamarack/follow.hpp
+++ b/packages/follow/include/tamarack/follow.hpp
@@ -4,6 +4,7 @@
 //   snapshots      snapshot_end, readSnapshot
 //   one topic      topic_listener, follower_settings, topic_follower
 //   the endpoints  endpoint_directory
+//   the zones      zone_change, zone_evacuations
 //   own records    report_writer
 //
 // Not thread-safe; times are in monotonic ms.
@@ -228,6 +229,68 @@
   bool IsReadingSnapshot = false;
 };
 
+//---------------------------------------------------------------------------
+// The availability zones
+//---------------------------------------------------------------------------
+
+// A zone whose endpoints get no work from now on, or do again.
+struct zone_change {
+  std::string Zone;
+  bool IsEvacuated = false;
+  std::uint64_t Offset = 0; // Of the record that evacuated the zone.
+  time_ms EvacuatedAt = 0;  // Monotonic, when this instance read that record.
+};
+
+// The zones that operators have evacuated. A zone is evacuated while its record
+// exists.
+//
+// A page may be older than what is known already: another instance may have
+// shared it. What an old page lacks, or still has, changes nothing.
+//
+// A store that has come back from a copy may lack records that operators write
+// again in the next moments. Zones that it lacks stay evacuated until then.
+class zone_evacuations {
+public:
+  static constexpr std::size_t MaxZones = 1'000;
+  // From a change of the store's era until operators have written again.
+  static constexpr int RewriteMs = 3'000;
+
+  // False if there are too many zones: this one is not evacuated.
+  bool onRecord(std::string_view Zone, std::uint64_t Offset, time_ms Now);
+  void onRemoved(std::string_view Zone, std::uint64_t Offset);
+  void onEraChanged(time_ms Now);
+  // Called before and after the records of a snapshot that has all records
+  // before NextOffset; abortSnapshot if the rest of it could not be read.
+  void beginSnapshot();
+  void endSnapshot(std::uint64_t NextOffset, time_ms Now);
+  void abortSnapshot() { IsReadingSnapshot = false; }
+  // True if a whole snapshot was read at least once.
+  bool isKnown() const { return IsKnown; }
+
+  // The changes since the last call of update. Called at least every 100 ms.
+  std::vector<zone_change> update(time_ms Now);
+  std::vector<std::string> zones() const; // Evacuated, as of the last update.
+
+private:
+  struct evacuation {
+    std::uint64_t Offset = 0; // Of its record, 0 if that is of a former era.
+    time_ms Since = 0;
+    bool InSnapshot = false; // Seen since beginSnapshot.
+    time_ms EndAt = -1;      // End of the time to write it again, -1 if none.
+  };
+  using zone_map = std::map<std::string, evacuation, std::less<>>;
+
+  void endMissing(time_ms Now);
+
+  zone_map Zones;
+  zone_map UpdatedZones; // As of the last call of update.
+  // All records before this offset are taken into account.
+  std::uint64_t KnownUpTo = 0;
+  time_ms EraChangedAt = -1; // -1 if never.
+  bool IsReadingSnapshot = false;
+  bool IsKnown = false;
+};
+
 //---------------------------------------------------------------------------
 // Own records
 //---------------------------------------------------------------------------
