--- a/packages/dispatch/include/tamarack/dispatch.hpp
+++ b/packages/dispatch/include/tamarack/dispatch.hpp
@@ -134,9 +134,7 @@
   bool isLeaving() const { return IsLeaving || IsMisplaced; }
   bool isEvacuated() const { return IsEvacuated; }
   // False if only a change of the endpoint or its zone can bring it work.
-  bool takesNewWork() const {
-    return IsListed && !isLeaving() && !IsEvacuated;
-  }
+  bool takesNewWork() const { return IsListed && !isLeaving() && !IsEvacuated; }
   // True for some time after a failure to connect. After that time one call at
   // a time tests the endpoint, until one of them gets a response.
   bool isAvoided(time_ms Now) const;
--- a/tests/process/platform_fleet.py
+++ b/tests/process/platform_fleet.py
@@ -34,11 +34,14 @@
     prepaid: prepaid tokens of the only account, "ring".
     grace_s, repeat_slack: settings of the routers.
     slots: requests that a runner executes at once, as it registers.
+    zones: availability zones, "zone-a" and so on; the runners of each service
+    are in them by turns, the routers in the first one.
     cut_off: the last so many routers never reach the store themselves.
     """
 
     def __init__(self, routers=2, engines=2, desks=2, prepaid=1_000_000,
-                 grace_s=8, cut_off=0, repeat_slack=50, slots=8):
+                 grace_s=8, cut_off=0, repeat_slack=50, slots=8,
+                 zones=1):
         self.folder = pathlib.Path(tempfile.mkdtemp())
         self.processes = {}
         self.prepaid = prepaid
@@ -51,9 +54,12 @@
         self.closed_port = ports.pop()  # Nobody listens on it.
         self.store = f"http://127.0.0.1:{self.store_port}"
         self.runners = {}
+        self.zones = {}  # Of runners by name.
         for service, count in (("engine", engines), ("desk", desks)):
             for number in range(count):
-                self.runners[f"{service}-{number}"] = (service, ports.pop())
+                name = f"{service}-{number}"
+                self.runners[name] = (service, ports.pop())
+                self.zones[name] = f"zone-{chr(97 + number % zones)}"
         self.routers = {f"router-{n}": [ports.pop() for _ in range(4)]
                         for n in range(routers)}
         self.software = {}  # Of runners by name; v1 if absent.
@@ -89,6 +95,7 @@
         service, port = self.runners[name]
         self.start(name, ["stand_ins/standin-runner", "--id", name,
                           "--service", service, "--port", str(port),
+                          "--zone", self.zones[name],
                           "--store-port", str(self.store_port),
                           "--slots", str(self.slots),
                           "--software", self.software.get(name, "v1")])
@@ -247,7 +254,25 @@
 
     def append_configuration(self, value):
         """Stores bytes as the newest configuration."""
-        body = encode_keyed_record("config", value)
+        self.append_operator_record("config", value)
+
+    def evacuate(self, zone):
+        """Evacuates a zone; returns when, as Unix time in s."""
+        self.append_operator_record(f"evacuate/{zone}", b"{}")
+        return time.time()
+
+    def take_back(self, zone):
+        """Ends the evacuation of a zone; returns when, as Unix time in s."""
+        removed_at = time.time()
+        self.append_operator_record(f"evacuate/{zone}", b"")
+        return removed_at
+
+    def runners_of_zone(self, zone):
+        return [name for name in self.runners if self.zones[name] == zone]
+
+    def append_operator_record(self, key, value):
+        """Stores a record as operators do; an empty value removes it."""
+        body = encode_keyed_record(key, value)
         answer = http("POST",
                       self.store + "/-/log-append?topic=keyed.op&part=0",
                       body=body, headers={"X-Operator": "1"})
--- a/tests/process/scenarios.py
+++ b/tests/process/scenarios.py
@@ -17,6 +17,7 @@
 import delayed_stop_scenarios
 import drill_scenarios
 import entry_scenarios
+import evacuation_scenarios
 import limit_scenarios
 import platform_scenarios
 import pool_scenarios
@@ -653,7 +654,7 @@
      + drill_scenarios.SCENARIOS + configuration_scenarios.SCENARIOS
      + version_scenarios.SCENARIOS + statement_scenarios.SCENARIOS
      + entry_scenarios.SCENARIOS + pool_scenarios.SCENARIOS
-     + answer_scenarios.SCENARIOS)
+     + answer_scenarios.SCENARIOS + evacuation_scenarios.SCENARIOS)
 
 
 def read_known_red():
--- a/tests/unit/dispatch_test.cpp
+++ b/tests/unit/dispatch_test.cpp
@@ -454,3 +454,83 @@
   Fixture.Restriction.Withheld = {"e0", "e1"};
   CHECK(Fixture.choose(Call).empty());
 }
+
+//---------------------------------------------------------------------------
+// Evacuated zones
+//---------------------------------------------------------------------------
+
+// Guards against requests that go to an evacuated zone by any way: a new one, a
+// retry, one that waits for its connection, or one that needs a version.
+TEST_CASE("an evacuated zone gets nothing until it returns", "[evacuation]") {
+  dispatch_fixture Fixture(1);
+  std::vector<endpoint_entry> List = {entryOf("e0", "a"), entryOf("e1", "b")};
+  List[0].Version = "v1";
+  List[1].Version = "v2";
+  Fixture.Balancer.setEndpoints(List, 0);
+  const std::vector<std::string> Evacuated = {"a", "unknown"};
+  const relay::call Running = callOf(1, 1);
+  Fixture.Balancer.onSent(Running, "e0", 0);
+  Fixture.Balancer.setEvacuatedZones(Evacuated, 10);
+  const relay::call Call = callOf(2, 2);
+  CHECK(Fixture.choose(Call, 10) == "e1");
+  CHECK_FALSE(Fixture.Balancer.choose(Call, {"e1"}, 10).has_value());
+  CHECK(Fixture.mayStillSend("e0", 1, Call, 10) == "no");
+  const placement_survey Survey = Fixture.Balancer.survey(Call, 10);
+  CHECK(Survey.Withheld[std::size_t(withheld_reason::Evacuated)] == 1);
+  SECTION("what it runs goes on") {
+    Fixture.Balancer.onFirstByte(Running, "e0", 20);
+    Fixture.Balancer.onEnded(Running, "e0", relay::attempt_outcome::Good, 30);
+    CHECK(Fixture.choose(Call, 30) == "e1");
+  }
+  SECTION("a call that needs a version of that zone is refused") {
+    relay::call Bound = callOf(3, 3);
+    Bound.RequiredVersion = "v1";
+    CHECK(Fixture.choose(Bound, 10).empty());
+    CHECK(Fixture.Balancer.refusal(Bound).Kind ==
+          relay::error_kind::StreamVersionGone);
+  }
+  SECTION("endpoints that start in it or move there get nothing either") {
+    List[0].StartedAt = 2;
+    List[1].Zone = "a";
+    Fixture.Balancer.setEndpoints(List, 20);
+    CHECK(Fixture.choose(Call, 20).empty());
+  }
+  SECTION("all zones are evacuated") {
+    const std::vector<std::string> Both = {"a", "b"};
+    Fixture.Balancer.setEvacuatedZones(Both, 20);
+    CHECK(Fixture.choose(Call, 20).empty());
+    const relay::placement_refusal Refusal = Fixture.Balancer.refusal(Call);
+    CHECK(Refusal.Kind == relay::error_kind::NoEndpoint);
+    CHECK(Refusal.RetryAfterMs > 0);
+  }
+  SECTION("it returns") {
+    Fixture.Balancer.setEvacuatedZones({}, 5'000);
+    CHECK(Fixture.Balancer.choose(Call, {"e1"}, 5'100).has_value());
+    CHECK(Fixture.mayStillSend("e0", 1, Call, 5'100) == "yes");
+  }
+}
+
+// Guards against all instances sending to an idle zone, whose endpoints may be
+// cold, at the moment at which it returns.
+TEST_CASE("the endpoints of a zone that returns get requests by steps",
+          "[evacuation]") {
+  constexpr int Instances = 50;
+  constexpr int SpreadMs = 500;
+  const std::vector<std::string> Evacuated = {"a"};
+  int SendingEarly = 0;
+  for (std::uint64_t Seed = 0; Seed < Instances; ++Seed) {
+    dispatch_fixture Fixture(Seed);
+    Fixture.Balancer.setInstanceCount(Instances);
+    const std::vector<endpoint_entry> List = {entryOf("e0", "a")};
+    Fixture.Balancer.setEndpoints(List, 0);
+    Fixture.Balancer.setEvacuatedZones(Evacuated, 0);
+    Fixture.Balancer.setEvacuatedZones({}, 1'000);
+    const relay::call First = callOf(1, 1);
+    SendingEarly += Fixture.choose(First, 1'000 + SpreadMs / 4) == "e0";
+    CHECK(Fixture.send(First, 1'000 + SpreadMs) == "e0");
+    CHECK(Fixture.choose(callOf(2, 2), 1'000 + SpreadMs).empty());
+    Fixture.Balancer.onFirstByte(First, "e0", 1'600);
+    CHECK(Fixture.choose(callOf(2, 2), 1'600) == "e0");
+  }
+  CHECK(SendingEarly < Instances / 2);
+}
