Pass on an entry that only tells how long its endpoint is cold

Cause: an endpoint that becomes cold while it runs changes nothing else in its entry, and the directory compared all fields but the warm-up time. Nobody learned of it.

Change: a changed warm-up time is news, and a later report of one that lasts. The test fails without the change, at the third entry.

--- a/packages/follow/src/endpoint_directory.cpp
+++ b/packages/follow/src/endpoint_directory.cpp
@@ -15,6 +15,15 @@
          A.Leaving == B.Leaving && A.StartedAt == B.StartedAt;
 }
 
+// A later report that the endpoint is cold tells how long from then on; the
+// first one without tells that it is warm.
+bool isColdNews(const dispatch::endpoint_entry &Entry,
+                const dispatch::endpoint_entry &Known) {
+  if (Entry.WarmUpMs != Known.WarmUpMs)
+    return true;
+  return Entry.WarmUpMs > 0 && Entry.Sequence != Known.Sequence;
+}
+
 // True if the endpoint published Entry before Known. An entry that lacks the
 // known start is not its own.
 bool isOlder(const dispatch::endpoint_entry &Entry,
@@ -79,7 +88,7 @@
   Next.Leaving = Next.Leaving || Known.StatesLeaving;
   const bool IsNew =
       !Known.IsListed || Known.RemoveAt >= 0 || !isSameState(Known.Entry, Next);
-  Changed = Changed || IsNew;
+  Changed = Changed || IsNew || isColdNews(Next, Known.Entry);
   Known.Entry = std::move(Next);
   Known.ContradictingReports = 0;
   Known.IsListed = true;
--- a/tests/unit/follow_test.cpp
+++ b/tests/unit/follow_test.cpp
@@ -407,6 +407,27 @@
   CHECK(Directory.entries().empty());
 }
 
+// Guards against an endpoint that becomes cold while it runs, of which nobody
+// learns because nothing else in its entry has changed.
+TEST_CASE("an entry that tells how long an endpoint is cold is news",
+          "[follow]") {
+  endpoint_directory Directory;
+  const auto IsNews = [&Directory](std::int64_t Sequence, int WarmUpMs) {
+    dispatch::endpoint_entry Entry = entryOf("e", Sequence);
+    Entry.WarmUpMs = WarmUpMs;
+    Directory.onEntry(Entry);
+    return Directory.update(0);
+  };
+  CHECK(IsNews(1, 0));
+  CHECK_FALSE(IsNews(2, 0));
+  CHECK(IsNews(3, 3'000));
+  CHECK_FALSE(IsNews(3, 3'000));
+  CHECK(IsNews(4, 3'000));
+  CHECK(IsNews(5, 1'800));
+  CHECK(IsNews(6, 0));
+  CHECK_FALSE(IsNews(7, 0));
+}
+
 TEST_CASE("an entry that is older than the known one is ignored", "[follow]") {
   endpoint_directory Directory;
   Directory.onEntry(entryOf("e", 5, true));
