Divide what a cold endpoint tolerates among the instances

Cause: coldLeftMs was read once, at a start, and cost a flat 200 ms in the choice. Each instance saw its own requests only, so nothing bounded the sum.

Change: limits::cold_limiter. While an endpoint of a service with coldPerS is cold, floor(coldPerS / 1.5) instances have an equal share each, by rendezvous hashing of their names and the endpoint's id; the others send nothing. No report and no write: the list of instances and the entries tell all. Nothing is sent by a list of instances that is over 2 s old, or by an instance that the others may not know. Cold-Ms of a response prolongs the time.

--- a/packages/daemon/src/limit_log.cpp
+++ b/packages/daemon/src/limit_log.cpp
@@ -38,6 +38,23 @@
                             {"instances", std::int64_t(Instances)}});
 }
 
+void limit_log::onEndpointCold(std::string_view Endpoint, time_ms RemainingMs,
+                               double SharePerSecond, double LimitPerSecond,
+                               std::size_t Cold) {
+  Metrics.gaugeOf("tamarack_cold_endpoints").set(Cold);
+  Log.write("endpoint_cold", {{"endpoint", Endpoint},
+                              {"for_ms", std::int64_t(RemainingMs)},
+                              {"per_second", SharePerSecond},
+                              {"limit", LimitPerSecond},
+                              {"cold", static_cast<std::int64_t>(Cold)}});
+}
+
+void limit_log::onEndpointWarm(std::string_view Endpoint, std::size_t Cold) {
+  Metrics.gaugeOf("tamarack_cold_endpoints").set(Cold);
+  Log.write("endpoint_warm", {{"endpoint", Endpoint},
+                              {"cold", static_cast<std::int64_t>(Cold)}});
+}
+
 void limit_log::onCallRefused(const relay::call &Call, int RetryAfterMs) {
   Metrics.counterOf("tamarack_calls_refused_by_limits_total").add();
   Log.write("limits_used_up", {{"id", std::string_view(Call.Id)},
--- a/packages/daemon/src/limit_log.hpp
+++ b/packages/daemon/src/limit_log.hpp
@@ -19,6 +19,10 @@
                          std::string_view Text) override;
   void onShareChanged(std::string_view Endpoint, double SharePerSecond,
                       double LimitPerSecond, int Instances) override;
+  void onEndpointCold(std::string_view Endpoint, time_ms RemainingMs,
+                      double SharePerSecond, double LimitPerSecond,
+                      std::size_t Cold) override;
+  void onEndpointWarm(std::string_view Endpoint, std::size_t Cold) override;
   void onCallRefused(const relay::call &Call, int RetryAfterMs) override;
 
 private:
--- a/packages/daemon/src/router.cpp
+++ b/packages/daemon/src/router.cpp
@@ -172,7 +172,8 @@
   }
   void onCaughtUp(std::uint64_t) override {
     Router.Grants.onCaughtUp();
-    Router.Limiter.setInstances(Router.otherInstances());
+    Router.Limiter.setInstances(Router.otherInstances(),
+                                Router.Clock.monotonic());
     Router.Limiter.onCaughtUp(Router.Clock.monotonic());
     Router.LoadBalancer.setInstanceCount(
         static_cast<int>(Router.Grants.peers().size()) + 1);
@@ -312,6 +313,7 @@
   writeWatermark();
   sendReservations();
   CrashReports.tick(Now);
+  Limiter.tick(Now);
   LimitReports.tick(Now);
   writeLostRecords(Now);
   StreamOrigins.tick(Now);
@@ -380,6 +382,7 @@
   Metrics.gaugeOf("tamarack_configuration_version")
       .set(static_cast<std::uint64_t>(RouteTable->Version));
   LoadBalancer.setTable(RouteTable);
+  Limiter.setTable(RouteTable, Clock.monotonic());
   Codec.setRouteTable(RouteTable);
   Grants.setBudgets(RouteTable);
   Frontend.setLimits(RouteTable->Limits);
--- a/packages/limits/include/tamarack/limits.hpp
+++ b/packages/limits/include/tamarack/limits.hpp
@@ -8,6 +8,7 @@
 //   known limits         limit_register
 //   shares               fleet_demand, demand_meter, shareOfLimit
 //   pacing               request_pacer
+//   cold endpoints       cold_limiter, shareOfColdLimit, cold_listener
 //
 // An endpoint in need states in its responses how many requests a second it
 // takes from all instances together. No instance sees the requests of the
@@ -26,6 +27,12 @@
 // What is sent counts as a request of the limit: first attempts, retries,
 // resumed streams.
 //
+// An endpoint that is cold has a limit that it need not state: its service's
+// ColdRequestsPerSecond, for the time that its entry states. It is divided
+// without any report, by the list of instances alone: a cold phase may be over
+// before reports have been exchanged. Of a stated limit and this one, the lower
+// holds.
+//
 // Nothing here is thread-safe or reads a clock; times are monotonic ms of this
 // instance. Times of different instances are never compared.
 #pragma once
@@ -36,6 +43,7 @@
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <memory>
 #include <optional>
 #include <set>
 #include <span>
@@ -73,6 +81,9 @@
   virtual void onLimitStatement(const relay::endpoint_choice &Source,
                                 const limit_statement &Statement,
                                 time_ms Now) = 0;
+  // A response of Source itself states that Source is cold for so long.
+  virtual void onColdStated(const relay::endpoint_choice &Source,
+                            int RemainingMs, time_ms Now) = 0;
 };
 
 //---------------------------------------------------------------------------
@@ -171,6 +182,10 @@
 // Shares
 //---------------------------------------------------------------------------
 
+// Longest time between two reads of the other instances' reports that counts as
+// readable.
+inline constexpr time_ms MaxReadIntervalMs = 2'000;
+
 // Smoothed rate of the requests to one service at this instance.
 class demand_meter {
 public:
@@ -275,14 +290,105 @@
   time_ms AdvancedAt = 0;
 };
 
+//---------------------------------------------------------------------------
+// Cold endpoints
+//---------------------------------------------------------------------------
+
+// A cold endpoint's limit is divided among so few instances that each of them
+// has at least this share, in requests a second. Each may send at any moment of
+// a second, so the requests of one second exceed the limit by at most one for
+// each of them.
+inline constexpr double MinColdShare = 1.5;
+
+// Requests a second of a cold endpoint's limit that belong to Instance: an
+// equal part for those with the highest hashes of their name and the endpoint's
+// id (rendezvous hashing), nothing for the others. Of two lists that differ by
+// one instance, at most one share moves, unless there are fewer instances than
+// shares. Others: all other instances that have not left.
+double shareOfColdLimit(std::string_view Endpoint, double LimitPerSecond,
+                        std::string_view Instance,
+                        std::span<const std::string> Others);
+
+// For logs and metrics.
+class cold_listener {
+public:
+  virtual ~cold_listener() = default;
+  // Cold: number of cold endpoints, this one included.
+  virtual void onEndpointCold(std::string_view Endpoint, time_ms RemainingMs,
+                              double SharePerSecond, double LimitPerSecond,
+                              std::size_t Cold) = 0;
+  virtual void onEndpointWarm(std::string_view Endpoint, std::size_t Cold) = 0;
+};
+
+// Decides which cold endpoints may get a request of this instance now. While
+// the list of instances can't be read, none may: others may have taken over the
+// shares of this instance. Endpoints of services without ColdRequestsPerSecond
+// are never limited here.
+class cold_limiter {
+public:
+  cold_limiter(std::string Instance, cold_listener &Listener);
+
+  void setTable(std::shared_ptr<const relay::route_table> NewTable,
+                time_ms Now);
+  void setEndpoints(std::span<const dispatch::endpoint_entry> Entries,
+                    time_ms Now);
+  // The list has been read now: all instances that have not left, this one may
+  // be missing.
+  void setInstances(std::span<const std::string> Names, time_ms Now);
+  // Endpoint states in a response that it is cold for so long; it was sent to
+  // the run that began at StartedAt. Never shortens the time.
+  void onColdStated(std::string_view Endpoint, std::int64_t StartedAt,
+                    int RemainingMs, time_ms Now);
+  // Ends the limits of endpoints that have become warm. Called at least every
+  // 100 ms.
+  void tick(time_ms Now);
+
+  // Empty if the endpoint has no limit here.
+  std::optional<double> limitOf(std::string_view Endpoint, time_ms Now) const;
+  bool mayGetRequest(std::string_view Endpoint, time_ms Now);
+  void onSent(std::string_view Endpoint, time_ms Now);
+  // When mayGetRequest becomes true, at the latest when the endpoint is warm.
+  // Now if the endpoint has no limit here.
+  time_ms nextRequestAt(std::string_view Endpoint, time_ms Now);
+
+private:
+  struct known_endpoint {
+    std::string Service;
+    std::int64_t StartedAt = -1; // Of the entry that was read last, as Sequence
+    std::int64_t Sequence = -1;  // and StatedMs.
+    int StatedMs = 0;
+    time_ms ColdUntil = 0;
+    double PerSecond = 0;               // Limit while cold.
+    std::optional<request_pacer> Pacer; // While cold and limited.
+  };
+
+  double coldRequestsPerSecond(std::string_view Service) const;
+  void readEntry(known_endpoint &Known, const dispatch::endpoint_entry &Entry,
+                 time_ms Now) const;
+  void updateAll(time_ms Now);
+  void update(const std::string &Id, known_endpoint &Known, time_ms Now);
+  double shareOf(const std::string &Id, double PerSecond) const;
+  bool isSettled(time_ms Now) const;
+  bool isListCurrent(time_ms Now) const;
+  known_endpoint *findLimited(std::string_view Endpoint, time_ms Now);
+
+  std::string Instance;
+  cold_listener &Listener;
+  std::shared_ptr<const relay::route_table> Table;
+  std::map<std::string, known_endpoint, std::less<>> Endpoints; // By id.
+  std::size_t Limited = 0;         // Endpoints with a pacer.
+  std::vector<std::string> Others; // Sorted names of the other instances.
+  time_ms ListKnownSince = -1;     // First read of the list of instances.
+  time_ms ListReadAt = -1;         // Last read.
+};
+
 //---------------------------------------------------------------------------
 // Calls
 //---------------------------------------------------------------------------
 
 // For logs and metrics.
-class limiter_listener {
+class limiter_listener : public cold_listener {
 public:
-  virtual ~limiter_listener() = default;
   // Reporter is empty if a response stated it.
   virtual void onLimitChanged(std::string_view Endpoint,
                               const known_limit &Limit,
@@ -301,10 +407,17 @@
 public:
   endpoint_limiter(std::string Instance, limiter_listener &Listener);
 
+  void setTable(std::shared_ptr<const relay::route_table> NewTable,
+                time_ms Now) {
+    Cold.setTable(std::move(NewTable), Now);
+  }
   void setEndpoints(std::span<const dispatch::endpoint_entry> Entries,
                     time_ms Now);
-  // All instances that have not left, this one may be missing.
-  void setInstances(std::span<const std::string> Names);
+  // The list has been read now: all instances that have not left, this one may
+  // be missing.
+  void setInstances(std::span<const std::string> Names, time_ms Now);
+  // Called at least every 100 ms.
+  void tick(time_ms Now) { Cold.tick(Now); }
   // Reports of all instances, this one included, in the order of their topic.
   // IsCurrent: see limit_register::onReport.
   void onReport(std::string_view Reporter, const limit_report &Report,
@@ -319,12 +432,17 @@
   void onRequest(std::string_view Service, time_ms Now); // Of a caller.
   void onLimitStatement(const relay::endpoint_choice &Source,
                         const limit_statement &Statement, time_ms Now) override;
+  void onColdStated(const relay::endpoint_choice &Source, int RemainingMs,
+                    time_ms Now) override;
   std::uint64_t versionOf(std::string_view Endpoint) const {
     return Register.versionOf(Endpoint);
   }
   void onSent(std::string_view Endpoint, time_ms Now);
   // False if the endpoint may not get a request now.
   bool mayGetRequest(std::string_view Endpoint, time_ms Now) override;
+  bool isCold(std::string_view Endpoint, time_ms Now) const {
+    return Cold.limitOf(Endpoint, Now).has_value();
+  }
   // When to come back, if no endpoint of the service may get a request now.
   std::optional<int> retryAfterMs(std::string_view Service, time_ms Now);
   const request_pacer *findPacer(std::string_view Endpoint) const;
@@ -342,7 +460,10 @@
   void updateShares(time_ms Now);
   void updateLimited();
   void updatePacer(const std::string &Endpoint, double Share, time_ms Now);
-  bool areAllLimited(std::string_view Service) const;
+  // Requests a second that the endpoint may get of all instances.
+  std::optional<double> limitOf(std::string_view Endpoint, time_ms Now) const;
+  // When the endpoint may get a request, empty if not at the current share.
+  std::optional<time_ms> nextRequestAt(std::string_view Endpoint, time_ms Now);
   // False while this instance may divide the limits otherwise than the others,
   // because it has only begun to read their reports.
   bool isSettled(time_ms Now) const;
@@ -360,8 +481,7 @@
       Pacers; // By endpoint; those with a limit in force.
   std::map<std::string, std::vector<std::string>, std::less<>>
       LimitedByService; // Endpoints with a limit in force.
-  std::map<std::string, std::size_t, std::less<>>
-      EndpointCounts;            // Endpoints that take new work, by service.
+  cold_limiter Cold;
   time_ms ReadableSince = -1;    // When reports were last read, -1 while they
                                  // can't be.
   time_ms InstancesKnownAt = -1; // When reports were first read.
@@ -384,6 +504,11 @@
   std::optional<relay::endpoint_choice>
   choose(const relay::call &Call, const std::set<std::string> &Tried,
          time_ms Now) override;
+  // False for an endpoint that has become cold since it was chosen: the call is
+  // not in the share of this instance.
+  bool mayStillSend(const relay::call &Call,
+                    const relay::endpoint_choice &Target, time_ms ConnectedAt,
+                    time_ms Now) const override;
   void onSent(const relay::call &Call, std::string_view Endpoint,
               time_ms Now) override;
   relay::placement_refusal refusal(const relay::call &Call) const override;
--- a/packages/limits/src/endpoint_limiter.cpp
+++ b/packages/limits/src/endpoint_limiter.cpp
@@ -8,8 +8,6 @@
 
 namespace {
 
-// Longest time between two reads of reports that counts as readable.
-constexpr time_ms MaxReadIntervalMs = 2'000;
 // A demand is reported anew when it has changed by this factor, so that shares
 // stay with their instances.
 constexpr double DemandChangeFactor = 1.5;
@@ -21,23 +19,22 @@
 
 endpoint_limiter::endpoint_limiter(std::string Instance,
                                    limiter_listener &Listener)
-    : Instance(std::move(Instance)), Listener(Listener),
-      Demand(this->Instance) {}
+    : Instance(std::move(Instance)), Listener(Listener), Demand(this->Instance),
+      Cold(this->Instance, Listener) {}
 
 void endpoint_limiter::setEndpoints(
     std::span<const dispatch::endpoint_entry> Entries, time_ms Now) {
   Register.setEndpoints(Entries);
-  EndpointCounts.clear();
-  for (const dispatch::endpoint_entry &Entry : Entries)
-    if (!Entry.Leaving)
-      ++EndpointCounts[Entry.Service];
+  Cold.setEndpoints(Entries, Now);
   for (auto &[Reporter, Unlisted] : UnlistedLimits)
     applyLimits(Reporter, Unlisted, Now);
   updateShares(Now);
 }
 
-void endpoint_limiter::setInstances(std::span<const std::string> Names) {
+void endpoint_limiter::setInstances(std::span<const std::string> Names,
+                                    time_ms Now) {
   Demand.setInstances(Names);
+  Cold.setInstances(Names, Now);
 }
 
 void endpoint_limiter::onReport(std::string_view Reporter,
@@ -140,6 +137,11 @@
   updateShares(Now);
 }
 
+void endpoint_limiter::onColdStated(const relay::endpoint_choice &Source,
+                                    int RemainingMs, time_ms Now) {
+  Cold.onColdStated(Source.Endpoint, Source.StartedAt, RemainingMs, Now);
+}
+
 void endpoint_limiter::onLimitChanged(std::string_view Endpoint,
                                       std::string_view Reporter) {
   Listener.onLimitChanged(Endpoint, *Register.find(Endpoint), Reporter);
@@ -171,13 +173,6 @@
   }
 }
 
-bool endpoint_limiter::areAllLimited(std::string_view Service) const {
-  const auto Limited = LimitedByService.find(Service);
-  const auto Count = EndpointCounts.find(Service);
-  return Limited != LimitedByService.end() && Count != EndpointCounts.end() &&
-         Limited->second.size() >= Count->second;
-}
-
 void endpoint_limiter::updateLimited() {
   LimitedByService.clear();
   for (const auto &[Endpoint, Limit] : Register.endpoints())
@@ -207,31 +202,58 @@
   const auto Found = Pacers.find(Endpoint);
   if (Found != Pacers.end())
     Found->second.onSent(Now);
+  Cold.onSent(Endpoint, Now);
 }
 
 bool endpoint_limiter::mayGetRequest(std::string_view Endpoint, time_ms Now) {
+  if (!Cold.mayGetRequest(Endpoint, Now))
+    return false;
   if (Pacers.empty())
     return true;
   const auto Found = Pacers.find(Endpoint);
   return Found == Pacers.end() || Found->second.maySend(Now);
 }
 
+std::optional<double> endpoint_limiter::limitOf(std::string_view Endpoint,
+                                                time_ms Now) const {
+  const std::optional<double> Stated = Register.find(Endpoint)->PerSecond;
+  const std::optional<double> WhileCold = Cold.limitOf(Endpoint, Now);
+  if (!Stated || !WhileCold)
+    return Stated ? Stated : WhileCold;
+  return std::min(*Stated, *WhileCold);
+}
+
+std::optional<time_ms>
+endpoint_limiter::nextRequestAt(std::string_view Endpoint, time_ms Now) {
+  const time_ms ColdNextAt = Cold.nextRequestAt(Endpoint, Now);
+  const auto Found = Pacers.find(Endpoint);
+  if (Found == Pacers.end())
+    return ColdNextAt;
+  const std::optional<time_ms> NextAt = Found->second.nextSendAt(Now);
+  if (!NextAt)
+    return std::nullopt;
+  return std::max(*NextAt, ColdNextAt);
+}
+
 std::optional<int> endpoint_limiter::retryAfterMs(std::string_view Service,
                                                   time_ms Now) {
-  if (!areAllLimited(Service))
-    return std::nullopt;
-  const auto Limited = LimitedByService.find(Service);
   std::optional<time_ms> NextAt;
+  bool HasEndpoint = false;
   double Sum = 0; // Requests a second.
-  for (const std::string &Endpoint : Limited->second) {
-    request_pacer &Pacer = Pacers.find(Endpoint)->second;
-    if (Pacer.maySend(Now))
+  for (const auto &[Endpoint, Known] : Register.endpoints()) {
+    if (Known.Service != Service || Known.IsLeaving)
+      continue;
+    const std::optional<double> Limit = limitOf(Endpoint, Now);
+    if (!Limit || mayGetRequest(Endpoint, Now))
       return std::nullopt;
-    const std::optional<time_ms> EndpointNextAt = Pacer.nextSendAt(Now);
+    const std::optional<time_ms> EndpointNextAt = nextRequestAt(Endpoint, Now);
     if (EndpointNextAt)
       NextAt = std::min(NextAt.value_or(*EndpointNextAt), *EndpointNextAt);
-    Sum += *Register.find(Endpoint)->PerSecond;
+    Sum += *Limit;
+    HasEndpoint = true;
   }
+  if (!HasEndpoint)
+    return std::nullopt;
   // Without a share here, the mean time between two requests of one instance.
   const double WaitMs =
       NextAt ? static_cast<double>(*NextAt - Now)
--- a/packages/limits/src/limit_gate.cpp
+++ b/packages/limits/src/limit_gate.cpp
@@ -15,11 +15,21 @@
   LastChoiceAt = Now;
   std::optional<relay::endpoint_choice> Choice =
       placement_decorator::choose(Call, Tried, Now);
-  if (Choice)
+  if (Choice) {
     Choice->LimitVersion = Limiter.versionOf(Choice->Endpoint);
+    Choice->WasCold = Limiter.isCold(Choice->Endpoint, Now);
+  }
   return Choice;
 }
 
+bool limit_gate::mayStillSend(const relay::call &Call,
+                              const relay::endpoint_choice &Target,
+                              time_ms ConnectedAt, time_ms Now) const {
+  if (!Target.WasCold && Limiter.isCold(Target.Endpoint, Now))
+    return false;
+  return placement_decorator::mayStillSend(Call, Target, ConnectedAt, Now);
+}
+
 void limit_gate::onSent(const relay::call &Call, std::string_view Endpoint,
                         time_ms Now) {
   Limiter.onSent(Endpoint, Now);
--- a/packages/relay/include/tamarack/relay.hpp
+++ b/packages/relay/include/tamarack/relay.hpp
@@ -79,9 +79,11 @@
 struct service {
   std::string Name;
   std::string HealthPath;
-  int MaxConnections = 0;         // Per endpoint, 0 if unknown.
-  std::int64_t KvCacheTokens = 0; // Per model engine; 0 if not an engine.
-  int MaxTokensPerEvent = 1;      // Generated tokens.
+  int MaxConnections = 0;           // Per endpoint, 0 if unknown.
+  std::int64_t KvCacheTokens = 0;   // Per model engine; 0 if not an engine.
+  int MaxTokensPerEvent = 1;        // Generated tokens.
+  double ColdRequestsPerSecond = 0; // That a cold endpoint tolerates, of all
+                                    // instances; 0: no limit.
 };
 
 struct account {
@@ -203,7 +205,8 @@
   std::uint64_t LimitVersion = 0;
   std::string Version = {}; // Of the endpoint's software, empty if unknown.
   std::int64_t StartedAt =
-      0; // Unix ms, 0 if unknown: which run of the endpoint.
+      0;                // Unix ms, 0 if unknown: which run of the endpoint.
+  bool WasCold = false; // When it was chosen.
 };
 
 // How an attempt at an endpoint ended.
--- a/tests/fuzz/fuzz_reports.cpp
+++ b/tests/fuzz/fuzz_reports.cpp
@@ -62,6 +62,11 @@
                       int) override {
     require(std::isfinite(SharePerSecond) && SharePerSecond >= 0);
   }
+  void onEndpointCold(std::string_view, time_ms, double SharePerSecond, double,
+                      std::size_t) override {
+    require(std::isfinite(SharePerSecond) && SharePerSecond >= 0);
+  }
+  void onEndpointWarm(std::string_view, std::size_t) override {}
   void onCallRefused(const relay::call &, int) override {}
 };
 
@@ -83,7 +88,7 @@
   Limiter.setEndpoints(Entries, 0);
   Limiter.onReport("a", *Report, true, 0);
   const std::vector<std::string> Names = {"a", "b"};
-  Limiter.setInstances(Names);
+  Limiter.setInstances(Names, 0);
   for (time_ms Now = 0; Now < 10'000; Now += 1'000) {
     Limiter.onCaughtUp(Now);
     Limiter.mayGetRequest("endpoint", Now);
--- a/tests/unit/limits_test.cpp
+++ b/tests/unit/limits_test.cpp
@@ -22,6 +22,9 @@
                       std::string_view) override {}
   void onLimitUnreadable(std::string_view, std::string_view) override {}
   void onShareChanged(std::string_view, double, double, int) override {}
+  void onEndpointCold(std::string_view, time_ms, double, double,
+                      std::size_t) override {}
+  void onEndpointWarm(std::string_view, std::size_t) override {}
   void onCallRefused(const relay::call &, int) override {}
 };
 
@@ -469,7 +472,7 @@
                                    Instance.HasSnapshot, Now);
     }
     Instance.HasSnapshot = true;
-    Instance.Limiter->setInstances(Names);
+    Instance.Limiter->setInstances(Names, Now);
     Instance.Limiter->onCaughtUp(Now);
   }
 
--- a/tests/unit/platform_test.cpp
+++ b/tests/unit/platform_test.cpp
@@ -57,6 +57,11 @@
     Form = Statement.Form;
     PerSecond = Statement.PerSecond;
   }
+  void onColdStated(const relay::endpoint_choice &, int RemainingMs,
+                    time_ms) override {
+    ColdStatements.push_back(RemainingMs);
+  }
+  std::vector<int> ColdStatements;
   int Calls = 0;
   limits::statement_form Form = limits::statement_form::Absent;
   double PerSecond = -1;
@@ -710,6 +715,39 @@
   }
 }
 
+// Guards against an unreadable field that lifts or sets a limit.
+TEST_CASE("how long an endpoint is cold is read or rejected", "[platform]") {
+  codec_fixture Fixture;
+  edge::response_fields Fields;
+  Fields.result(GENERATE(200u, 500u, 503u));
+  for (const char *Text :
+       {"1500", "0", " 20.9 ", "1e300", "-1", "soon", "", "nan", "1, 2"})
+    Fields.insert("Cold-Ms", Text);
+  Fixture.Codec.recordEndpointState({"e1", "10.0.0.1:1"}, Fields, 10);
+  CHECK(Fixture.LimitListener.ColdStatements ==
+        std::vector<int>{1'500, 0, 20, 3'600'000});
+  CHECK(Fixture.Statements.Unreadable.size() == 5);
+  Fields.result(421);
+  Fixture.Codec.recordEndpointState({"e1", "10.0.0.1:1"}, Fields, 10);
+  CHECK(Fixture.LimitListener.ColdStatements.size() == 4);
+}
+
+TEST_CASE("the rate of cold endpoints is read or rejected", "[platform]") {
+  const auto Read = [](const std::string &Value) {
+    const std::shared_ptr<const relay::route_table> Table = decodeConfiguration(
+        replaced(Configuration, "\"name\": \"desk\"",
+                 "\"name\": \"desk\", \"coldPerS\": " + Value));
+    CHECK(Table->findService("engine")->ColdRequestsPerSecond == 0);
+    return Table->findService("desk")->ColdRequestsPerSecond;
+  };
+  CHECK(Read("7.6") == 7.6);
+  CHECK(Read("3") == 3);
+  CHECK(Read("0") == 0);
+  CHECK(Read("null") == 0);
+  for (const char *Value : {"-1", "1e300", "\"7\"", "true", "[]"})
+    CHECK_THROWS_AS(Read(Value), document_error);
+}
+
 TEST_CASE("the limit that an endpoint states is read or rejected",
           "[platform]") {
   using limits::statement_form;
