Let tamarackctl check warn of what has no effect, and compare

A valid file could hold rules behind a wider one, selectors that match nothing, services without a rule; nobody was told.

Change: config::findWarnings, a module without I/O. The daemon says in one line how many warnings an accepted version has. Only the configuration that tamarackctl publishes is checked; the platform's own form (platform/src/documents.cpp) is not.

--- a/packages/config/include/tamarack/config.hpp
+++ b/packages/config/include/tamarack/config.hpp
@@ -6,6 +6,7 @@
 //                            latency_target, configuration, digestOfKey
 //   reading and checking     readDocument, document, config_error,
 //                            buildConfiguration, writeDocument
+//   warnings                 config_warning, findWarnings
 //   plans                    makePlan, plan, object_change
 //   the fold                 config_change, config_checkpoint, config_fold
 //
@@ -211,6 +212,21 @@
 // The document in its JSON form, indented.
 std::string writeDocument(const document &Document);
 
+//---------------------------------------------------------------------------
+// Warnings
+//---------------------------------------------------------------------------
+
+// A part of a valid configuration that has no effect or contradicts another.
+struct config_warning {
+  std::string Location; // As of config_error.
+  std::string Message;  // Continues the location: "matches no endpoint".
+};
+
+// In order of the kinds, and of the names or the rules of a kind. A rule is
+// said never to apply only if that is certain: one rule before it matches
+// everything that it matches, each condition by a condition on the same label.
+std::vector<config_warning> findWarnings(const configuration &Configuration);
+
 //---------------------------------------------------------------------------
 // Plans
 //---------------------------------------------------------------------------
--- a/packages/control/src/commands.hpp
+++ b/packages/control/src/commands.hpp
@@ -18,6 +18,7 @@
   Unavailable = 3, // The platform or an instance does not respond.
   Conflict = 4,    // Another version is active, the digest differs from the
                    // approved one, or the change was rejected.
+  Warnings = 5,    // The file is valid, but parts of it have no effect.
 };
 
 // Ends a command with a message and an exit code.
--- a/packages/control/src/config_commands.cpp
+++ b/packages/control/src/config_commands.cpp
@@ -17,18 +17,38 @@
 constexpr int MaxDecisionReads = 20; // Long polls of DecisionReadWaitMs each.
 constexpr int DecisionReadWaitMs = 500;
 
-std::string readFile(arguments Arguments) {
-  if (Arguments.size() != 1)
-    throw command_error(exit_code::UsageError,
-                        "exactly one configuration file is needed");
-  std::ifstream File(Arguments.front());
+// Of the flag "against": the active version, in place of a file.
+constexpr char ActiveVersion[] = "active";
+
+std::string readFile(const std::string &Name) {
+  std::ifstream File(Name);
   std::ostringstream Text;
   Text << File.rdbuf();
   if (!File)
-    throw command_error(exit_code::Failed, "cannot read " + Arguments.front());
+    throw command_error(exit_code::Failed, "cannot read " + Name);
   return Text.str();
 }
 
+const std::string &fileNameOf(arguments Arguments) {
+  if (Arguments.size() != 1)
+    throw command_error(exit_code::UsageError,
+                        "exactly one configuration file is needed");
+  return Arguments.front();
+}
+
+// Rows of objects with "place" and "text".
+template <typename Remark>
+Poco::JSON::Array::Ptr makeRows(std::span<const Remark> Remarks) {
+  Poco::JSON::Array::Ptr Rows = new Poco::JSON::Array;
+  for (const Remark &Each : Remarks) {
+    Poco::JSON::Object::Ptr Row = new Poco::JSON::Object;
+    Row->set("place", Each.Location);
+    Row->set("text", Each.Message);
+    Rows->add(Row);
+  }
+  return Rows;
+}
+
 void printErrors(const command_context &Context, const std::string &File,
                  std::span<const config::config_error> Errors) {
   if (!Context.Json) {
@@ -37,40 +57,41 @@
                 << "\n";
     return;
   }
-  Poco::JSON::Array Rows;
-  for (const config::config_error &Error : Errors) {
-    Poco::JSON::Object::Ptr Row = new Poco::JSON::Object;
-    Row->set("place", Error.Location);
-    Row->set("text", Error.Message);
-    Rows.add(Row);
-  }
-  Rows.stringify(std::cout);
+  makeRows(Errors)->stringify(std::cout);
   std::cout << "\n";
 }
 
 // Reads and validates a configuration file. If the file is invalid, prints all
 // errors and throws.
 config::document readValidDocument(const command_context &Context,
-                                   arguments Arguments) {
-  const std::string Text = readFile(Arguments);
-  config::read_result Result = config::readDocument(Text);
+                                   const std::string &Name) {
+  config::read_result Result = config::readDocument(readFile(Name));
   if (Result.Errors.empty())
     return std::move(Result.Document);
-  printErrors(Context, Arguments.front(), Result.Errors);
+  printErrors(Context, Name, Result.Errors);
   throw command_error(exit_code::Failed, std::to_string(Result.Errors.size()) +
-                                             " errors in " + Arguments.front());
+                                             " errors in " + Name);
+}
+
+config::document readValidDocument(const command_context &Context,
+                                   arguments Arguments) {
+  return readValidDocument(Context, fileNameOf(Arguments));
+}
+
+Poco::JSON::Array::Ptr makeEffects(const config::plan &Plan) {
+  Poco::JSON::Array::Ptr Effects = new Poco::JSON::Array;
+  for (const std::string &Effect : Plan.SummaryLines)
+    Effects->add(Effect);
+  return Effects;
 }
 
 void printPlan(const command_context &Context, const config::plan &Plan) {
   if (Context.Json) {
-    Poco::JSON::Array::Ptr Effects = new Poco::JSON::Array;
-    for (const std::string &Effect : Plan.SummaryLines)
-      Effects->add(Effect);
     Poco::JSON::Object Root;
     Root.set("base", Plan.BaseVersion);
     Root.set("digest", Plan.Digest);
     Root.set("changes", static_cast<Poco::UInt64>(Plan.Changes.size()));
-    Root.set("effects", Effects);
+    Root.set("effects", makeEffects(Plan));
     Root.stringify(std::cout);
     std::cout << "\n";
     return;
@@ -102,12 +123,64 @@
                       "\"tamarackctl show\" later");
 }
 
+// What publishing the document would change in the version that the flag
+// "against" names, empty without it.
+std::optional<config::plan> planAgainst(command_context &Context,
+                                        const config::document &Proposed) {
+  const std::string &Against = Context.Settings.getText("against");
+  if (Against.empty())
+    return std::nullopt;
+  if (Against != ActiveVersion)
+    return config::makePlan(readValidDocument(Context, Against), 0, Proposed);
+  config::config_fold Fold;
+  readConfig(Context.Log, Fold);
+  return config::makePlan(Fold.currentDocument(), Fold.version(), Proposed);
+}
+
+void printCheck(const std::string &Name, const std::string &Digest,
+                std::span<const config::config_warning> Warnings,
+                const std::optional<config::plan> &Plan) {
+  for (const config::config_warning &Warning : Warnings)
+    std::cout << Name << ": warning: " << Warning.Location << " "
+              << Warning.Message << "\n";
+  if (Plan)
+    for (const std::string &Effect : Plan->SummaryLines)
+      std::cout << Effect << "\n";
+  std::cout << "valid, ";
+  if (!Warnings.empty())
+    std::cout << Warnings.size() << " warnings, ";
+  std::cout << "digest " << Digest << "\n";
+}
+
+void printCheckAsJson(const std::string &Digest,
+                      std::span<const config::config_warning> Warnings,
+                      const std::optional<config::plan> &Plan) {
+  Poco::JSON::Object Root;
+  Root.set("digest", Digest);
+  Root.set("warnings", makeRows(Warnings));
+  if (Plan) {
+    Root.set("base", Plan->BaseVersion);
+    Root.set("effects", makeEffects(*Plan));
+  }
+  Root.stringify(std::cout);
+  std::cout << "\n";
+}
+
 } // namespace
 
 exit_code checkConfigFile(command_context &Context, arguments Arguments) {
   const config::document Document = readValidDocument(Context, Arguments);
-  std::cout << "valid, digest " << Document.digest() << "\n";
-  return exit_code::Success;
+  std::vector<config::config_error> Errors;
+  const std::shared_ptr<const config::configuration> Configuration =
+      config::buildConfiguration(Document, 0, Errors);
+  const std::vector<config::config_warning> Warnings =
+      config::findWarnings(*Configuration);
+  const std::optional<config::plan> Plan = planAgainst(Context, Document);
+  if (Context.Json)
+    printCheckAsJson(Document.digest(), Warnings, Plan);
+  else
+    printCheck(Arguments.front(), Document.digest(), Warnings, Plan);
+  return Warnings.empty() ? exit_code::Success : exit_code::Warnings;
 }
 
 exit_code planConfigFile(command_context &Context, arguments Arguments) {
--- a/packages/control/src/main.cpp
+++ b/packages/control/src/main.cpp
@@ -12,7 +12,9 @@
 
 constexpr std::string_view Help =
     "Commands:\n"
-    "  check FILE               list all errors in a configuration file\n"
+    "  check FILE               list all errors in a configuration file, and\n"
+    "                           what has no effect in it; --against FILE, or\n"
+    "                           \"active\": also what it would change there\n"
     "  plan FILE                show what publishing the file would change\n"
     "  publish FILE             publish the file; --digest and --base as "
     "reviewed\n"
@@ -32,7 +34,7 @@
     "  key KEY                  digest of a bearer key for the configuration\n"
     "\n"
     "Exit codes: 0 success, 1 failed, 2 usage error, 3 unavailable,\n"
-    "4 conflict.";
+    "4 conflict, 5 valid with warnings (check).";
 
 struct command {
   std::string_view Name;
@@ -60,6 +62,8 @@
   Settings.addText("id", "", "id of a credit; credits with one id count once");
   Settings.addText("grant", "", "a grant as shown by \"budget grants\"");
   Settings.addText("digest", "", "digest of the file that was approved");
+  Settings.addText("against", "",
+                   "configuration file to compare with, or \"active\"");
   Settings.addText("base", "", "base version that was reviewed");
   Settings.addText("author", "operator", "author of the published change");
   Settings.addText("admin-key", "", "bearer key for /admin of the instances");
--- a/packages/daemon/src/config_service.cpp
+++ b/packages/daemon/src/config_service.cpp
@@ -113,13 +113,25 @@
   if (Result == config::change_result::Checkpoint)
     RecordsSinceCheckpoint = 0;
   if (Result == config::change_result::Accepted)
-    Logger.info("Version " + std::to_string(ConfigFold.version()) +
-                " is active.");
+    logActiveVersion();
   else if (Result != config::change_result::Checkpoint)
     Logger.warn("A configuration change was not accepted: " +
                 std::string(config::toString(Result)) + ".");
 }
 
+// Called with Lock held.
+void config_service::logActiveVersion() {
+  const std::string Version = std::to_string(ConfigFold.version());
+  Logger.info("Version " + Version + " is active.");
+  const std::vector<config::config_warning> Warnings =
+      config::findWarnings(*ConfigFold.activeConfiguration());
+  if (!Warnings.empty())
+    Logger.warn(
+        "Version " + Version + " has " + std::to_string(Warnings.size()) +
+        " warnings, see \"tamarackctl check\"; the first: " +
+        Warnings.front().Location + " " + Warnings.front().Message + ".");
+}
+
 void config_service::followLoop() {
   while (!isStopped()) {
     try {
--- a/packages/daemon/src/config_service.hpp
+++ b/packages/daemon/src/config_service.hpp
@@ -45,6 +45,7 @@
   void followLoop();
   void readPage();
   void applyRecord(std::uint64_t Offset, byte_view Body);
+  void logActiveVersion();
   void startFromCheckpoint(std::uint64_t First);
   void checkpointIfDue();
   void waitBeforeRetry();
