Tests of clients that we don't control, before any change

Cause: such clients ended a process, which ran out of memory. The bytes of request bodies, of unfinished heads and of connections count in no bound, and connections take every descriptor.

Change: tests/process/crowd_scenarios.py. Each test starts its own fleet with small limits, lets a crowd come, and checks that the process lives, that its memory (memory-mb, also with what the kernel holds unread) and descriptors stay under a bound, and that an ordinary request is answered beside the crowd and after it. The crowd and the bounds are fixed now. PlatformFleet takes further settings of routers and a limit of descriptors.

--- a/tests/process/platform_fleet.py
+++ b/tests/process/platform_fleet.py
@@ -2,6 +2,7 @@
 import contextlib
 import json
 import pathlib
+import resource
 import socket
 import struct
 import subprocess
@@ -35,10 +36,13 @@
     grace_s, repeat_slack: settings of the routers.
     slots: requests that a runner executes at once, as it registers.
     cut_off: the last so many routers never reach the store themselves.
+    router_settings: further settings of each router by name.
+    router_descriptors: the most that a router may open; None for the usual.
     """
 
     def __init__(self, routers=2, engines=2, desks=2, prepaid=1_000_000,
-                 grace_s=8, cut_off=0, repeat_slack=50, slots=8):
+                 grace_s=8, cut_off=0, repeat_slack=50, slots=8,
+                 router_settings=None, router_descriptors=None):
         self.folder = pathlib.Path(tempfile.mkdtemp())
         self.processes = {}
         self.prepaid = prepaid
@@ -46,6 +50,8 @@
         self.grace_s = grace_s
         self.repeat_slack = repeat_slack
         self.slots = slots
+        self.router_settings = router_settings or {}
+        self.router_descriptors = router_descriptors
         ports = free_ports(2 + engines + desks + 4 * routers)
         self.store_port = ports.pop()
         self.closed_port = ports.pop()  # Nobody listens on it.
@@ -80,10 +86,16 @@
                 process.kill()
             process.wait()
 
-    def start(self, name, command):
+    def start(self, name, command, descriptors=None):
+        """Starts a program; descriptors: the most that it may open."""
         log = open(self.folder / f"{name}.log", "ab")
+
+        def limit():
+            resource.setrlimit(resource.RLIMIT_NOFILE,
+                               (descriptors, descriptors))
         self.processes[name] = subprocess.Popen(
-            [BIN / command[0]] + command[1:], stdout=log, stderr=log)
+            [BIN / command[0]] + command[1:], stdout=log, stderr=log,
+            preexec_fn=limit if descriptors else None)
 
     def start_runner(self, name):
         service, port = self.runners[name]
@@ -126,9 +138,11 @@
             f"store-address = 127.0.0.1:{store_port}\n"
             f"repeat-ratio = 0.2\nrepeat-slack = {self.repeat_slack}\n"
             f"repeat-window-s = 10\n"
-            f"grace-s = {self.grace_s}\n")
+            f"grace-s = {self.grace_s}\n"
+            + "".join(f"{setting} = {value}\n"
+                      for setting, value in self.router_settings.items()))
         self.start(name, ["tamarackd", "router", "--settings-file",
-                          str(settings)])
+                          str(settings)], self.router_descriptors)
 
     def responds(self, url, status=200):
         """True if a GET request to the URL gets this status."""
--- a/tests/process/scenarios.py
+++ b/tests/process/scenarios.py
@@ -14,6 +14,7 @@
 
 import answer_scenarios
 import configuration_scenarios
+import crowd_scenarios
 import delayed_stop_scenarios
 import drill_scenarios
 import entry_scenarios
@@ -653,7 +654,7 @@
      + drill_scenarios.SCENARIOS + configuration_scenarios.SCENARIOS
      + version_scenarios.SCENARIOS + statement_scenarios.SCENARIOS
      + entry_scenarios.SCENARIOS + pool_scenarios.SCENARIOS
-     + answer_scenarios.SCENARIOS)
+     + answer_scenarios.SCENARIOS + crowd_scenarios.SCENARIOS)
 
 
 def read_known_red():
