Count what callers send in the one budget, and let slow requests give way

Cause: a request's body and head were bounded for each connection alone, each attempt copied the body, and connections had a number that knew neither the memory nor the descriptors of the process.

Change: request_reader takes in a request without I/O and counts it before it grows: a stated body whole, at its head; a chunked one by its capacity; a large head twice. Connections and their buffers count too. What does not fit gets 503 instance_full while it comes in; unfinished requests that arrive slower than slow-request-bytes-per-s give way first. Attempts share the body. New connections have a receive buffer of 16 KB, wider once a body is held. At most 0.7 of max-fds and half of the budget go to connections; a new one beyond closes the one that has been idle for longest. The budget knows what its bytes are, for metrics.

--- a/packages/daemon/src/router.cpp
+++ b/packages/daemon/src/router.cpp
@@ -44,6 +44,27 @@
                                   static_cast<double>(MemoryLimitBytes));
 }
 
+// Of what may be held, what callers' connections take in any case.
+constexpr double ConnectionMemoryShare = 0.5;
+// Of the descriptors of the process. The rest is for files and for connections
+// to endpoints, the store and other instances.
+constexpr double CallerDescriptorShare = 0.7;
+
+edge::frontend_settings frontendSettings(const router_settings &Settings) {
+  edge::frontend_settings Result;
+  const double HeldBytes =
+      static_cast<double>(heldBytesOf(Settings.MemoryLimitBytes));
+  const double MostByMemory = ConnectionMemoryShare * HeldBytes /
+                              static_cast<double>(edge::SessionBytes);
+  const double MostByDescriptors =
+      CallerDescriptorShare * static_cast<double>(Settings.MaxDescriptors);
+  Result.MaxSessions = std::min(
+      {Result.MaxSessions, static_cast<std::size_t>(MostByMemory),
+       static_cast<std::size_t>(MostByDescriptors)});
+  Result.SlowRequests.MinBytesPerSecond = Settings.SlowRequestBytesPerS;
+  return Result;
+}
+
 } // namespace
 
 //---------------------------------------------------------------------------
@@ -252,7 +273,8 @@
                     GrantReads),
       ConnectionPool(Context, Clock, {}),
       Frontend(Context, Clock, Codec, ShutdownGate, Budget, StreamOrigins,
-               *this, ConnectionPool, Memory, Random, {}),
+               *this, ConnectionPool, Memory, Random,
+               frontendSettings(Settings)),
       ReadinessServer(Context, Memory,
                       [this](const edge::request_message &,
                              const edge::respond_callback &Respond) {
@@ -289,6 +311,8 @@
              {"front", std::string_view(Settings.FrontendAddress)},
              {"store", std::string_view(Settings.StoreAddress)},
              {"held_bytes_limit", static_cast<std::int64_t>(Memory.limit())},
+             {"connections_limit", static_cast<std::int64_t>(
+                                       frontendSettings(Settings).MaxSessions)},
              {"since_boot_ms", Clock.sinceBoot()}});
   tick();
   Context.run();
--- a/packages/daemon/src/router.hpp
+++ b/packages/daemon/src/router.hpp
@@ -170,6 +170,7 @@
   bool isReady();
   edge::response_message readinessResponse();
   edge::response_message metricsResponse();
+  void setCrowdMetrics();
 
   // After the last call, for its tokens to be settled at other instances.
   static constexpr int LastSettlementsMs = 500;
--- a/packages/daemon/src/router_reports.cpp
+++ b/packages/daemon/src/router_reports.cpp
@@ -367,6 +367,33 @@
                                 11);
 }
 
+// What callers hold, and what was refused to them for it.
+void router::setCrowdMetrics() {
+  using memory::holder_kind;
+  const std::pair<const char *, holder_kind> Kinds[] = {
+      {"connection", holder_kind::Connection},
+      {"request", holder_kind::Request},
+      {"call", holder_kind::Call},
+      {"response", holder_kind::Response},
+      {"other", holder_kind::Other}};
+  for (const auto &[Name, Kind] : Kinds)
+    Metrics
+        .gaugeOf("tamarack_held_bytes_by_kind{kind=\"" + std::string(Name) +
+                 "\"}")
+        .set(Memory.usedBy(Kind));
+  const edge::frontend_counts &Counts = Frontend.counts();
+  const std::pair<const char *, std::uint64_t> Reasons[] = {
+      {"full", Counts.FullRequests},
+      {"slow", Counts.SlowRequests},
+      {"idle_connection", Counts.ClosedIdle},
+      {"new_connection", Counts.ClosedNew}};
+  for (const auto &[Name, Count] : Reasons)
+    Metrics
+        .counterOf("tamarack_callers_given_up_total{reason=\"" +
+                   std::string(Name) + "\"}")
+        .set(Count);
+}
+
 edge::response_message router::metricsResponse() {
   Metrics.gaugeOf("tamarack_open_connections").set(Frontend.sessionCount());
   Metrics.gaugeOf("tamarack_idle_endpoint_connections")
@@ -376,6 +403,7 @@
   Metrics.gaugeOf("tamarack_held_bytes").set(Memory.used());
   Metrics.gaugeOf("tamarack_held_bytes_limit").set(Memory.limit());
   Metrics.counterOf("tamarack_memory_refusals_total").set(Memory.refusals());
+  setCrowdMetrics();
   setTopicAge("configuration", ConfigurationFollower);
   setTopicAge("endpoints", EndpointFollower);
   setTopicAge("grants", GrantFollower);
--- a/packages/daemon/src/router_settings.cpp
+++ b/packages/daemon/src/router_settings.cpp
@@ -5,6 +5,8 @@
 
 #include "split_list.hpp"
 
+#include <sys/resource.h>
+
 namespace tamarack::daemon {
 
 namespace {
@@ -41,10 +43,26 @@
                 "leaving, ms");
   Set.addDecimal("memory-mb", "110", 32, 1e6,
                  "memory that this process may use, MB");
+  Set.addNumber("max-fds", "0", 0, 10000000,
+                "descriptors that this process may open, 0 for the limit of "
+                "the system");
+  Set.addDecimal("slow-request-bytes-per-s", "16384", 0, 1e9,
+                 "requests that arrive slower are refused first when the "
+                 "memory is full, bytes/s");
   Set.addNumber("log-lines", "200", 1, 1000000,
                 "most log lines per event and second");
 }
 
+// The smaller one of what is stated, unless that is 0, and the limit of the
+// system.
+std::size_t maxDescriptors(std::int64_t Stated) {
+  rlimit Limit{};
+  const bool IsKnown = ::getrlimit(RLIMIT_NOFILE, &Limit) == 0;
+  const std::size_t Most = IsKnown ? static_cast<std::size_t>(Limit.rlim_cur)
+                                   : router_settings().MaxDescriptors;
+  return Stated > 0 ? std::min(Most, static_cast<std::size_t>(Stated)) : Most;
+}
+
 class router_settings_check final : public adapters::settings_check {
 public:
   void check(const adapters::program_settings &Set,
@@ -105,6 +123,8 @@
   Settings.LeaveNoticeMs = static_cast<int>(Set.getNumber("leave-notice-ms"));
   Settings.MemoryLimitBytes =
       static_cast<std::size_t>(Set.getDecimal("memory-mb") * BytesPerMb);
+  Settings.MaxDescriptors = maxDescriptors(Set.getNumber("max-fds"));
+  Settings.SlowRequestBytesPerS = Set.getDecimal("slow-request-bytes-per-s");
   Settings.MaxLogLinesPerSecond = static_cast<int>(Set.getNumber("log-lines"));
   return true;
 }
--- a/packages/daemon/src/router_settings.hpp
+++ b/packages/daemon/src/router_settings.hpp
@@ -25,6 +25,9 @@
   int MaxLogLinesPerSecond = 200; // For each event.
   // The process is ended if it uses more.
   std::size_t MemoryLimitBytes = 110u << 20;
+  std::size_t MaxDescriptors = 4'096; // Open at a time.
+  // Unfinished requests that are slower give way once the memory is full.
+  double SlowRequestBytesPerS = 16'384;
 };
 
 // False if --help was given and has been printed. Throws
--- a/packages/edge/include/tamarack/edge.hpp
+++ b/packages/edge/include/tamarack/edge.hpp
@@ -4,7 +4,8 @@
 //   messages            request_message, response_message, decoded_request
 //   codec               response_match, exchange_codec
 //   endpoint side       connection_pool_settings, connection_pool
-//   caller side         frontend_settings, frontend_observer, frontend_server
+//   caller side         slow_request_rule, frontend_settings,
+//                       frontend_counts, frontend_observer, frontend_server
 //   internal HTTP       http_channel, simple_http_server
 //
 // Everything runs on the one thread of the daemon's io_context. All decisions
@@ -90,6 +91,9 @@
                               const relay::endpoint_choice &Target,
                               const relay::send_options &Options, time_ms Now,
                               request_message &ForwardRequest) = 0;
+  // The id that a caller gave a request that is refused by its head; empty if
+  // there is none.
+  virtual std::string requestId(const request_message & /*Head*/) { return {}; }
   virtual response_match matchResponse(const relay::call &Call,
                                        const response_fields &Fields) = 0;
   virtual relay::response_head
@@ -162,8 +166,20 @@
 // Caller side
 //---------------------------------------------------------------------------
 
+// Unfinished requests that are slower give way to others, once the memory is
+// full. In calm no rate is demanded: caller_limits bound the time.
+struct slow_request_rule {
+  int WindowMs = 1'000;              // A request is judged after this time.
+  double MinBytesPerSecond = 16'384; // 0: none gives way.
+};
+
+// What a caller's connection takes in any case: its state and its buffer.
+constexpr std::size_t SessionBytes = 8 * 1024;
+
 struct frontend_settings {
-  std::size_t MaxSessions = 3'000; // Connections beyond are closed at once.
+  // A connection beyond closes an idle or slow one, or else is closed at once.
+  std::size_t MaxSessions = 3'000;
+  slow_request_rule SlowRequests;
   // Unsent bytes of one session at which the endpoint's response is no longer
   // read, usually and while the memory budget is tight.
   std::size_t MaxUnsentBytes = 256 * 1024;
@@ -172,6 +188,14 @@
   int DrainIdleTimeoutMs = 250; // Idle timeout once draining has begun.
 };
 
+// Since the start.
+struct frontend_counts {
+  std::uint64_t FullRequests = 0;    // Refused while they were received.
+  std::uint64_t SlowRequests = 0;    // Gave way to others.
+  std::uint64_t ClosedIdle = 0;      // Idle connections closed for new ones.
+  std::uint64_t ClosedNew = 0;       // New connections closed.
+};
+
 // A request that was read after beginDrain(), for logs.
 struct drain_arrival {
   std::string_view Id;         // Request id, may be empty.
@@ -226,13 +250,20 @@
   std::size_t sessionCount() const { return Sessions.size(); }
   bool isDraining() const { return IsDraining; }
   std::size_t busySessionCount() const; // Sessions that are not idle.
+  const frontend_counts &counts() const { return Counts; }
 
 private:
   friend class frontend_session;
   void accept();
-  // Closes the connection if there are MaxSessions sessions already.
+  // Closes another connection, or else this one, if there are MaxSessions
+  // sessions already.
   void startSession(tcp::socket Socket);
   void acceptWaiting();
+  // Gives up the unfinished request that gives way first, but not that of
+  // Except. False if none does.
+  bool giveUpSlowest(const frontend_session *Except);
+  // Closes the connection that has been idle for longest, if it is not new.
+  bool closeIdle();
   // Spreads the callers that an instance has no memory for.
   int memoryRetryAfterMs();
   void forEachSession(const std::function<void(frontend_session &)> &Action);
@@ -253,6 +284,8 @@
   net::steady_timer AcceptRetryTimer;
   bool IsDraining = false;
   std::uint64_t CallCount = 0; // Accepted since the start.
+  frontend_counts Counts;
+  time_ms NoSlowUntil = 0; // Monotonic: no request gives way before.
   std::set<std::shared_ptr<frontend_session>> Sessions;
 };
 
--- a/packages/edge/src/caller_output.hpp
+++ b/packages/edge/src/caller_output.hpp
@@ -23,7 +23,7 @@
 
   // All bytes that are not sent count in Memory.
   caller_output(tcp::socket &Socket, memory::memory_budget &Memory)
-      : Socket(Socket), Held(Memory) {}
+      : Socket(Socket), Held(Memory, memory::holder_kind::Response) {}
 
   void append(std::string Bytes);
   // Starts a write unless one is pending or there is nothing to send. OnSent is
--- a/packages/edge/src/endpoint_attempt.cpp
+++ b/packages/edge/src/endpoint_attempt.cpp
@@ -48,10 +48,15 @@
                                    memory::memory_budget &Memory,
                                    relay::call Call,
                                    relay::endpoint_choice Target,
-                                   request_message Request)
+                                   request_message Request, shared_body Body)
     : Context(Context), Clock(Clock), Pool(Pool), Codec(Codec),
       Listener(&Listener), Call(std::move(Call)), Target(std::move(Target)),
-      Request(std::move(Request)), ConnectTimer(Context), HeadCharge(Memory) {}
+      Body(Body ? std::move(Body)
+                : std::make_shared<std::string>(std::move(Request.body()))),
+      Request(std::move(Request.base())), ConnectTimer(Context),
+      HeadCharge(Memory, memory::holder_kind::Response) {
+  this->Request.body() = {this->Body->data(), this->Body->size()};
+}
 
 void endpoint_attempt::start(bool OnlyRecentConnection) {
   Connection = Pool.acquireIdle(Target.Address, OnlyRecentConnection);
@@ -111,7 +116,7 @@
   http::async_write(Connection->Socket, Request,
                     [Self](const error_code &Error, std::size_t) {
                       Self->IsWriting = false;
-                      Self->Request.body().shrink_to_fit();
+                      Self->Body.reset();
                       // The response may be complete before the request is
                       // written. A write error before that is not reported
                       // here, because the read fails as well.
--- a/packages/edge/src/endpoint_attempt.hpp
+++ b/packages/edge/src/endpoint_attempt.hpp
@@ -61,13 +61,17 @@
   virtual bool canAcceptBody() = 0;
 };
 
+// The body of a request, shared by its attempts.
+using shared_body = std::shared_ptr<const std::string>;
+
 class endpoint_attempt : public std::enable_shared_from_this<endpoint_attempt> {
 public:
+  // Body is sent in place of the one of Request unless it is null.
   endpoint_attempt(net::io_context &Context, const clock &Clock,
                    connection_pool &Pool, exchange_codec &Codec,
                    attempt_listener &Listener, memory::memory_budget &Memory,
                    relay::call Call, relay::endpoint_choice Target,
-                   request_message Request);
+                   request_message Request, shared_body Body = nullptr);
 
   // OnlyRecentConnection: see connection_pool::acquireIdle.
   void start(bool OnlyRecentConnection);
@@ -100,7 +104,8 @@
   attempt_listener *Listener; // Null once the attempt is cancelled or ended.
   relay::call Call;
   relay::endpoint_choice Target;
-  request_message Request;
+  shared_body Body; // Until it is written.
+  http::request<http::span_body<const char>> Request; // Its body is in Body.
   std::shared_ptr<endpoint_connection> Connection;
   net::steady_timer ConnectTimer;
   memory::memory_charge HeadCharge; // Received bytes of a head.
--- a/packages/edge/src/frontend_server.cpp
+++ b/packages/edge/src/frontend_server.cpp
@@ -5,10 +5,16 @@
 
 namespace {
 
+// For a head and a small body; see frontend_session::widenWindow.
+constexpr std::size_t NewConnectionReceiveBytes = 16 * 1024;
 constexpr int AcceptRetryMs = 50; // Pause after a failed accept.
 // Range of Retry-After for callers that this instance has no memory for.
 constexpr int MinMemoryRetryAfterMs = 100;
 constexpr int MemoryRetrySpreadMs = 500;
+// After a search for slow requests that found none.
+constexpr int SlowSearchPauseMs = 50;
+// A connection that has been idle for less is not closed for a new one.
+constexpr int MinIdleMs = 1'000;
 
 } // namespace
 
@@ -27,6 +33,8 @@
 
 void frontend_server::listen(const tcp::endpoint &Address) {
   openAcceptor(Acceptor, Address);
+  // Connections begin with it. Those that wait in the kernel count too.
+  setReceiveBuffer(Acceptor.native_handle(), NewConnectionReceiveBytes);
   accept();
 }
 
@@ -38,6 +46,7 @@
     if (Error == net::error::operation_aborted || !Acceptor.is_open())
       return;
     if (Error) {
+      closeIdle();
       // For example, the process has no free file descriptor until another
       // connection closes.
       AcceptRetryTimer.expires_after(std::chrono::milliseconds(AcceptRetryMs));
@@ -52,8 +61,11 @@
 }
 
 void frontend_server::startSession(tcp::socket Socket) {
-  if (Sessions.size() >= Settings.MaxSessions)
+  if (Sessions.size() >= Settings.MaxSessions && !closeIdle()) {
+    giveUpSlowest(nullptr); // For the connections that follow.
+    ++Counts.ClosedNew;
     return;
+  }
   const std::shared_ptr<frontend_session> Session =
       std::make_shared<frontend_session>(*this, std::move(Socket));
   Sessions.insert(Session);
@@ -106,6 +118,45 @@
   forEachSession([](frontend_session &Session) { Session.onMemoryFreed(); });
 }
 
+bool frontend_server::giveUpSlowest(const frontend_session *Except) {
+  const time_ms Now = Clock.monotonic();
+  if (Now < NoSlowUntil)
+    return false;
+  std::shared_ptr<frontend_session> Found;
+  for (const std::shared_ptr<frontend_session> &Session : Sessions) {
+    if (Session.get() == Except || !Session->isSlow(Now))
+      continue;
+    if (!Found ||
+        givesWayBefore(Session->unfinished(Now), Found->unfinished(Now)))
+      Found = Session;
+  }
+  if (!Found) {
+    NoSlowUntil = Now + SlowSearchPauseMs;
+    return false;
+  }
+  ++Counts.SlowRequests;
+  Found->giveUpRequest();
+  return true;
+}
+
+bool frontend_server::closeIdle() {
+  const time_ms Now = Clock.monotonic();
+  time_ms Since = Now - MinIdleMs;
+  std::shared_ptr<frontend_session> Found;
+  for (const std::shared_ptr<frontend_session> &Session : Sessions) {
+    const std::optional<time_ms> IdleSince = Session->idleSince();
+    if (!IdleSince || *IdleSince > Since)
+      continue;
+    Since = *IdleSince;
+    Found = Session;
+  }
+  if (!Found)
+    return false;
+  ++Counts.ClosedIdle;
+  Found->close();
+  return true;
+}
+
 int frontend_server::memoryRetryAfterMs() {
   return MinMemoryRetryAfterMs +
          static_cast<int>(Random.next() % MemoryRetrySpreadMs);
--- a/packages/edge/src/frontend_session.cpp
+++ b/packages/edge/src/frontend_session.cpp
@@ -7,11 +7,16 @@
 namespace {
 
 constexpr std::size_t ReadAheadBytes = 4'096; // Per read operation.
+constexpr std::size_t BodyReadBytes = MaxUnparsedBodyBytes; // In a body.
 // Bytes of later requests that are buffered, usually and while the memory
 // budget is tight. Reading ahead stops at this size.
 constexpr std::size_t MaxReadAheadBytes = MaxUnparsedBytes - ReadAheadBytes;
 constexpr std::size_t MaxReadAheadBytesIfTight = ReadAheadBytes;
 
+// Receive buffer of a connection whose body is held.
+constexpr std::size_t MinWidenedBytes = 24 * 1024;
+constexpr std::size_t MaxReceiveBytes = 64 * 1024;
+
 // Of a call in progress: its state, its attempt and their buffers.
 constexpr std::size_t CallBytes = 16 * 1024;
 
@@ -22,9 +27,16 @@
 
 frontend_session::frontend_session(frontend_server &Server, tcp::socket Socket)
     : Server(Server), Socket(std::move(Socket)), Timer(Server.Context),
-      Buffer(MaxUnparsedBytes), AcceptedAt(Server.Clock.monotonic()),
-      BufferCharge(Server.Memory), CallCharge(Server.Memory),
-      Output(this->Socket, Server.Memory) {}
+      Buffer(MaxUnparsedBytes),
+      Request(Server.Memory, Server.Settings.SlowRequests),
+      AcceptedAt(Server.Clock.monotonic()),
+      IdleSince(AcceptedAt),
+      SessionCharge(Server.Memory, memory::holder_kind::Connection),
+      BufferCharge(Server.Memory, memory::holder_kind::Connection),
+      CallCharge(Server.Memory, memory::holder_kind::Call),
+      Output(this->Socket, Server.Memory) {
+  SessionCharge.set(SessionBytes);
+}
 
 time_ms frontend_session::now() const { return Server.Clock.monotonic(); }
 
@@ -60,15 +72,37 @@
       Server.Memory.isTight() ? MaxReadAheadBytesIfTight : MaxReadAheadBytes;
   if (IsReadingAhead || Phase == phase::Closed || Buffer.size() >= MaxBytes)
     return;
+  startRead(ReadAheadBytes);
+}
+
+void frontend_session::startRead(std::size_t MaxBytes) {
   IsReadingAhead = true;
   const std::shared_ptr<frontend_session> Self = shared_from_this();
-  Socket.async_read_some(Buffer.prepare(ReadAheadBytes),
+  Socket.async_read_some(Buffer.prepare(MaxBytes),
                          [Self](const error_code &Error, std::size_t Size) {
                            Self->IsReadingAhead = false;
                            Self->onReadAhead(Error, Size);
                          });
 }
 
+// Bytes of a body that is held may wait in the kernel: they are counted.
+void frontend_session::widenWindow() {
+  const std::size_t HeldBytes = Request.unfinished(now()).HeldBytes;
+  const std::size_t Bytes = std::min(HeldBytes / 2, MaxReceiveBytes);
+  if (Bytes < MinWidenedBytes || Bytes < 2 * WindowBytes)
+    return;
+  WindowBytes = Bytes;
+  setReceiveBuffer(Socket.native_handle(), Bytes);
+}
+
+// Reads more of a request that is not complete.
+void frontend_session::readMore() {
+  const bool MayReadMuch = HasHead && !Server.Memory.isTight();
+  const std::size_t MaxBytes = MayReadMuch ? BodyReadBytes : ReadAheadBytes;
+  startRead(std::min(MaxBytes, Buffer.max_size() - Buffer.size()));
+  chargeBuffer();
+}
+
 void frontend_session::onReadAhead(const error_code &Error, std::size_t Size) {
   if (Phase == phase::Closed)
     return;
@@ -83,132 +117,136 @@
     return close();
   }
   Buffer.commit(Size);
+  if (Phase == phase::ReadingRequest)
+    return parseRequest(Size);
+  if (Phase == phase::Closing)
+    Buffer.consume(Buffer.size());
   chargeBuffer();
   if (Phase == phase::Idle)
     return readRequest();
-  if (Phase == phase::Closing) {
-    Buffer.consume(Buffer.size());
-    return readAhead();
-  }
   readAhead();
 }
 
 // What a request usually takes is in CallBytes.
 void frontend_session::chargeBuffer() {
-  if (Buffer.size() == 0 && Buffer.capacity() > 2 * ReadAheadBytes)
+  const bool IsShrunk = !IsReadingAhead && Buffer.size() == 0 &&
+                        Buffer.capacity() > 2 * ReadAheadBytes;
+  if (IsShrunk)
     Buffer.shrink_to_fit();
-  BufferCharge.set(Buffer.size() > ReadAheadBytes ? Buffer.size() : 0);
+  BufferCharge.set(Buffer.capacity() > ReadAheadBytes ? Buffer.capacity() : 0);
 }
 
 void frontend_session::readRequest() {
   Phase = phase::ReadingRequest;
-  Parser.emplace();
-  Parser->header_limit(Server.Limits.MaxHeaderBytes);
-  Parser->body_limit(Server.Limits.MaxBodyBytes);
-  const std::shared_ptr<frontend_session> Self = shared_from_this();
+  HasHead = false;
+  Request.begin(Server.Limits, now());
   closeAfter(Server.Limits.HeaderTimeoutMs);
-  http::async_read_header(Socket, Buffer, *Parser,
-                          [Self](const error_code &Error, std::size_t) {
-                            Self->onRequestHead(Error);
-                          });
-}
-
-// True if the length of the body is given in exactly one way. Otherwise another
-// HTTP implementation could see a different end of the body (request
-// smuggling).
-bool frontend_session::hasUnambiguousFraming() const {
-  const request_message &Request = Parser->get();
-  const std::size_t TransferEncodings =
-      Request.count(http::field::transfer_encoding);
-  const std::size_t ContentLengths = Request.count(http::field::content_length);
-  if (TransferEncodings == 0)
-    return ContentLengths <= 1;
-  return TransferEncodings == 1 && ContentLengths == 0 && Parser->chunked() &&
-         boost::beast::iequals(Request[http::field::transfer_encoding],
-                               "chunked");
-}
-
-void frontend_session::onRequestHead(const error_code &Error) {
-  if (Phase != phase::ReadingRequest)
-    return;
-  const bool IsTooLarge = Error == http::error::header_limit ||
-                          Error == http::error::buffer_overflow;
-  if (IsTooLarge)
-    return refuseUnreadableRequest(relay::error_kind::HeadersTooLarge);
-  if (Error == http::error::body_limit)
-    return refuseUnreadableRequest(relay::error_kind::BodyTooLarge);
-  if (Error.category() == http::make_error_code(http::error{}).category() &&
-      Error != http::error::end_of_stream &&
-      Error != http::error::partial_message)
-    return refuseUnreadableRequest(relay::error_kind::InvalidRequest);
-  if (Error)
-    return close();
-  if (!hasUnambiguousFraming())
-    return refuseUnreadableRequest(relay::error_kind::InvalidRequest);
-  if (boost::beast::iequals(Parser->get()[http::field::expect], "100-continue"))
-    queueBytes("HTTP/1.1 100 Continue\r\n\r\n");
-  const std::shared_ptr<frontend_session> Self = shared_from_this();
+  parseRequest(Buffer.size());
+}
+
+void frontend_session::parseRequest(std::size_t Received) {
+  reading_state State = Request.parse(Buffer, Received, now());
+  while (State == reading_state::Full && Server.giveUpSlowest(this))
+    State = Request.parse(Buffer, 0, now());
+  if (!HasHead && State == reading_state::Body)
+    onHeadComplete();
+  onReadingState(State);
+}
+
+void frontend_session::onHeadComplete() {
+  HasHead = true;
   // The idle timeout also limits the time for the body.
   closeAfter(Server.Limits.IdleTimeoutMs);
-  Buffer.max_size(std::max(MaxUnparsedBodyBytes, Buffer.size()));
-  http::async_read(Socket, Buffer, *Parser,
-                   [Self](const error_code &ReadError, std::size_t) {
-                     Self->Buffer.max_size(MaxUnparsedBytes);
-                     Self->onRequest(ReadError);
-                   });
+  if (boost::beast::iequals(Request.head()[http::field::expect],
+                            "100-continue"))
+    queueBytes("HTTP/1.1 100 Continue\r\n\r\n");
 }
 
-void frontend_session::onRequest(const error_code &Error) {
-  if (Phase != phase::ReadingRequest)
-    return;
-  if (Error == http::error::body_limit)
-    return refuseUnreadableRequest(relay::error_kind::BodyTooLarge);
-  if (Error)
-    return Error.category() ==
-                       http::make_error_code(http::error{}).category() &&
-                   Error != http::error::partial_message
-               ? refuseUnreadableRequest(relay::error_kind::InvalidRequest)
-               : close();
-  serveRequest();
-}
-
-// The end of the request is unknown, so the connection is closed after the
-// error response.
-void frontend_session::refuseUnreadableRequest(relay::error_kind Kind) {
-  decoded_request Request;
-  Request.Refusal = Kind;
-  Request.Detail = "the request is malformed or too large";
-  Server.Observer.onRequestRefused(Request);
+void frontend_session::onReadingState(reading_state State) {
+  switch (State) {
+  case reading_state::Head:
+    return readMore();
+  case reading_state::Body:
+    widenWindow();
+    return readMore();
+  case reading_state::Complete:
+    return serveRequest();
+  case reading_state::Refused:
+    return refuseUnfinished(Request.refusal(),
+                            "the request is malformed or too large", 0);
+  case reading_state::Full:
+    ++Server.Counts.FullRequests;
+    return refuseUnfinished(relay::error_kind::InstanceFull,
+                            "no memory for the request",
+                            Server.memoryRetryAfterMs());
+  }
+}
+
+void frontend_session::giveUpRequest() {
+  refuseUnfinished(relay::error_kind::InstanceFull,
+                   "the request is slow, and others need the memory",
+                   Server.memoryRetryAfterMs());
+}
+
+bool frontend_session::isSlow(time_ms Now) const {
+  return Phase == phase::ReadingRequest && Request.isSlow(Now);
+}
+
+unfinished_request frontend_session::unfinished(time_ms Now) const {
+  return Request.unfinished(Now);
+}
+
+std::optional<time_ms> frontend_session::idleSince() const {
+  if (Phase != phase::Idle || Buffer.size() > 0)
+    return std::nullopt;
+  return IdleSince;
+}
+
+void frontend_session::refuseUnfinished(relay::error_kind Kind,
+                                        std::string_view Detail,
+                                        int RetryAfterMs) {
+  decoded_request Refused;
+  Refused.Refusal = Kind;
+  Refused.Detail = Detail;
+  if (Request.hasHead())
+    Refused.Id = Server.Codec.requestId(Request.head());
+  Request.reset();
+  Server.Observer.onRequestRefused(Refused);
   Phase = phase::Closing;
   KeepAlive = false;
-  LingerAfterWrite = true;
+  IsHeadRequest = false;
   Timer.cancel();
-  writeResponse(Server.Codec.makeErrorResponse(Kind, 0, {}));
+  writeResponse(Server.Codec.makeErrorResponse(Kind, RetryAfterMs, Refused.Id));
 }
 
 void frontend_session::serveRequest() {
   Phase = phase::Serving;
   Timer.cancel();
-  request_message Request = Parser->release();
-  Parser.reset();
-  KeepAlive = Request.keep_alive() && !Server.isDraining();
-  IsHttp10 = Request.version() < 11;
-  IsHeadRequest = Request.method() == http::verb::head;
+  request_message Message = Request.release();
+  Held = Request.held();
+  KeepAlive = Message.keep_alive() && !Server.isDraining();
+  IsHttp10 = Message.version() < 11;
+  IsHeadRequest = Message.method() == http::verb::head;
+  chargeBuffer();
   readAhead();
   decoded_request Decoded =
-      Server.Codec.decodeRequest(std::move(Request), now());
+      Server.Codec.decodeRequest(std::move(Message), now());
   if (Server.isDraining())
     Server.Observer.onRequestWhileDraining(
         {Decoded.Id, now() - AcceptedAt, RequestCount});
   ++RequestCount;
   if (!Decoded.Call)
     return refuse(Decoded, calls::definitionOf(Decoded.Refusal).RetryAfterMs);
-  if (!CallCharge.trySet(CallBytes)) {
+  bool IsHeld = CallCharge.trySet(CallBytes);
+  while (!IsHeld && Server.giveUpSlowest(this))
+    IsHeld = CallCharge.trySet(CallBytes);
+  if (!IsHeld) {
     Decoded.Refusal = relay::error_kind::InstanceFull;
     Decoded.Detail = "too many calls and bytes are held";
     return refuse(Decoded, Server.memoryRetryAfterMs());
   }
   ForwardRequest = std::move(Decoded.ForwardRequest);
+  Held->Body = std::exchange(ForwardRequest.body(), {});
   Decoded.Call->Number = ++Server.CallCount;
   Server.Observer.onCallAccepted(*Decoded.Call);
   Reader = {};
@@ -236,11 +274,12 @@
                                     const relay::send_options &Options) {
   const time_ms Now = now();
   const relay::call &Call = Exchange->request();
-  request_message Request = ForwardRequest;
-  Server.Codec.prepareAttempt(Call, To, Options, Now, Request);
+  request_message Message = ForwardRequest;
+  Server.Codec.prepareAttempt(Call, To, Options, Now, Message);
   Attempt = std::make_shared<endpoint_attempt>(
       Server.Context, Server.Clock, Server.Pool, Server.Codec, *this,
-      Server.Memory, Call, To, std::move(Request));
+      Server.Memory, Call, To, std::move(Message),
+      shared_body(Held, &Held->Body));
   Attempt->start(Options.FreshConnection);
 }
 
@@ -462,6 +501,7 @@
   ExchangeTimerDue = 0;
   Timer.cancel();
   ForwardRequest = {};
+  Held.reset();
   CallCharge.set(0);
   const bool IsSent = Output.isSent();
   if (!KeepAlive) {
@@ -477,8 +517,8 @@
 
 void frontend_session::awaitNextRequest() {
   Phase = phase::Idle;
-  if (!IsReadingAhead) // Else Buffer is in use.
-    chargeBuffer();
+  IdleSince = now();
+  chargeBuffer();
   startIdleTimer();
   if (Buffer.size() > 0 && IsReadingAhead) {
     // onReadAhead() goes on with the request. Nothing else is pending on the
--- a/packages/edge/src/frontend_session.hpp
+++ b/packages/edge/src/frontend_session.hpp
@@ -3,6 +3,7 @@
 
 #include "caller_output.hpp"
 #include "endpoint_attempt.hpp"
+#include "request_reader.hpp"
 #include "tamarack/edge.hpp"
 
 namespace tamarack::edge {
@@ -20,9 +21,17 @@
   void onMemoryFreed();
   // A new connection is left to its idle timeout.
   void closeIfIdle();
+  void close();
   // Ends the call in progress. Without one, closes the connection unless a
   // response is being sent.
   void giveUp();
+  // Refuses the request that is being received, since others need the memory.
+  void giveUpRequest();
+  // True if the request that is being received gives way to others.
+  bool isSlow(time_ms Now) const;
+  unfinished_request unfinished(time_ms Now) const;
+  // Since when the connection waits for a request; empty if it does not.
+  std::optional<time_ms> idleSince() const;
   bool isBusy() const { return Phase != phase::Idle || Buffer.size() > 0; }
 
 private:
@@ -41,11 +50,16 @@
   void readAhead();
   void onReadAhead(const error_code &Error, std::size_t Size);
   void chargeBuffer();
+  void startRead(std::size_t MaxBytes);
+  void widenWindow();
   void readRequest();
-  void onRequestHead(const error_code &Error);
-  void onRequest(const error_code &Error);
-  void refuseUnreadableRequest(relay::error_kind Kind);
-  bool hasUnambiguousFraming() const;
+  void readMore();
+  void parseRequest(std::size_t Received);
+  void onReadingState(reading_state State);
+  void onHeadComplete();
+  // The end of the request is unknown, so the connection is closed.
+  void refuseUnfinished(relay::error_kind Kind, std::string_view Detail,
+                        int RetryAfterMs);
   void serveRequest();
   void refuse(const decoded_request &Request, int RetryAfterMs);
   void startIdleTimer();
@@ -86,7 +100,6 @@
   void finishRequest();
   void awaitNextRequest();
   void beginLingeringClose();
-  void close();
   bool isNew() const;
   time_ms now() const;
 
@@ -94,22 +107,26 @@
   tcp::socket Socket;
   net::steady_timer Timer; // For the current phase, or nextTimer() of Exchange.
   boost::beast::flat_buffer Buffer;
-  std::optional<http::request_parser<http::string_body>> Parser;
+  request_reader Request; // While ReadingRequest.
+  bool HasHead = false;   // Of Request.
+  std::size_t WindowBytes = 0; // As set by widenWindow().
   phase Phase = phase::Idle;
   bool IsReadingAhead = false; // An operation of readAhead() is pending.
   bool KeepAlive = true;       // The connection stays open after the response.
   bool IsHttp10 = false;       // The request has a version before HTTP/1.1.
   bool IsHeadRequest = false;  // The response must have no body.
-  bool LingerAfterWrite = false;
   time_ms ExchangeTimerDue = 0; // Monotonic time that Timer is set to.
   time_ms AcceptedAt;           // Monotonic.
+  time_ms IdleSince;            // Monotonic; while Idle.
   int RequestCount = 0;         // Requests read on this connection.
 
-  memory::memory_charge BufferCharge; // Of Buffer, if it holds much.
+  memory::memory_charge SessionCharge; // What a connection takes in any case.
+  memory::memory_charge BufferCharge;  // Of Buffer, if it holds much.
 
   // The call that is being served; Exchange is null if there is none.
   memory::memory_charge CallCharge; // What serving a call takes in any case.
-  request_message ForwardRequest;
+  request_message ForwardRequest;     // Without its body.
+  std::shared_ptr<held_request> Held; // The body.
   relay::numbered_event_reader Reader;
   std::unique_ptr<relay::exchange> Exchange;
   std::shared_ptr<endpoint_attempt> Attempt;
--- a/packages/edge/src/sockets.cpp
+++ b/packages/edge/src/sockets.cpp
@@ -32,6 +32,12 @@
   setOption(Socket, IPPROTO_TCP, TCP_KEEPCNT, KeepAliveProbes);
 }
 
+void setReceiveBuffer(int Handle, std::size_t Bytes) {
+  const int Value = static_cast<int>(Bytes);
+  // Errors are ignored: the limit of the system is in force then.
+  (void)::setsockopt(Handle, SOL_SOCKET, SO_RCVBUF, &Value, sizeof Value);
+}
+
 void openAcceptor(tcp::acceptor &Acceptor, const tcp::endpoint &Address) {
   Acceptor.open(Address.protocol());
   Acceptor.set_option(net::socket_base::reuse_address(true));
--- a/packages/edge/src/sockets.hpp
+++ b/packages/edge/src/sockets.hpp
@@ -22,6 +22,9 @@
 // Sends small packets without delay and enables detection of a silent peer.
 void applySocketOptions(tcp::socket &Socket, const socket_options &Options);
 
+// Limits the bytes that the kernel holds unread, about twice as many.
+void setReceiveBuffer(int Handle, std::size_t Bytes);
+
 // Opens Acceptor and listens on Address. Throws boost::system::system_error.
 void openAcceptor(tcp::acceptor &Acceptor, const tcp::endpoint &Address);
 
--- a/packages/memory/include/tamarack/memory.hpp
+++ b/packages/memory/include/tamarack/memory.hpp
@@ -2,6 +2,7 @@
 // in, responses of endpoints, and what waits for callers that read slowly.
 //
 // Contents:
+//   holder_kind      what the bytes are
 //   memory_budget    the bound
 //   memory_charge    what one holder has taken of it
 //
@@ -10,11 +11,22 @@
 // Not thread-safe.
 #pragma once
 
+#include <array>
 #include <cstddef>
 #include <cstdint>
 
 namespace tamarack::memory {
 
+// What the bytes are, for metrics.
+enum class holder_kind {
+  Connection, // A caller's connection and what it has sent ahead.
+  Request,    // A request that is received or being served.
+  Call,       // A call in progress.
+  Response,   // A response that is received or waits for its caller.
+  Other,
+};
+constexpr std::size_t HolderKindCount = 5;
+
 // Notified when bytes have become free that somebody has missed.
 class memory_listener {
 public:
@@ -32,6 +44,9 @@
   memory_budget &operator=(const memory_budget &) = delete;
 
   std::size_t used() const { return Used; } // Bytes.
+  std::size_t usedBy(holder_kind Kind) const {
+    return UsedByKind[static_cast<std::size_t>(Kind)];
+  }
   std::size_t limit() const { return Limit; }
   std::uint64_t refusals() const { return Refusals; } // Since the start.
   // True if a holder that holds little may not grow any more.
@@ -40,11 +55,12 @@
 private:
   friend class memory_charge;
   bool mayHold(std::size_t Held, std::size_t Wanted) const;
-  void replace(std::size_t Held, std::size_t Wanted);
+  void replace(std::size_t Held, std::size_t Wanted, holder_kind Kind);
 
   std::size_t Limit;
   memory_listener *Listener;
   std::size_t Used = 0;
+  std::array<std::size_t, HolderKindCount> UsedByKind{};
   std::uint64_t Refusals = 0;
   bool IsMissed = false; // A holder was refused since bytes were freed last.
 };
@@ -52,7 +68,9 @@
 // Given back at its end. The budget must outlive it.
 class memory_charge {
 public:
-  explicit memory_charge(memory_budget &Budget) : Budget(&Budget) {}
+  explicit memory_charge(memory_budget &Budget,
+                         holder_kind Kind = holder_kind::Other)
+      : Budget(&Budget), Kind(Kind) {}
   ~memory_charge() { set(0); }
   memory_charge(const memory_charge &) = delete;
   memory_charge &operator=(const memory_charge &) = delete;
@@ -66,6 +84,7 @@
 
 private:
   memory_budget *Budget;
+  holder_kind Kind;
   std::size_t Held = 0;
 };
 
--- a/packages/memory/src/memory_budget.cpp
+++ b/packages/memory/src/memory_budget.cpp
@@ -37,8 +37,11 @@
          SmallHolder.Share * static_cast<double>(Limit);
 }
 
-void memory_budget::replace(std::size_t Held, std::size_t Wanted) {
+void memory_budget::replace(std::size_t Held, std::size_t Wanted,
+                            holder_kind Kind) {
   Used = Used - Held + Wanted;
+  std::size_t &OfKind = UsedByKind[static_cast<std::size_t>(Kind)];
+  OfKind = OfKind - Held + Wanted;
   if (Wanted < Held && std::exchange(IsMissed, false) && Listener != nullptr)
     Listener->onMemoryFreed();
 }
@@ -54,7 +57,7 @@
 }
 
 void memory_charge::set(std::size_t Bytes) {
-  Budget->replace(std::exchange(Held, Bytes), Bytes);
+  Budget->replace(std::exchange(Held, Bytes), Bytes, Kind);
 }
 
 } // namespace tamarack::memory
--- a/packages/relay/src/exchange.cpp
+++ b/packages/relay/src/exchange.cpp
@@ -25,7 +25,8 @@
                    stream_origins &Origins, response_reader &Reader,
                    exchange_host &Host, memory::memory_budget &Memory)
     : Call(std::move(Call)), Placement(Placement), Budget(Budget),
-      Origins(Origins), Reader(Reader), Host(Host), Kept(Memory) {}
+      Origins(Origins), Reader(Reader), Host(Host),
+      Kept(Memory, memory::holder_kind::Response) {}
 
 void exchange::start(time_ms Now) {
   assert(State == state::New && "an exchange starts once");
