Let usual requests in until the budget is full; count a call's connection once

Cause: a body of one byte was refused above 85 % of the budget, like a large one; and a call's 16 KB had its connection in it, which counts 8 KB on its own now.

Change: requests up to 4 KB go in while the budget is not full, and a call counts 8 KB beside its connection.

--- a/packages/edge/src/frontend_session.cpp
+++ b/packages/edge/src/frontend_session.cpp
@@ -17,8 +17,9 @@
 constexpr std::size_t MinWidenedBytes = 24 * 1024;
 constexpr std::size_t MaxReceiveBytes = 64 * 1024;
 
-// Of a call in progress: its state, its attempt and their buffers.
-constexpr std::size_t CallBytes = 16 * 1024;
+// Of a call in progress: its state, its attempt and their buffers, beside what
+// its connection counts for already.
+constexpr std::size_t CallBytes = 16 * 1024 - SessionBytes;
 
 // A sound caller may pause for some seconds while it reads.
 constexpr int CallerTcpUserTimeoutMs = 10'000;
--- a/packages/edge/src/request_reader.cpp
+++ b/packages/edge/src/request_reader.cpp
@@ -7,6 +7,8 @@
 
 // A head up to this size counts in what a connection takes in any case.
 constexpr std::size_t UsualHeadBytes = 4'096;
+// A request up to this size is let in as long as the budget is not full.
+constexpr std::size_t UsualRequestBytes = 4'096;
 // The fields of a head are kept beside the received bytes.
 constexpr std::size_t HeadCopies = 2;
 constexpr std::size_t MinChunkedBodyBytes = 4'096; // Capacity to begin with.
@@ -100,8 +102,9 @@
 
 bool request_reader::hold(std::size_t BodyBytes) {
   const std::size_t Bytes = HeadBytes + BodyBytes;
-  // Requests that are not complete leave the last share to calls in progress.
-  if (Bytes > Held->Charge.bytes() && Memory.isTight())
+  // Requests of more than the usual size leave the last share to calls.
+  const bool IsUsual = Bytes <= UsualRequestBytes;
+  if (!IsUsual && Bytes > Held->Charge.bytes() && Memory.isTight())
     return false;
   return Held->Charge.trySet(Bytes);
 }
