Estimate load with its age, learn speeds, keep long prompts apart

Cause: an instance hears from one of many endpoints every few seconds and believed the report whatever its age. Short prompts landed behind prompts that take up to a second to read while most engines were idle.

Change: packages/load. A report loses weight with age towards the mean of the service's endpoints; own calls in flight are certain. Endpoints have a speed by their answers and by the fourth figure of the report, which decays within a fraction of a second. Services of 16 engines or more keep a quarter of them for short prompts first. The preferred endpoint of shared parts is replaced by the next in order while a call would wait there for long.

--- a/packages/daemon/src/logged_placement.cpp
+++ b/packages/daemon/src/logged_placement.cpp
@@ -1,4 +1,4 @@
-// Logs failed attempts and counts failures and retries.
+// Logs failed attempts, counts failures and retries, records report ages.
 #include "logged_placement.hpp"
 
 #include "hex.hpp"
@@ -26,6 +26,15 @@
     : placement_decorator(LoadBalancer), LoadBalancer(LoadBalancer), Log(Log),
       Metrics(Metrics) {}
 
+void logged_placement::onSent(const relay::call &Call,
+                              std::string_view Endpoint, time_ms Now) {
+  const time_ms AgeMs = LoadBalancer.loadAgeMs(Endpoint, Now);
+  if (AgeMs >= 0)
+    Metrics.histogramOf("tamarack_load_report_age_ms")
+        .observe(static_cast<double>(AgeMs));
+  placement_decorator::onSent(Call, Endpoint, Now);
+}
+
 void logged_placement::onEnded(const relay::call &Call,
                                std::string_view Endpoint,
                                relay::attempt_outcome End, time_ms Now) {
--- a/packages/daemon/src/logged_placement.hpp
+++ b/packages/daemon/src/logged_placement.hpp
@@ -1,5 +1,5 @@
-// Passes placement calls on to the load balancer, logs failed attempts and
-// counts failures and retries.
+// Passes placement calls on to the load balancer, logs failed attempts, counts
+// failures and retries and records the age of the load reports.
 #pragma once
 
 #include "tamarack/adapters.hpp"
@@ -14,6 +14,8 @@
   logged_placement(dispatch::load_balancer &LoadBalancer,
                    adapters::event_log &Log, report::metrics_registry &Metrics);
 
+  void onSent(const relay::call &Call, std::string_view Endpoint,
+              time_ms Now) override;
   void onEnded(const relay::call &Call, std::string_view Endpoint,
                relay::attempt_outcome End, time_ms Now) override;
   bool tryRetry(std::string_view Service, time_ms Now) override;
--- a/packages/dispatch/include/tamarack/dispatch.hpp
+++ b/packages/dispatch/include/tamarack/dispatch.hpp
@@ -13,6 +13,7 @@
 // Nothing here is thread-safe or reads a clock; times are monotonic ms.
 #pragma once
 
+#include "tamarack/load.hpp"
 #include "tamarack/ports.hpp"
 #include "tamarack/relay.hpp"
 
@@ -51,12 +52,7 @@
   std::int64_t Sequence = 0;  // Grows with each report since StartedAt.
 };
 
-// Load that an endpoint reports in a response.
-struct load_report {
-  int Running = 0; // Requests being processed.
-  int Waiting = 0; // Requests in the endpoint's queue.
-  int Slots = 0;   // Requests that it processes concurrently.
-};
+using load::load_report;
 
 // Receives what endpoints state in their responses about the requests that they
 // want.
@@ -237,6 +233,12 @@
   double UncachedSharedMs = 0.075; // Per token of the shared prompt parts that
                                    // the endpoint has not cached: another
                                    // endpoint probably has.
+  double ShortAtLongMs = 60;       // A short prompt at an engine for long ones.
+  double LongAtShortMs = 150;      // A long prompt at an engine for short ones.
+  double SpreadMs = 6;             // Between endpoints of equal cost of which
+                                   // nothing new is known.
+  double PreferredWaitShare = 0.5; // Of the time that a preferred endpoint
+                                   // saves, that a call may wait there.
 };
 
 // Why the endpoints of a service get or don't get one call now.
@@ -273,6 +275,10 @@
   void setRetryLimits(const retry_limits &To) { RetryLimits = To; }
   void onLoadReport(std::string_view Endpoint, const load_report &Load,
                     time_ms Now);
+  // News of load for Peer, an instance of this zone; empty if there are none.
+  std::string composeNews(std::string_view Peer, time_ms Now);
+  // News that Peer has sent. False if they can't be read.
+  bool readNews(std::string_view Peer, std::string_view Bytes, time_ms Now);
   // The endpoint has asked this instance for a pause of so long.
   void onPauseStated(std::string_view Endpoint, int DurationMs, time_ms Now);
   void onRequest(std::string_view Service); // Once for each caller's request.
@@ -296,6 +302,8 @@
   std::size_t endpointCount() const { return Endpoints.size(); }
   // Nullptr if the endpoint is not known.
   const endpoint_entry *findEntry(std::string_view Endpoint) const;
+  // Age of the endpoint's last load report, own or told by a peer; -1 if none.
+  time_ms loadAgeMs(std::string_view Endpoint, time_ms Now) const;
   // One line for logs: the state of the endpoint that choose takes into
   // account.
   std::string describe(std::string_view Endpoint, time_ms Now) const;
@@ -305,28 +313,48 @@
     endpoint_entry Entry;
     endpoint_availability Availability;
     prompt_cache Cache{0};
-    load_report Load;                // The last one received.
-    time_ms LoadReceivedAt = -1;     // -1 before the first report.
-    int SentSinceReport = 0;         // Requests of this instance.
-    int EndedSinceReport = 0;        // Requests of this instance.
-    double PendingPrefillTokens = 0; // Sent without a first response byte yet.
+    load::endpoint_load Load;
     double Penalty = 0; // 0 if healthy, up to 1 for repeated failures.
     time_ms PenaltyUpdatedAt = 0;
     time_ms WarmUpUntil = 0;
   };
 
+  // What one choice takes into account of the service.
+  struct choice_view {
+    load::load_prior Prior;
+    bool IsEngine = false;
+    bool IsSplit = false; // See load::size_split.
+    bool IsLong = false;  // By size_split, the call.
+  };
+
+  using candidates = std::span<const endpoint_state *const>;
+
+  choice_view viewOf(const relay::call &Call, time_ms Now);
+  // The cheapest candidate, or one that costs little more if what is known is
+  // old.
+  const endpoint_state *pick(const relay::call &Call, candidates Candidates,
+                             const choice_view &View, time_ms Now);
+  const load::load_prior &priorOf(std::string_view Service, time_ms Now) const;
   double cost(const relay::call &Call, const endpoint_state &State,
-              bool Preferred, time_ms Now) const;
-  const endpoint_state *
-  preferredEndpoint(const relay::call &Call,
-                    std::span<const endpoint_state *const> Candidates) const;
-  double estimatedRequests(const endpoint_state &State) const;
+              bool Preferred, const choice_view &View, time_ms Now) const;
+  double serviceCost(const endpoint_state &State, const choice_view &View,
+                     time_ms Now) const;
+  double engineCost(const relay::call &Call, const endpoint_state &State,
+                    bool Preferred, const choice_view &View, time_ms Now) const;
+  // Time that the shared parts of the call's prompt cost where they are not
+  // cached, ms.
+  double sharedPartsMs(const relay::call &Call) const;
+  const endpoint_state *preferredEndpoint(const relay::call &Call,
+                                          candidates Candidates,
+                                          const choice_view &View,
+                                          time_ms Now) const;
   double currentPenalty(const endpoint_state &State, time_ms Now) const;
   void addPenalty(endpoint_state &State, double Amount, time_ms Now);
   withheld_reason reasonOf(const endpoint_state &State, time_ms Now) const;
   static bool isRightVersion(const endpoint_state &State,
                              const relay::call &Call);
-  bool isBusy(const endpoint_state &State) const;
+  bool isBusy(const endpoint_state &State, const load::load_prior &Prior,
+              time_ms Now) const;
   // Until the endpoints that asked for a pause get requests again, empty if the
   // call is refused for another reason.
   std::optional<int> pauseRetryAfterMs(const relay::call &Call) const;
@@ -336,6 +364,10 @@
   bool isVersionGone(const relay::call &Call) const;
   endpoint_state *findEndpoint(std::string_view Endpoint);
   const endpoint_state *findEndpoint(std::string_view Endpoint) const;
+  endpoint_state *findEndpoint(load::endpoint_key Key);
+  // Records a call of this instance as news: it was sent, or answered.
+  void addCallNews(const relay::call &Call, const endpoint_state &State,
+                   double ReadMs, const load::work_sample &Sample, time_ms Now);
   bool isEngine(std::string_view Service) const;
 
   std::string Zone;
@@ -352,6 +384,10 @@
       EndpointsByService; // Ids.
   std::map<std::string, fleet_retry_budget, std::less<>>
       RetryBudgets; // By service.
+  load::news_board News;
+  std::map<load::endpoint_key, std::string> IdByKey; // Of listed endpoints.
+  // By service.
+  mutable std::map<std::string, load::service_load, std::less<>> ServiceLoads;
 };
 
 //---------------------------------------------------------------------------
--- a/packages/dispatch/src/load_balancer.cpp
+++ b/packages/dispatch/src/load_balancer.cpp
@@ -26,6 +26,7 @@
 constexpr int PauseSpreadPerInstanceMs = 10;
 constexpr int MaxPauseSpreadMs = 2'000;
 constexpr int MinPauseRetryAfterMs = 50;
+constexpr double MinNewsReadMs = 8; // Of a prompt that others are told of.
 // Callers that were refused because of a pause come back spread over this time.
 constexpr int CallerSpreadMs = 300;
 
@@ -50,6 +51,9 @@
 void load_balancer::setTable(
     std::shared_ptr<const relay::route_table> NewTable) {
   Table = std::move(NewTable);
+  std::erase_if(ServiceLoads, [this](const auto &Item) {
+    return Table->findService(Item.first) == nullptr;
+  });
   for (auto &[Id, State] : Endpoints)
     if (const relay::service *Service = Table->findService(State.Entry.Service))
       State.Cache.setCapacity(Service->KvCacheTokens);
@@ -65,6 +69,7 @@
   for (auto &[Id, State] : Endpoints)
     State.Availability.setListed(false);
   EndpointsByService.clear();
+  IdByKey.clear();
   for (const endpoint_entry &Entry : Entries) {
     endpoint_state &State = Endpoints[Entry.Id];
     const bool Restarted =
@@ -74,6 +79,7 @@
           Table ? Table->findService(Entry.Service) : nullptr;
       State.Cache = prompt_cache(Service ? Service->KvCacheTokens : 0);
       State.Availability.reset();
+      State.Load.reset();
       State.Penalty = 0;
       State.WarmUpUntil = Now + Entry.WarmUpMs;
     }
@@ -82,6 +88,7 @@
     State.Availability.setLeaving(Entry.Leaving);
     State.Availability.setSlots(Entry.Slots);
     EndpointsByService[Entry.Service].push_back(Entry.Id);
+    IdByKey[load::keyOf(Entry.Id)] = Entry.Id;
   }
   std::erase_if(Endpoints, [Now](const auto &Item) {
     const endpoint_availability &Availability = Item.second.Availability;
@@ -101,6 +108,12 @@
   return Found == Endpoints.end() ? nullptr : &Found->second;
 }
 
+load_balancer::endpoint_state *
+load_balancer::findEndpoint(load::endpoint_key Key) {
+  const auto Found = IdByKey.find(Key);
+  return Found == IdByKey.end() ? nullptr : findEndpoint(Found->second);
+}
+
 const endpoint_entry *
 load_balancer::findEntry(std::string_view Endpoint) const {
   const endpoint_state *State = findEndpoint(Endpoint);
@@ -129,25 +142,66 @@
   endpoint_state *State = findEndpoint(Endpoint);
   if (State == nullptr)
     return;
-  State->Load = Load;
-  State->LoadReceivedAt = Now;
-  State->SentSinceReport = 0;
-  State->EndedSinceReport = 0;
+  State->Load.onReport(Load, Now);
+  News.add(load::report_news{load::keyOf(Endpoint), 0, Load}, {}, Now);
+}
+
+std::string load_balancer::composeNews(std::string_view Peer, time_ms Now) {
+  const load::load_news ForPeer = News.take(Peer, Now);
+  const bool IsEmpty = ForPeer.Reports.empty() && ForPeer.Calls.empty();
+  return IsEmpty ? std::string() : load::encode(ForPeer);
+}
+
+bool load_balancer::readNews(std::string_view Peer, std::string_view Bytes,
+                             time_ms Now) {
+  const std::optional<load::load_news> Told = load::decodeNews(Bytes);
+  if (!Told)
+    return false;
+  for (const load::report_news &Item : Told->Reports) {
+    endpoint_state *State = findEndpoint(Item.Endpoint);
+    if (State != nullptr && News.add(Item, Peer, Now))
+      State->Load.onOthersReport(Item.Report, Now - Item.AgeMs);
+  }
+  for (const load::call_news &Item : Told->Calls) {
+    endpoint_state *State = findEndpoint(Item.Endpoint);
+    if (State != nullptr && News.add(Item, Peer, Now))
+      State->Load.onOthersCall(Item, Now - Item.AgeMs);
+  }
+  return true;
+}
+
+void load_balancer::addCallNews(const relay::call &Call,
+                                const endpoint_state &State, double ReadMs,
+                                const load::work_sample &Sample, time_ms Now) {
+  const bool IsAnswer = Sample.ExpectedMs >= 1;
+  if (!State.Load.hasReport() || (!IsAnswer && ReadMs < MinNewsReadMs))
+    return;
+  load::call_news Item;
+  Item.Endpoint = load::keyOf(State.Entry.Id);
+  Item.Id = XXH64(Call.Id.data(), Call.Id.size(), Item.Endpoint);
+  Item.ReadMs = static_cast<int>(ReadMs);
+  Item.ExpectedMs = static_cast<int>(Sample.ExpectedMs);
+  Item.TookMs = static_cast<int>(Sample.TookMs);
+  Item.AgeMs = Item.TookMs;
+  News.add(Item, {}, Now);
 }
 
 void load_balancer::onRequest(std::string_view Service) {
   RetryBudgets[std::string(Service)].onRequest(RetryLimits);
 }
 
-// Estimated number of requests at the endpoint: its last report, corrected by
-// what this instance has sent and ended since, and at least the requests of
-// this instance that are in flight.
-double load_balancer::estimatedRequests(const endpoint_state &State) const {
-  const double Reported = static_cast<double>(State.Load.Running) +
-                          static_cast<double>(State.Load.Waiting);
-  return std::max<double>(State.Availability.inFlight(),
-                          Reported + State.SentSinceReport -
-                              State.EndedSinceReport);
+const load::load_prior &load_balancer::priorOf(std::string_view Service,
+                                               time_ms Now) const {
+  load::service_load &ServiceLoad = ServiceLoads[std::string(Service)];
+  if (ServiceLoad.hasPrior(Now))
+    return ServiceLoad.prior();
+  std::vector<const load::endpoint_load *> Loads;
+  const auto Members = EndpointsByService.find(Service);
+  if (Members != EndpointsByService.end())
+    for (const std::string &Id : Members->second)
+      Loads.push_back(&Endpoints.find(Id)->second.Load);
+  ServiceLoad.updatePrior(Loads, Now);
+  return ServiceLoad.prior();
 }
 
 double load_balancer::currentPenalty(const endpoint_state &State,
@@ -177,65 +231,140 @@
          Call.RequiredVersion == State.Entry.Version;
 }
 
-bool load_balancer::isBusy(const endpoint_state &State) const {
+bool load_balancer::isBusy(const endpoint_state &State,
+                           const load::load_prior &Prior, time_ms Now) const {
   const double RequestsPerSlot =
       isEngine(State.Entry.Service) ? 2.0 : 1.0 + MaxQueuedPerSlot;
-  return estimatedRequests(State) >= RequestsPerSlot * State.Entry.Slots;
+  return State.Load.requests(Prior, Now) >= RequestsPerSlot * State.Entry.Slots;
+}
+
+double load_balancer::sharedPartsMs(const relay::call &Call) const {
+  return static_cast<double>(sharedTokens(Call)) *
+         (Weights.UncachedSharedMs + 1 / Weights.PrefillTokensPerMs);
 }
 
 // All instances prefer the same endpoint for the shared parts of a prompt,
 // without communication (rendezvous hashing): the one with the highest hash of
-// its id and these parts.
-const load_balancer::endpoint_state *load_balancer::preferredEndpoint(
-    const relay::call &Call,
-    std::span<const endpoint_state *const> Candidates) const {
+// its id and these parts. If the call would wait there for long, the next one
+// takes its place.
+const load_balancer::endpoint_state *
+load_balancer::preferredEndpoint(const relay::call &Call, candidates Candidates,
+                                 const choice_view &View, time_ms Now) const {
   if (Call.Prompt.size() < 2)
     return nullptr;
   const std::uint64_t ChainHash = prompt_cache::chainHash(
       std::span(Call.Prompt).first(Call.Prompt.size() - 1));
+  const double MaxWaitMs = Weights.PreferredWaitShare * sharedPartsMs(Call);
   const endpoint_state *Best = nullptr;
   std::uint64_t BestHash = 0;
+  bool IsBestFree = false;
   for (const endpoint_state *State : Candidates) {
     const std::string &Id = State->Entry.Id;
+    if (View.IsSplit && load::size_split::isForLong(Id) != View.IsLong)
+      continue;
     const std::uint64_t Hash = XXH64(Id.data(), Id.size(), ChainHash);
-    if (Best == nullptr || Hash > BestHash) {
+    const bool IsFree = !View.Prior.HasReports ||
+                        State->Load.readingMs(View.Prior, Now) <= MaxWaitMs;
+    const bool IsBetter = IsFree == IsBestFree ? Hash > BestHash : IsFree;
+    if (Best == nullptr || IsBetter) {
       Best = State;
       BestHash = Hash;
+      IsBestFree = IsFree;
     }
   }
   return Best;
 }
 
-double load_balancer::cost(const relay::call &Call, const endpoint_state &State,
-                           bool Preferred, time_ms Now) const {
-  double Cost = PenaltyCostMs * currentPenalty(State, Now);
-  if (State.Entry.Zone != Zone)
-    Cost += Weights.OtherZoneMs;
-  if (State.WarmUpUntil > Now)
-    Cost += WarmUpCostMs;
-  const double Requests = estimatedRequests(State);
-  if (!isEngine(Call.Service)) {
-    const double Slots = std::max(1, State.Entry.Slots);
-    const double Queued = std::max(0.0, Requests + 1 - Slots);
-    return Cost + Weights.ServiceTimeMs * (Queued / Slots) +
-           Weights.ServiceTimeMs * 0.2 * (Requests / Slots);
-  }
+double load_balancer::serviceCost(const endpoint_state &State,
+                                  const choice_view &View, time_ms Now) const {
+  const double Requests = State.Load.requests(View.Prior, Now);
+  const double Slots = std::max(1, State.Entry.Slots);
+  const double Queued = std::max(0.0, Requests + 1 - Slots);
+  const double Slowness = State.Load.slowness(View.Prior, Now);
+  const double TimeMs = Weights.ServiceTimeMs * Slowness;
+  return TimeMs - Weights.ServiceTimeMs + TimeMs * (Queued / Slots) +
+         TimeMs * 0.2 * (Requests / Slots);
+}
+
+double load_balancer::engineCost(const relay::call &Call,
+                                 const endpoint_state &State, bool Preferred,
+                                 const choice_view &View, time_ms Now) const {
   const std::int64_t Shared = sharedTokens(Call);
   const std::int64_t Cached =
       std::max(State.Cache.cachedTokens(Call.Prompt), Preferred ? Shared : 0);
   const std::int64_t UncachedShared =
       std::max<std::int64_t>(0, Shared - Cached);
-  Cost += static_cast<double>(
-              std::max<std::int64_t>(0, Call.PromptTokens - Cached)) /
-          Weights.PrefillTokensPerMs;
+  const std::int64_t Uncached =
+      std::max<std::int64_t>(0, Call.PromptTokens - Cached);
+  const double Slowness = State.Load.slowness(View.Prior, Now);
+  double Cost =
+      Slowness * static_cast<double>(Uncached) / Weights.PrefillTokensPerMs;
   Cost += Weights.UncachedSharedMs * static_cast<double>(UncachedShared);
-  Cost += State.PendingPrefillTokens / Weights.PrefillTokensPerMs;
+  Cost += State.Load.readingMs(View.Prior, Now);
+  const double Requests = State.Load.requests(View.Prior, Now);
   Cost += Weights.RunningRequestMs * Requests;
   const double Slots = std::max(1, State.Entry.Slots);
   Cost += Weights.WaitingRequestMs * std::max(0.0, Requests + 1 - Slots);
+  if (View.IsSplit &&
+      load::size_split::isForLong(State.Entry.Id) != View.IsLong)
+    Cost += View.IsLong ? Weights.LongAtShortMs : Weights.ShortAtLongMs;
   return Cost;
 }
 
+double load_balancer::cost(const relay::call &Call, const endpoint_state &State,
+                           bool Preferred, const choice_view &View,
+                           time_ms Now) const {
+  double Cost = PenaltyCostMs * currentPenalty(State, Now);
+  if (State.Entry.Zone != Zone)
+    Cost += Weights.OtherZoneMs;
+  if (State.WarmUpUntil > Now)
+    Cost += WarmUpCostMs;
+  if (State.Availability.isAvoided(Now))
+    Cost += AvoidCostMs;
+  return Cost + (View.IsEngine ? engineCost(Call, State, Preferred, View, Now)
+                               : serviceCost(State, View, Now));
+}
+
+load_balancer::choice_view load_balancer::viewOf(const relay::call &Call,
+                                                 time_ms Now) {
+  choice_view View;
+  View.Prior = priorOf(Call.Service, Now);
+  View.IsEngine = isEngine(Call.Service);
+  if (!View.IsEngine || !View.Prior.HasReports || Call.Prompt.empty())
+    return View;
+  load::size_split &Split = ServiceLoads[Call.Service].Split;
+  Split.onCall(Call.TargetFirstByteMs);
+  View.IsSplit =
+      EndpointsByService[Call.Service].size() >= load::size_split::MinEngines;
+  View.IsLong = Split.isLong(static_cast<double>(Call.PromptTokens) /
+                             Weights.PrefillTokensPerMs);
+  return View;
+}
+
+const load_balancer::endpoint_state *
+load_balancer::pick(const relay::call &Call, candidates Candidates,
+                    const choice_view &View, time_ms Now) {
+  const endpoint_state *Preferred =
+      preferredEndpoint(Call, Candidates, View, Now);
+  const endpoint_state *Best = nullptr;
+  double BestCost = 0;
+  for (const endpoint_state *State : Candidates) {
+    double SpreadMs = NoiseMs;
+    if (View.Prior.HasReports)
+      SpreadMs += Weights.SpreadMs *
+                  (1 - State->Load.reportWeight(View.Prior.HalfLifeMs, Now));
+    const double Noise =
+        SpreadMs * static_cast<double>(Random.next() % 1024) / 1024;
+    const double Cost =
+        cost(Call, *State, State == Preferred, View, Now) + Noise;
+    if (Best == nullptr || Cost < BestCost) {
+      Best = State;
+      BestCost = Cost;
+    }
+  }
+  return Best;
+}
+
 std::optional<relay::endpoint_choice>
 load_balancer::choose(const relay::call &Call,
                       const std::set<std::string> &Tried, time_ms Now) {
@@ -243,27 +372,16 @@
   const auto Members = EndpointsByService.find(Call.Service);
   if (Members == EndpointsByService.end())
     return std::nullopt;
+  const choice_view View = viewOf(Call, Now);
   std::vector<const endpoint_state *> Candidates;
   for (const std::string &Id : Members->second) {
     const endpoint_state &State = Endpoints.find(Id)->second;
-    if (!Tried.contains(Id) && isRightVersion(State, Call) && !isBusy(State) &&
+    if (!Tried.contains(Id) && isRightVersion(State, Call) &&
+        !isBusy(State, View.Prior, Now) &&
         reasonOf(State, Now) == withheld_reason::None)
       Candidates.push_back(&State);
   }
-  const endpoint_state *Preferred = preferredEndpoint(Call, Candidates);
-  const endpoint_state *Best = nullptr;
-  double BestCost = 0;
-  for (const endpoint_state *State : Candidates) {
-    const double Noise =
-        NoiseMs * static_cast<double>(Random.next() % 1024) / 1024;
-    double Cost = cost(Call, *State, State == Preferred, Now) + Noise;
-    if (State->Availability.isAvoided(Now))
-      Cost += AvoidCostMs;
-    if (Best == nullptr || Cost < BestCost) {
-      Best = State;
-      BestCost = Cost;
-    }
-  }
+  const endpoint_state *Best = pick(Call, Candidates, View, Now);
   if (Best == nullptr)
     return std::nullopt;
   return relay::endpoint_choice{Best->Entry.Id, Best->Entry.Address, 0,
@@ -279,17 +397,21 @@
 }
 
 void load_balancer::onSent(const relay::call &Call, std::string_view Endpoint,
-                           time_ms) {
+                           time_ms Now) {
   endpoint_state *State = findEndpoint(Endpoint);
   if (State == nullptr)
     return;
   State->Availability.onSent(Call);
-  ++State->SentSinceReport;
-  if (Call.Prompt.empty())
-    return;
-  State->PendingPrefillTokens += static_cast<double>(std::max<std::int64_t>(
-      0, Call.PromptTokens - State->Cache.cachedTokens(Call.Prompt)));
-  State->Cache.addPrompt(Call.Prompt);
+  load::sent_call Sent{Call.Number, Now, Weights.ServiceTimeMs, 0};
+  if (!Call.Prompt.empty()) {
+    const std::int64_t Uncached = std::max<std::int64_t>(
+        0, Call.PromptTokens - State->Cache.cachedTokens(Call.Prompt));
+    Sent.ReadMs = static_cast<double>(Uncached) / Weights.PrefillTokensPerMs;
+    Sent.WorkMs = Sent.ReadMs;
+    State->Cache.addPrompt(Call.Prompt);
+  }
+  State->Load.onSent(Sent);
+  addCallNews(Call, *State, Sent.ReadMs, {}, Now);
 }
 
 void load_balancer::onFirstByte(const relay::call &Call,
@@ -297,9 +419,9 @@
   endpoint_state *State = findEndpoint(Endpoint);
   if (State == nullptr)
     return;
-  State->PendingPrefillTokens =
-      std::max(0.0, State->PendingPrefillTokens -
-                        static_cast<double>(Call.PromptTokens));
+  // Of other calls the first byte may be that of an error.
+  if (relay::isStream(Call.Kind))
+    addCallNews(Call, *State, 0, State->Load.onAnswered(Call.Number, Now), Now);
   State->Availability.onFirstByte(Call);
   State->Penalty = currentPenalty(*State, Now) * 0.7;
   State->PenaltyUpdatedAt = Now;
@@ -316,9 +438,11 @@
   if (Reason != Before && (Reason == withheld_reason::Misplaced ||
                            Reason == withheld_reason::Unreachable))
     Listener.onWithheld(Endpoint, Reason, 0);
-  ++State->EndedSinceReport;
-  if (State->Availability.inFlight() == 0)
-    State->PendingPrefillTokens = 0;
+  if (End == relay::attempt_outcome::Good) {
+    addCallNews(Call, *State, 0, State->Load.onAnswered(Call.Number, Now), Now);
+    ServiceLoads[Call.Service].onCallEnded(Now - Call.ArrivedAt);
+  }
+  State->Load.onEnded(Call.Number);
   switch (End) {
   case relay::attempt_outcome::Good:
   case relay::attempt_outcome::Unproven:
@@ -375,6 +499,7 @@
   const auto Members = EndpointsByService.find(Call.Service);
   if (Members == EndpointsByService.end())
     return Survey;
+  const load::load_prior &Prior = priorOf(Call.Service, Now);
   for (const std::string &Id : Members->second) {
     const endpoint_state &State = Endpoints.find(Id)->second;
     const withheld_reason Reason = reasonOf(State, Now);
@@ -383,7 +508,7 @@
     else if (Reason != withheld_reason::None)
       ++Survey.Withheld[static_cast<std::size_t>(Reason)];
     else
-      ++(isBusy(State) ? Survey.Busy : Survey.Available);
+      ++(isBusy(State, Prior, Now) ? Survey.Busy : Survey.Available);
     if (Reason == withheld_reason::Paused) {
       const time_ms End = std::max(Now, State.Availability.pausedUntil());
       Survey.FirstPauseEnd =
@@ -406,22 +531,28 @@
          spread(CallerSpreadMs);
 }
 
+time_ms load_balancer::loadAgeMs(std::string_view Endpoint, time_ms Now) const {
+  const endpoint_state *State = findEndpoint(Endpoint);
+  return State == nullptr ? -1 : State->Load.reportAgeMs(Now);
+}
+
 std::string load_balancer::describe(std::string_view Endpoint,
                                     time_ms Now) const {
   const endpoint_state *State = findEndpoint(Endpoint);
   if (State == nullptr)
     return "unknown";
   const std::string Reason(toString(reasonOf(*State, Now)));
-  char Text[192];
-  std::snprintf(Text, sizeof Text,
-                "running=%.0f own=%d load_age_ms=%lld penalty=%.2f avoid=%d "
-                "withheld=%s",
-                estimatedRequests(*State), State->Availability.inFlight(),
-                State->LoadReceivedAt < 0
-                    ? -1LL
-                    : static_cast<long long>(Now - State->LoadReceivedAt),
-                currentPenalty(*State, Now),
-                State->Availability.isAvoided(Now) ? 1 : 0, Reason.c_str());
+  const load::load_prior &Prior = priorOf(State->Entry.Service, Now);
+  char Text[224];
+  std::snprintf(
+      Text, sizeof Text,
+      "running=%.1f own=%d load_age_ms=%lld reading_ms=%.0f slowness=%.2f "
+      "penalty=%.2f avoid=%d withheld=%s",
+      State->Load.requests(Prior, Now), State->Load.inFlight(),
+      static_cast<long long>(State->Load.reportAgeMs(Now)),
+      State->Load.readingMs(Prior, Now), State->Load.slowness(Prior, Now),
+      currentPenalty(*State, Now), State->Availability.isAvoided(Now) ? 1 : 0,
+      Reason.c_str());
   return Text;
 }
 
