Pass news of load along with messages about reservations

Cause: what other instances have sent since the last report is unknown, and each instance sees few reports itself.

Change: messages about reservations carry an attachment of at most 4 KB in both directions, which pools does not read. It holds reports and calls that the sender has seen or been told lately. Older builds ignore it and send none; what can't be read is counted and the reservation is served.

--- a/packages/daemon/src/router.cpp
+++ b/packages/daemon/src/router.cpp
@@ -214,6 +214,7 @@
       AvailabilityLog(Log, Metrics),
       LoadBalancer(Settings.Zone, Settings.RetryLimits, Limiter, Random,
                    AvailabilityLog),
+      LoadNews(LoadBalancer, Clock, Metrics),
       Placement(LoadBalancer, Log, Metrics),
       LimitGate(Placement, Limiter, LimitLog),
       LimitReports(Settings.Instance, Store, Limiter),
@@ -230,7 +231,7 @@
               Settings.PeerAddress, adapters::readBootId()},
              {}, Clock),
       PoolServer(*this),
-      PoolLink(Context,
+      PoolLink(Context, LoadNews,
                [this](std::string_view Holder,
                       const std::optional<pools::pool_response> &Response) {
                  Budget.onResponse(Holder, Response);
@@ -262,7 +263,8 @@
                  [this](const edge::request_message &Request,
                         const edge::respond_callback &Respond) {
                    if (Request.target() == pool_link::Path)
-                     return Respond(servePoolRequest(PoolServer, Request));
+                     return Respond(
+                         servePoolRequest(PoolServer, LoadNews, Request));
                    PeerService.serve(Request, Respond);
                  }),
       MetricsServer(Context, Memory,
--- a/packages/daemon/src/router.hpp
+++ b/packages/daemon/src/router.hpp
@@ -7,6 +7,7 @@
 #include "endpoint_probe.hpp"
 #include "limit_log.hpp"
 #include "limit_report_exchange.hpp"
+#include "load_news_link.hpp"
 #include "logged_placement.hpp"
 #include "pool_link.hpp"
 #include "quarantine_log.hpp"
@@ -192,6 +193,7 @@
   limits::endpoint_limiter Limiter;
   availability_log AvailabilityLog;
   dispatch::load_balancer LoadBalancer;
+  load_news_link LoadNews;
   logged_placement Placement;
   limits::limit_gate LimitGate;
   limit_report_exchange LimitReports;
--- a/packages/pools/include/tamarack/pools.hpp
+++ b/packages/pools/include/tamarack/pools.hpp
@@ -65,15 +65,21 @@
   std::uint64_t Incarnation = 0;
   std::vector<token_settlement> Settled; // Handled before Wanted.
   std::vector<token_request> Wanted;
+  // Bytes of another part of the program that go along; not read here. Older
+  // programs send none and ignore them.
+  std::string Attachment = {};
 };
 
 struct pool_response {
   bool IsServing = false; // False: the instance takes no reservations now.
   std::vector<reserve_result> Results; // One for each of Wanted, in order.
+  std::string Attachment = {};         // As in pool_request.
 };
 
 // Of one message.
 inline constexpr std::size_t MaxMessageItems = 1'024;
+// A longer attachment is dropped, the message is read.
+inline constexpr std::size_t MaxAttachmentBytes = 4'096;
 
 std::string encode(const pool_request &Request);
 std::string encode(const pool_response &Response);
--- a/packages/pools/src/pooled_budget.cpp
+++ b/packages/pools/src/pooled_budget.cpp
@@ -232,7 +232,7 @@
 
 void pooled_budget::sendTo(holder_link &Link,
                            std::vector<std::uint64_t> Numbers, time_ms Now) {
-  pool_request Request{Instance, Incarnation, {}, {}};
+  pool_request Request{Instance, Incarnation, {}, {}, {}};
   Link.SentSettlements = std::min(Link.Unsettled.size(), MaxMessageItems);
   Request.Settled.assign(Link.Unsettled.begin(),
                          Link.Unsettled.begin() +
--- a/tests/unit/pools_test.cpp
+++ b/tests/unit/pools_test.cpp
@@ -727,3 +727,32 @@
   // One record to announce each instance, and a few of those that hold tokens.
   CHECK(Writes < 2 * Instances);
 }
+
+// Failure: during a rolling update, programs with and without attachments
+// serve each other's reservations.
+TEST_CASE("messages are read with and without an attachment", "[pools]") {
+  using old_request = std::tuple<
+      int, std::string, std::uint64_t,
+      std::vector<std::tuple<std::uint64_t, std::int64_t>>,
+      std::vector<std::tuple<std::uint64_t, std::string, std::int64_t>>>;
+  using old_response = std::tuple<int, bool, std::vector<int>>;
+  const old_request Old(1, "i", 7, {{1, 2}}, {{3, "a", 4}});
+  const std::optional<pool_request> Request = decodeRequest(wire::pack(Old));
+  REQUIRE(Request);
+  CHECK(Request->Wanted.size() == 1);
+  CHECK(Request->Attachment.empty());
+  pool_request New = *Request;
+  New.Attachment = "news";
+  CHECK(decodeRequest(encode(New))->Attachment == "news");
+  CHECK(wire::unpack<old_request>(encode(New), 1) == Old);
+  const old_response OldResponse(1, true, {0});
+  REQUIRE(decodeResponse(wire::pack(OldResponse)));
+  pool_response Response = *decodeResponse(wire::pack(OldResponse));
+  Response.Attachment = "news";
+  CHECK(decodeResponse(encode(Response))->Attachment == "news");
+  CHECK(wire::unpack<old_response>(encode(Response), 1) == OldResponse);
+  Response.Attachment = std::string(MaxAttachmentBytes + 1, 'x');
+  REQUIRE(decodeResponse(encode(Response)));
+  CHECK(decodeResponse(encode(Response))->Attachment.empty());
+  CHECK(decodeResponse(encode(Response))->Results.size() == 1);
+}
