Age reports and pass on news only of services whose endpoints state their pace

Change: without a pace the last report counts whatever its age, prompts wait for what this instance has sent, engines are not divided, nobody is told.

--- a/packages/dispatch/src/load_balancer.cpp
+++ b/packages/dispatch/src/load_balancer.cpp
@@ -163,7 +163,8 @@
   if (State == nullptr)
     return;
   State->Load.onReport(Load, Now);
-  News.add(load::report_news{load::keyOf(Endpoint), 0, Load}, {}, Now);
+  if (Load.PacePercent)
+    News.add(load::report_news{load::keyOf(Endpoint), 0, Load}, {}, Now);
 }
 
 std::string load_balancer::composeNews(std::string_view Peer, time_ms Now) {
@@ -194,7 +195,7 @@
                                 const endpoint_state &State, double ReadMs,
                                 const load::work_sample &Sample, time_ms Now) {
   const bool IsAnswer = Sample.ExpectedMs >= 1;
-  if (!State.Load.hasReport() || (!IsAnswer && ReadMs < MinNewsReadMs))
+  if (!State.Load.statesPace() || (!IsAnswer && ReadMs < MinNewsReadMs))
     return;
   load::call_news Item;
   Item.Endpoint = load::keyOf(State.Entry.Id);
@@ -283,7 +284,7 @@
     if (View.IsSplit && load::size_split::isForLong(Id) != View.IsLong)
       continue;
     const std::uint64_t Hash = XXH64(Id.data(), Id.size(), ChainHash);
-    const bool IsFree = !View.Prior.HasReports ||
+    const bool IsFree = !View.Prior.HasPace ||
                         State->Load.readingMs(View.Prior, Now) <= MaxWaitMs;
     const bool IsBetter = IsFree == IsBestFree ? Hash > BestHash : IsFree;
     if (Best == nullptr || IsBetter) {
@@ -350,7 +351,7 @@
   choice_view View;
   View.Prior = priorOf(Call.Service, Now);
   View.IsEngine = isEngine(Call.Service);
-  if (!View.IsEngine || !View.Prior.HasReports || Call.Prompt.empty())
+  if (!View.IsEngine || !View.Prior.HasPace || Call.Prompt.empty())
     return View;
   load::size_split &Split = ServiceLoads[Call.Service].Split;
   Split.onCall(Call.TargetFirstByteMs);
@@ -370,7 +371,7 @@
   double BestCost = 0;
   for (const endpoint_state *State : Candidates) {
     double SpreadMs = NoiseMs;
-    if (View.Prior.HasReports)
+    if (View.Prior.HasPace)
       SpreadMs += Weights.SpreadMs *
                   (1 - State->Load.reportWeight(View.Prior.HalfLifeMs, Now));
     const double Noise =
--- a/packages/load/include/tamarack/load.hpp
+++ b/packages/load/include/tamarack/load.hpp
@@ -15,6 +15,9 @@
 // endpoints as the report gets older, and adds what is certain: the calls of
 // this instance in flight.
 //
+// That holds for services whose endpoints state their pace. Of the others the
+// last report counts as it is.
+//
 // Nothing here does I/O, is thread-safe or reads a clock; times are monotonic
 // ms. "Usual ms" are of an endpoint of usual speed.
 #pragma once
@@ -37,10 +40,11 @@
 
 // Load that an endpoint reports in a response.
 struct load_report {
-  int Running = 0;       // Requests being processed.
-  int Waiting = 0;       // Requests in the endpoint's queue.
-  int Slots = 0;         // Requests that it processes concurrently.
-  int PacePercent = 100; // Time that work takes at that moment, 100 as usual.
+  int Running = 0; // Requests being processed.
+  int Waiting = 0; // Requests in the endpoint's queue.
+  int Slots = 0;   // Requests that it processes concurrently.
+  // Time that work takes at that moment, 100 as usual. Empty if not stated.
+  std::optional<int> PacePercent;
 };
 
 //---------------------------------------------------------------------------
@@ -134,7 +138,8 @@
 
 // What is known of the endpoints of a service together.
 struct load_prior {
-  bool HasReports = false;   // At least one endpoint has reported its load.
+  bool HasPace = false;      // At least one endpoint states its pace. If none
+                             // does, the last report counts whatever its age.
   double OthersRequests = 0; // Of other instances at one endpoint, mean.
   double LogRatio = 0;       // Mean of the speed filters.
   double HalfLifeMs = 500;   // Age at which a report counts half.
@@ -158,6 +163,8 @@
 
   int inFlight() const { return InFlight; } // Calls of this instance.
   bool hasReport() const { return ReportedAt >= 0; }
+  // The last report states the endpoint's pace.
+  bool statesPace() const { return Report.PacePercent.has_value(); }
   time_ms reportAgeMs(time_ms Now) const; // -1 before the first report.
   // Weight of the last report, 1 if it is new, 0 if there is none.
   double reportWeight(double HalfLifeMs, time_ms Now) const;
@@ -168,7 +175,7 @@
   // Requests at the endpoint.
   double requests(const load_prior &Prior, time_ms Now) const;
   // Time that work takes now, divided by the mean of the service's endpoints. 1
-  // if endpoints of the service report nothing.
+  // if no endpoint of the service states its pace.
   double slowness(const load_prior &Prior, time_ms Now) const;
   // Ms until the prompts that were sent before are read.
   double readingMs(const load_prior &Prior, time_ms Now) const;
@@ -180,6 +187,7 @@
   };
 
   std::vector<unanswered_call>::iterator findUnanswered(std::uint64_t Number);
+  double unansweredReadMs() const; // Of calls of this instance.
 
   load_report Report;                      // The last one.
   time_ms ReportedAt = -1;                 // -1 before the first report.
--- a/packages/load/src/endpoint_load.cpp
+++ b/packages/load/src/endpoint_load.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <numeric>
 
 namespace tamarack::load {
 
@@ -17,7 +18,7 @@
   ReportedAt = At;
   SentSinceReport = 0;
   EndedSinceReport = 0;
-  Pace.set(NewReport.PacePercent, At);
+  Pace.set(NewReport.PacePercent.value_or(100), At);
 }
 
 void endpoint_load::onSent(const sent_call &Call) {
@@ -97,6 +98,9 @@
 }
 
 double endpoint_load::requests(const load_prior &Prior, time_ms Now) const {
+  if (!Prior.HasPace)
+    return std::max(InFlight, Report.Running + Report.Waiting +
+                                  SentSinceReport - EndedSinceReport);
   const double Weight = reportWeight(Prior.HalfLifeMs, Now);
   const double Others =
       Weight * reportedOthers() + (1 - Weight) * Prior.OthersRequests;
@@ -104,12 +108,21 @@
 }
 
 double endpoint_load::slowness(const load_prior &Prior, time_ms Now) const {
-  if (!Prior.HasReports)
+  if (!Prior.HasPace)
     return 1;
   return std::exp(Speed.logRatio(Now) - Prior.LogRatio) * Pace.factor(Now);
 }
 
+double endpoint_load::unansweredReadMs() const {
+  return std::accumulate(Unanswered.begin(), Unanswered.end(), 0.0,
+                         [](double Sum, const unanswered_call &Waiting) {
+                           return Sum + Waiting.Call.ReadMs;
+                         });
+}
+
 double endpoint_load::readingMs(const load_prior &Prior, time_ms Now) const {
+  if (!Prior.HasPace)
+    return unansweredReadMs();
   return Backlog.remainingMs(slowness(Prior, Now), Now);
 }
 
--- a/packages/load/src/news_codec.cpp
+++ b/packages/load/src/news_codec.cpp
@@ -27,7 +27,7 @@
          isIn(News.Report.Running, MaxCount) &&
          isIn(News.Report.Waiting, MaxCount) &&
          isIn(News.Report.Slots, MaxCount) &&
-         isIn(News.Report.PacePercent, pace_estimate::MaxPercent);
+         isIn(News.Report.PacePercent.value_or(0), pace_estimate::MaxPercent);
 }
 
 bool isValid(const call_news &News) {
@@ -47,7 +47,8 @@
     std::get<1>(Form).emplace_back(
         Item.Endpoint, Item.AgeMs, Item.Report.Running, Item.Report.Waiting,
         Item.Report.Slots,
-        std::clamp(Item.Report.PacePercent, 0, pace_estimate::MaxPercent));
+        std::clamp(Item.Report.PacePercent.value_or(100), 0,
+                   pace_estimate::MaxPercent));
   for (const call_news &Item : News.Calls)
     std::get<2>(Form).emplace_back(Item.Id, Item.Endpoint, Item.AgeMs,
                                    Item.ReadMs, Item.ExpectedMs, Item.TookMs);
--- a/packages/load/src/service_load.cpp
+++ b/packages/load/src/service_load.cpp
@@ -54,7 +54,7 @@
     Weights += Weight;
     Requests += Weight * Endpoint->reportedOthers();
     LogRatios += Endpoint->logRatio(Now);
-    Prior.HasReports = Prior.HasReports || Endpoint->hasReport();
+    Prior.HasPace = Prior.HasPace || Endpoint->statesPace();
   }
   Prior.OthersRequests = Requests / (Weights + IdleWeight);
   if (!Endpoints.empty())
--- a/tests/unit/load_test.cpp
+++ b/tests/unit/load_test.cpp
@@ -18,7 +18,7 @@
 
 load_prior priorWith(double OthersRequests) {
   load_prior Prior;
-  Prior.HasReports = true;
+  Prior.HasPace = true;
   Prior.OthersRequests = OthersRequests;
   Prior.HalfLifeMs = HalfLifeMs;
   return Prior;
@@ -46,7 +46,7 @@
     }
     Balancer.setEndpoints(Entries, 0);
     for (const dispatch::endpoint_entry &Entry : Entries)
-      Balancer.onLoadReport(Entry.Id, {0, 0, Slots}, 0);
+      Balancer.onLoadReport(Entry.Id, {0, 0, Slots, 100}, 0);
   }
 
   std::string send(const relay::call &Call, time_ms Now) {
@@ -194,11 +194,30 @@
   Load.onSent({1, 0, 60, 0});
   Load.onAnswered(1, 600);
   Service.updatePrior(Loads, 600);
-  CHECK_FALSE(Service.prior().HasReports);
+  CHECK_FALSE(Service.prior().HasPace);
   CHECK(Load.slowness(Service.prior(), 600) == 1);
   CHECK(Load.requests(Service.prior(), 600) == 1);
 }
 
+// Deployments whose endpoints state no pace are served as before: the last
+// report counts whatever its age, and nobody is told of it.
+TEST_CASE("reports without a pace neither age nor pass on", "[load]") {
+  endpoint_load Load;
+  service_load Service;
+  const endpoint_load *const Loads[] = {&Load};
+  Load.onReport({9, 1, 24}, 0);
+  Load.onSent({1, 10, 100, 100});
+  Service.updatePrior(Loads, 20'000);
+  CHECK_FALSE(Service.prior().HasPace);
+  CHECK(Load.requests(Service.prior(), 20'000) == 11);
+  CHECK(Load.slowness(Service.prior(), 20'000) == 1);
+  CHECK(Load.readingMs(Service.prior(), 20'000) == 100);
+  choosing_instance Instance(8, 24, 400'000);
+  Instance.Balancer.composeNews("first", 100); // Of the fixture's reports.
+  Instance.Balancer.onLoadReport("e0", {8, 1, 24}, 200);
+  CHECK(Instance.Balancer.composeNews("first", 300).empty());
+}
+
 //---------------------------------------------------------------------------
 // News
 //---------------------------------------------------------------------------
