--- a/packages/daemon/src/router.cpp
+++ b/packages/daemon/src/router.cpp
@@ -305,6 +305,7 @@
       PoolTimer(Context), StartedAt(Clock.monotonic()) {
   WatermarkWriter.Name = Settings.Instance;
   GrantWriter.Name = Settings.Instance;
+  LoadBalancer.setZoneRegions(Settings.ZoneRegions);
 }
 
 router::~router() = default;
@@ -477,6 +478,7 @@
     Settings.RetryLimits = New.RetryLimits;
     Settings.ShutdownGraceMs = New.ShutdownGraceMs;
     LoadBalancer.setRetryLimits(New.RetryLimits);
+    LoadBalancer.setZoneRegions(New.ZoneRegions);
     Log.write("reload", {{"outcome", "applied"}});
   } catch (const adapters::settings_error &Error) {
     Log.write("reload", {{"outcome", "kept the previous settings"},
--- a/packages/daemon/src/router_settings.cpp
+++ b/packages/daemon/src/router_settings.cpp
@@ -18,10 +18,21 @@
                                            "peer-address", "metrics-address",
                                            "store-address"};
 
+// False if Item is not ZONE=REGION.
+bool addZoneRegion(const std::string &Item, dispatch::zone_regions &Regions) {
+  const std::size_t Equals = Item.find('=');
+  if (Equals == std::string::npos || Equals == 0 || Equals + 1 == Item.size())
+    return false;
+  Regions.insert_or_assign(Item.substr(0, Equals), Item.substr(Equals + 1));
+  return true;
+}
+
 void declareSettings(adapters::program_settings &Set) {
   Set.addSettingsFile("settings-file", "file of lines NAME = VALUE");
   Set.addText("instance", nullptr, "unique name of this instance");
   Set.addText("zone", nullptr, "availability zone of this instance");
+  Set.addText("zone-regions", "",
+              "ZONE=REGION of each zone, separated by commas");
   Set.addText("front-address", nullptr, "IP:PORT to serve callers on");
   Set.addText("ready-address", nullptr,
               "IP:PORT to serve the readiness check on");
@@ -53,6 +64,10 @@
     for (const char *Name : AddressSettings)
       if (!Set.getText(Name).empty())
         checkAddress(Name, Set.getText(Name), Errors);
+    dispatch::zone_regions Regions;
+    for (const std::string &Item : splitList(Set.getText("zone-regions")))
+      if (!addZoneRegion(Item, Regions))
+        Errors.push_back("--zone-regions takes items ZONE=REGION");
     for (const std::string &Peer : splitList(Set.getText("peers")))
       checkAddress("peers", Peer, Errors);
   }
@@ -90,6 +105,8 @@
     return false;
   Settings.Instance = Set.getText("instance");
   Settings.Zone = Set.getText("zone");
+  for (const std::string &Item : splitList(Set.getText("zone-regions")))
+    addZoneRegion(Item, Settings.ZoneRegions);
   Settings.FrontendAddress = Set.getText("front-address");
   Settings.ReadyAddress = Set.getText("ready-address");
   Settings.PeerAddress = Set.getText("peer-address");
--- a/packages/daemon/src/router_settings.hpp
+++ b/packages/daemon/src/router_settings.hpp
@@ -18,6 +18,7 @@
   std::vector<std::string> PeerAddresses; // Other instances, may be gone.
   std::string MetricsAddress;             // host:port that serves metrics.
   std::string StoreAddress;               // host:port of the platform's store.
+  dispatch::zone_regions ZoneRegions;     // Of all zones with endpoints.
   dispatch::retry_limits RetryLimits;
   // An endpoint serves at least so long after the list says that it leaves.
   int LeaveNoticeMs = 2'000;
--- a/packages/dispatch/include/tamarack/dispatch.hpp
+++ b/packages/dispatch/include/tamarack/dispatch.hpp
@@ -7,7 +7,8 @@
 //   prompt cache     prompt_cache
 //   retries          retry_limits, fleet_retry_budget
 //   load balancing   cost_weights, placement_survey, availability_listener,
-//                    load_balancer, an implementation of relay::placement
+//                    zone_regions, load_balancer, an implementation of
+//                    relay::placement
 //   shutdown         shutdown_schedule, shutdown_gate
 //
 // Nothing here is thread-safe or reads a clock; times are monotonic ms.
@@ -250,6 +251,7 @@
   int Available = 0; // Might get it.
   int Busy = 0;      // Have too many requests.
   int OtherVersions = 0;
+  int OtherRegions = 0;               // Outside those that the call may reach.
   int Withheld[WithheldReasons] = {}; // By withheld_reason.
   time_ms FirstPauseEnd = 0;          // 0 if there is no pause.
 };
@@ -263,6 +265,9 @@
                           int DurationMs) = 0;
 };
 
+// Names of regions by availability zone.
+using zone_regions = std::map<std::string, std::string, std::less<>>;
+
 // Chooses the endpoint with the lowest estimated cost for each call.
 class load_balancer final : public relay::placement {
 public:
@@ -273,6 +278,9 @@
   // Replaces the complete list of endpoints. An entry whose StartedAt changed
   // is a new endpoint.
   void setEndpoints(std::span<const endpoint_entry> Entries, time_ms Now);
+  // Replaces what is known of the regions of zones. A call with allowed regions
+  // reaches no endpoint of a zone that is missing here.
+  void setZoneRegions(zone_regions To) { ZoneRegions = std::move(To); }
   // Replaces the complete list of evacuated zones. Their endpoints get nothing
   // new; what they run goes on. They come back as after a pause.
   void setEvacuatedZones(std::span<const std::string> Zones, time_ms Now);
@@ -286,6 +294,8 @@
   void onPauseStated(std::string_view Endpoint, int DurationMs, time_ms Now);
   void onRequest(std::string_view Service); // Once for each caller's request.
 
+  std::optional<relay::placement_refusal> admit(const relay::call &Call,
+                                                time_ms Now) override;
   std::optional<relay::endpoint_choice>
   choose(const relay::call &Call, const std::set<std::string> &Tried,
          time_ms Now) override;
@@ -335,6 +345,13 @@
   withheld_reason reasonOf(const endpoint_state &State, time_ms Now) const;
   static bool isRightVersion(const endpoint_state &State,
                              const relay::call &Call);
+  bool isAllowedRegion(const endpoint_state &State,
+                       const relay::call &Call) const;
+  // False if the endpoint must not get the call, whatever its state is.
+  bool isSuitable(const endpoint_state &State, const relay::call &Call) const;
+  // True if the call is bound to regions and none has a listed endpoint of its
+  // service.
+  bool isOutOfRegions(const relay::call &Call) const;
   bool isBusy(const endpoint_state &State) const;
   // Until the endpoints that asked for a pause get requests again, empty if the
   // call is refused for another reason.
@@ -362,6 +379,7 @@
   std::map<std::string, endpoint_state, std::less<>> Endpoints; // By id.
   std::map<std::string, std::vector<std::string>, std::less<>>
       EndpointsByService; // Ids.
+  zone_regions ZoneRegions;
   std::set<std::string, std::less<>> EvacuatedZones;
   std::map<std::string, fleet_retry_budget, std::less<>>
       RetryBudgets; // By service.
--- a/packages/dispatch/src/load_balancer.cpp
+++ b/packages/dispatch/src/load_balancer.cpp
@@ -197,6 +197,33 @@
          Call.RequiredVersion == State.Entry.Version;
 }
 
+bool load_balancer::isAllowedRegion(const endpoint_state &State,
+                                    const relay::call &Call) const {
+  if (!Call.AllowedRegions.IsBound)
+    return true;
+  const zone_regions::const_iterator Region =
+      ZoneRegions.find(State.Entry.Zone);
+  return Region != ZoneRegions.end() &&
+         Call.AllowedRegions.contains(Region->second);
+}
+
+bool load_balancer::isSuitable(const endpoint_state &State,
+                               const relay::call &Call) const {
+  return isRightVersion(State, Call) && isAllowedRegion(State, Call);
+}
+
+bool load_balancer::isOutOfRegions(const relay::call &Call) const {
+  if (!Call.AllowedRegions.IsBound)
+    return false;
+  return std::none_of(Endpoints.begin(), Endpoints.end(),
+                      [this, &Call](const auto &Item) {
+                        const endpoint_state &State = Item.second;
+                        return State.Availability.isListed() &&
+                               State.Entry.Service == Call.Service &&
+                               isAllowedRegion(State, Call);
+                      });
+}
+
 bool load_balancer::isBusy(const endpoint_state &State) const {
   const double RequestsPerSlot =
       isEngine(State.Entry.Service) ? 2.0 : 1.0 + MaxQueuedPerSlot;
@@ -256,6 +283,14 @@
   return Cost;
 }
 
+// A stream that is taken up may go to another service than the call names yet.
+std::optional<relay::placement_refusal>
+load_balancer::admit(const relay::call &Call, time_ms) {
+  if (Call.RouteServices.empty() && isOutOfRegions(Call))
+    return refusal(Call);
+  return std::nullopt;
+}
+
 std::optional<relay::endpoint_choice>
 load_balancer::choose(const relay::call &Call,
                       const std::set<std::string> &Tried, time_ms Now) {
@@ -266,7 +301,7 @@
   std::vector<const endpoint_state *> Candidates;
   for (const std::string &Id : Members->second) {
     const endpoint_state &State = Endpoints.find(Id)->second;
-    if (!Tried.contains(Id) && isRightVersion(State, Call) && !isBusy(State) &&
+    if (!Tried.contains(Id) && isSuitable(State, Call) && !isBusy(State) &&
         reasonOf(State, Now) == withheld_reason::None)
       Candidates.push_back(&State);
   }
@@ -295,7 +330,7 @@
                                  time_ms Now) const {
   const endpoint_state *State = findEndpoint(Target.Endpoint);
   return State != nullptr && State->Entry.StartedAt == Target.StartedAt &&
-         isRightVersion(*State, Call) && State->Availability.mayStillSend(Now);
+         isSuitable(*State, Call) && State->Availability.mayStillSend(Now);
 }
 
 void load_balancer::onSent(const relay::call &Call, std::string_view Endpoint,
@@ -370,18 +405,19 @@
 bool load_balancer::isVersionGone(const relay::call &Call) const {
   if (Call.RequiredVersion.empty())
     return false;
-  return std::none_of(Endpoints.begin(), Endpoints.end(),
-                      [&Call](const auto &Item) {
-                        const endpoint_state &State = Item.second;
-                        return State.Availability.takesNewWork() &&
-                               State.Entry.Service == Call.Service &&
-                               State.Entry.Version == Call.RequiredVersion;
-                      });
+  return std::none_of(
+      Endpoints.begin(), Endpoints.end(), [this, &Call](const auto &Item) {
+        const endpoint_state &State = Item.second;
+        return State.Availability.takesNewWork() &&
+               State.Entry.Service == Call.Service && isSuitable(State, Call);
+      });
 }
 
 relay::placement_refusal load_balancer::refusal(const relay::call &Call) const {
   if (isVersionGone(Call))
     return {relay::error_kind::StreamVersionGone, 0};
+  if (isOutOfRegions(Call))
+    return {relay::error_kind::NoEndpoint, 0};
   if (const std::optional<int> RetryAfterMs = pauseRetryAfterMs(Call))
     return {relay::error_kind::Overloaded, *RetryAfterMs};
   return {relay::error_kind::NoEndpoint,
@@ -399,11 +435,13 @@
     const withheld_reason Reason = reasonOf(State, Now);
     if (!isRightVersion(State, Call))
       ++Survey.OtherVersions;
+    else if (!isAllowedRegion(State, Call))
+      ++Survey.OtherRegions;
     else if (Reason != withheld_reason::None)
       ++Survey.Withheld[static_cast<std::size_t>(Reason)];
     else
       ++(isBusy(State) ? Survey.Busy : Survey.Available);
-    if (Reason == withheld_reason::Paused) {
+    if (Reason == withheld_reason::Paused && isSuitable(State, Call)) {
       const time_ms End = std::max(Now, State.Availability.pausedUntil());
       Survey.FirstPauseEnd =
           Survey.FirstPauseEnd == 0 ? End : std::min(Survey.FirstPauseEnd, End);
--- a/packages/relay/include/tamarack/relay.hpp
+++ b/packages/relay/include/tamarack/relay.hpp
@@ -61,6 +61,18 @@
   int Weight = 1; // Share of the route's calls, relative to the other weights.
 };
 
+// Regions whose endpoints may get a call.
+struct allowed_regions {
+  bool IsBound = false;           // False: all, known or not.
+  std::vector<std::string> Names; // Of the allowed ones, if bound.
+
+  // Region: empty if it is not known.
+  bool contains(std::string_view Region) const;
+};
+
+// The regions that both allow.
+allowed_regions intersect(const allowed_regions &A, const allowed_regions &B);
+
 struct route {
   std::string Name;
   std::string Host;       // As in the caller's Host header, without a port.
@@ -73,6 +85,7 @@
   int Priority = 5;              // 0 is the highest.
   int MaxAttempts = 1;           // Endpoints that one call may be sent to.
   bool Public = false;           // Callers need no key.
+  allowed_regions AllowedRegions;
 };
 
 // A pool of endpoints that serve the same calls.
@@ -88,6 +101,7 @@
   std::string Name;
   std::optional<int> Priority;               // Overrides the route's priority.
   std::optional<std::int64_t> PrepaidTokens; // Total; none: unlimited.
+  allowed_regions AllowedRegions;            // Beside those of the route.
 };
 
 // Limits on what a caller may send.
@@ -165,6 +179,7 @@
   call_kind Kind = call_kind::NotRepeatable;
   int Priority = 5; // 0 is the highest.
   int MaxAttempts = 1;
+  allowed_regions AllowedRegions; // By its route and its account.
   int TargetFirstByteMs = 1'000;
   time_ms ArrivedAt = 0;
   time_ms Deadline = 0; // When the final response is due.
--- a/packages/relay/src/route_table.cpp
+++ b/packages/relay/src/route_table.cpp
@@ -1,6 +1,8 @@
 // Lookups in one accepted configuration.
 #include "tamarack/relay.hpp"
 
+#include <algorithm>
+
 namespace tamarack::relay {
 
 std::string_view toString(call_kind Kind) {
@@ -63,6 +65,22 @@
   return "";
 }
 
+bool allowed_regions::contains(std::string_view Region) const {
+  return !IsBound ||
+         std::find(Names.begin(), Names.end(), Region) != Names.end();
+}
+
+allowed_regions intersect(const allowed_regions &A, const allowed_regions &B) {
+  if (!A.IsBound)
+    return B;
+  allowed_regions Both;
+  Both.IsBound = true;
+  for (const std::string &Name : A.Names)
+    if (B.contains(Name))
+      Both.Names.push_back(Name);
+  return Both;
+}
+
 void route_table::add(route Route) {
   std::string Prefix = Route.PathPrefix;
   host_routes &HostRoutes = RoutesByHost[Route.Host];
--- a/tests/unit/dispatch_test.cpp
+++ b/tests/unit/dispatch_test.cpp
@@ -534,3 +534,53 @@
   }
   CHECK(SendingEarly < Instances / 2);
 }
+
+//---------------------------------------------------------------------------
+// Allowed regions
+//---------------------------------------------------------------------------
+
+// Guards against a request that reaches a region it must not reach because the
+// allowed one is busy, has failed, or has left meanwhile.
+TEST_CASE("a call reaches only endpoints in its allowed regions", "[regions]") {
+  dispatch_fixture Fixture(1);
+  Fixture.Balancer.setZoneRegions({{"a1", "a"}, {"b1", "b"}});
+  std::vector<endpoint_entry> List = {entryOf("e0", "a1"), entryOf("e1", "b1"),
+                                      entryOf("e2", "unknown")};
+  List[1].Version = "v2";
+  Fixture.Balancer.setEndpoints(List, 0);
+  relay::call Call = callOf(1, 1);
+  Call.AllowedRegions = {true, {"a"}};
+  for (std::uint64_t Part = 0; Part < 20; ++Part) {
+    Call.Prompt = callOf(Part, Part).Prompt;
+    CHECK(Fixture.choose(Call) == "e0");
+  }
+  CHECK(Fixture.mayStillSend("e0", 1, Call, 0) == "yes");
+  CHECK(Fixture.mayStillSend("e1", 1, Call, 0) == "no");
+  CHECK(Fixture.mayStillSend("e2", 1, Call, 0) == "no");
+  CHECK_FALSE(Fixture.Balancer.admit(Call, 0).has_value());
+  CHECK_FALSE(Fixture.Balancer.choose(Call, {"e0"}, 0).has_value());
+  CHECK(Fixture.Balancer.survey(Call, 0).OtherRegions == 2);
+  SECTION("a stream of a version that runs elsewhere") {
+    Call.RequiredVersion = "v2";
+    CHECK(Fixture.choose(Call).empty());
+    CHECK(Fixture.Balancer.refusal(Call).Kind ==
+          relay::error_kind::StreamVersionGone);
+  }
+  SECTION("a call without a bound") {
+    Call.AllowedRegions = {};
+    CHECK(Fixture.Balancer.choose(Call, {"e0", "e1"}, 0).has_value());
+    CHECK(Fixture.mayStillSend("e2", 1, Call, 0) == "yes");
+  }
+  SECTION("no region may serve it") {
+    Call.AllowedRegions.Names.clear();
+    CHECK(Fixture.choose(Call).empty());
+  }
+  SECTION("no endpoint is in its regions") {
+    Fixture.Balancer.setEndpoints(std::span(List).last(2), 10);
+    CHECK(Fixture.choose(Call, 10).empty());
+    const std::optional<relay::placement_refusal> Refusal =
+        Fixture.Balancer.admit(Call, 10);
+    REQUIRE(Refusal.has_value());
+    CHECK(Refusal->Kind == relay::error_kind::NoEndpoint);
+  }
+}
--- a/tests/unit/platform_test.cpp
+++ b/tests/unit/platform_test.cpp
@@ -864,3 +864,51 @@
   CHECK(Page->Records[2].Value.empty());
   CHECK(Page->Records[3].Value == std::string("\0bc", 3));
 }
+
+namespace {
+
+std::string boundConfiguration(const std::string &Route,
+                               const std::string &Account) {
+  return R"({"version": 1, "services": [{"name": "s"}],
+    "routes": [{"host": "h", "pathPrefix": "/", "kind": "idempotent",
+                "service": "s")" +
+         Route + R"(}], "tenants": [{"name": "t", "apiKeys": ["k"])" + Account +
+         "}]}";
+}
+
+} // namespace
+
+// Guards against a bound that is read as none.
+TEST_CASE("routes and accounts name the regions that may serve their calls",
+          "[platform]") {
+  const std::shared_ptr<const relay::route_table> Table =
+      decodeConfiguration(boundConfiguration(
+          R"(, "allowedRegions": ["a", "b"])", R"(, "allowedRegions": ["b"])"));
+  const relay::allowed_regions &Route =
+      Table->findRoute("h", "/")->AllowedRegions;
+  const relay::allowed_regions &Account =
+      Table->findAccount("t")->AllowedRegions;
+  CHECK(Route.contains("a"));
+  CHECK_FALSE(Route.contains(""));
+  const relay::allowed_regions Both = relay::intersect(Route, Account);
+  CHECK(Both.contains("b"));
+  CHECK_FALSE(Both.contains("a"));
+  const relay::allowed_regions None = relay::intersect(Account, {true, {"c"}});
+  CHECK(None.IsBound);
+  CHECK_FALSE(None.contains("b"));
+  for (const char *Absent :
+       {"", R"(, "allowedRegions": [])", R"(, "allowedRegions": null)"}) {
+    const std::shared_ptr<const relay::route_table> Free =
+        decodeConfiguration(boundConfiguration(Absent, Absent));
+    CHECK(Free->findRoute("h", "/")->AllowedRegions.contains(""));
+    CHECK_FALSE(Free->findAccount("t")->AllowedRegions.IsBound);
+  }
+  for (const char *Odd : {R"("a")", "7", "true", R"([""])", R"(["a", 1])",
+                          R"([["a"]])", R"({"a": "b"})", R"([null])"}) {
+    const std::string Field = std::string(R"(, "allowedRegions": )") + Odd;
+    CHECK_THROWS_AS(decodeConfiguration(boundConfiguration(Field, "")),
+                    document_error);
+    CHECK_THROWS_AS(decodeConfiguration(boundConfiguration("", Field)),
+                    document_error);
+  }
+}
