--- a/packages/relay/include/tamarack/relay.hpp
+++ b/packages/relay/include/tamarack/relay.hpp
@@ -607,6 +607,7 @@
   void finishCompleteResponse(time_ms Now);
   void refuseNotRun(error_kind Kind, int RetryAfterMs);
   void refuseUnplaced();
+  int unreachedRetryAfterMs() const;
   void failAfterSend(bool TimedOut);
   void failUnstoredBill();
   void sendError(error_kind Kind);
