--- a/tests/unit/load_test.cpp
+++ b/tests/unit/load_test.cpp
@@ -90,7 +90,7 @@
 // Failure: reports stop, and the calls that they counted have long ended.
 TEST_CASE("without new reports nothing is assumed of others", "[load]") {
   endpoint_load Load;
-  Load.onReport({9, 1, 24}, 0);
+  Load.onReport({9, 1, 24, 100}, 0);
   service_load Service;
   const endpoint_load *const Loads[] = {&Load};
   Service.updatePrior(Loads, 0);
