--- a/packages/daemon/src/router.cpp
+++ b/packages/daemon/src/router.cpp
@@ -58,9 +58,9 @@
                               static_cast<double>(edge::SessionBytes);
   const double MostByDescriptors =
       CallerDescriptorShare * static_cast<double>(Settings.MaxDescriptors);
-  Result.MaxSessions = std::min(
-      {Result.MaxSessions, static_cast<std::size_t>(MostByMemory),
-       static_cast<std::size_t>(MostByDescriptors)});
+  Result.MaxSessions =
+      std::min({Result.MaxSessions, static_cast<std::size_t>(MostByMemory),
+                static_cast<std::size_t>(MostByDescriptors)});
   Result.SlowRequests.MinBytesPerSecond = Settings.SlowRequestBytesPerS;
   return Result;
 }
--- a/packages/edge/include/tamarack/edge.hpp
+++ b/packages/edge/include/tamarack/edge.hpp
@@ -190,10 +190,10 @@
 
 // Since the start.
 struct frontend_counts {
-  std::uint64_t FullRequests = 0;    // Refused while they were received.
-  std::uint64_t SlowRequests = 0;    // Gave way to others.
-  std::uint64_t ClosedIdle = 0;      // Idle connections closed for new ones.
-  std::uint64_t ClosedNew = 0;       // New connections closed.
+  std::uint64_t FullRequests = 0; // Refused while they were received.
+  std::uint64_t SlowRequests = 0; // Gave way to others.
+  std::uint64_t ClosedIdle = 0;   // Idle connections closed for new ones.
+  std::uint64_t ClosedNew = 0;    // New connections closed.
 };
 
 // A request that was read after beginDrain(), for logs.
--- a/packages/edge/src/endpoint_attempt.hpp
+++ b/packages/edge/src/endpoint_attempt.hpp
@@ -104,7 +104,7 @@
   attempt_listener *Listener; // Null once the attempt is cancelled or ended.
   relay::call Call;
   relay::endpoint_choice Target;
-  shared_body Body; // Until it is written.
+  shared_body Body;                                   // Until it is written.
   http::request<http::span_body<const char>> Request; // Its body is in Body.
   std::shared_ptr<endpoint_connection> Connection;
   net::steady_timer ConnectTimer;
--- a/packages/edge/src/frontend_session.hpp
+++ b/packages/edge/src/frontend_session.hpp
@@ -107,14 +107,14 @@
   tcp::socket Socket;
   net::steady_timer Timer; // For the current phase, or nextTimer() of Exchange.
   boost::beast::flat_buffer Buffer;
-  request_reader Request; // While ReadingRequest.
-  bool HasHead = false;   // Of Request.
+  request_reader Request;      // While ReadingRequest.
+  bool HasHead = false;        // Of Request.
   std::size_t WindowBytes = 0; // As set by widenWindow().
   phase Phase = phase::Idle;
-  bool IsReadingAhead = false; // An operation of readAhead() is pending.
-  bool KeepAlive = true;       // The connection stays open after the response.
-  bool IsHttp10 = false;       // The request has a version before HTTP/1.1.
-  bool IsHeadRequest = false;  // The response must have no body.
+  bool IsReadingAhead = false;  // An operation of readAhead() is pending.
+  bool KeepAlive = true;        // The connection stays open after the response.
+  bool IsHttp10 = false;        // The request has a version before HTTP/1.1.
+  bool IsHeadRequest = false;   // The response must have no body.
   time_ms ExchangeTimerDue = 0; // Monotonic time that Timer is set to.
   time_ms AcceptedAt;           // Monotonic.
   time_ms IdleSince;            // Monotonic; while Idle.
@@ -124,7 +124,7 @@
   memory::memory_charge BufferCharge;  // Of Buffer, if it holds much.
 
   // The call that is being served; Exchange is null if there is none.
-  memory::memory_charge CallCharge; // What serving a call takes in any case.
+  memory::memory_charge CallCharge;   // What serving a call takes in any case.
   request_message ForwardRequest;     // Without its body.
   std::shared_ptr<held_request> Held; // The body.
   relay::numbered_event_reader Reader;
--- a/packages/edge/src/request_reader.cpp
+++ b/packages/edge/src/request_reader.cpp
@@ -73,9 +73,8 @@
   error_code Error;
   Buffer.consume(Parser->put(Buffer.cdata(), Error));
   if (Error == http::error::need_more)
-    return Size >= MaxUnparsedBytes
-               ? refuse(relay::error_kind::HeadersTooLarge)
-               : reading_state::Head;
+    return Size >= MaxUnparsedBytes ? refuse(relay::error_kind::HeadersTooLarge)
+                                    : reading_state::Head;
   if (Error == http::error::header_limit)
     return refuse(relay::error_kind::HeadersTooLarge);
   if (Error == http::error::body_limit)
--- a/packages/edge/src/request_reader.hpp
+++ b/packages/edge/src/request_reader.hpp
@@ -62,7 +62,7 @@
   std::uint64_t MaxBodyBytes = 0;
   std::optional<parser> Parser;
   std::shared_ptr<held_request> Held;
-  std::size_t HeadBytes = 0; // That count; 0 for a head of the usual size.
+  std::size_t HeadBytes = 0;   // That count; 0 for a head of the usual size.
   bool IsBodyExpected = false; // The head is checked and its body is held.
   relay::error_kind Refusal = relay::error_kind::InvalidRequest;
 };
--- a/tests/unit/request_reader_test.cpp
+++ b/tests/unit/request_reader_test.cpp
@@ -18,9 +18,9 @@
   }
 
   reading_state receive(std::string_view Bytes) {
-    Buffer.commit(net::buffer_copy(Buffer.prepare(Bytes.size()),
-                                   net::const_buffer(Bytes.data(),
-                                                     Bytes.size())));
+    Buffer.commit(
+        net::buffer_copy(Buffer.prepare(Bytes.size()),
+                         net::const_buffer(Bytes.data(), Bytes.size())));
     return Reader.parse(Buffer, Bytes.size(), 0);
   }
 
@@ -49,8 +49,8 @@
   Second.begin(First.Limits, 0);
   boost::beast::flat_buffer Buffer;
   const std::string Head = statedHead(200 * KiB);
-  Buffer.commit(net::buffer_copy(Buffer.prepare(Head.size()),
-                                 net::buffer(Head)));
+  Buffer.commit(
+      net::buffer_copy(Buffer.prepare(Head.size()), net::buffer(Head)));
   CHECK(Second.parse(Buffer, Head.size(), 0) == reading_state::Full);
   CHECK(First.Memory.used() == 600 * KiB);
   First.Reader.reset();
