Turn even load on only by its setting

Change: the setting even-load, default off; without it a report's pace is dropped and news are not read, so deployments are served as before.

--- a/bench/even_load.cpp
+++ b/bench/even_load.cpp
@@ -90,6 +90,7 @@
       Instances.push_back(
           std::make_unique<instance>(I % Zones, static_cast<unsigned>(I)));
       Instances.back()->Balancer.setTable(Table);
+      Instances.back()->Balancer.setEvenLoad(true);
       Instances.back()->Balancer.setEndpoints(Entries, 0);
     }
   }
--- a/packages/daemon/src/router.cpp
+++ b/packages/daemon/src/router.cpp
@@ -328,6 +328,7 @@
                     }),
       SignalSet(Context, SIGTERM, SIGINT, SIGHUP), TickTimer(Context),
       PoolTimer(Context), StartedAt(Clock.monotonic()) {
+  LoadBalancer.setEvenLoad(Settings.IsEvenLoad);
   WatermarkWriter.Name = Settings.Instance;
   GrantWriter.Name = Settings.Instance;
   LoadBalancer.setZoneRegions(Settings.ZoneRegions);
--- a/packages/daemon/src/router_settings.cpp
+++ b/packages/daemon/src/router_settings.cpp
@@ -60,6 +60,9 @@
   Set.addDecimal("slow-request-bytes-per-s", "16384", 0, 1e9,
                  "requests that arrive slower are refused first when the "
                  "memory is full, bytes/s");
+  Set.addFlag("even-load",
+              "let load reports lose weight with age, and tell other instances "
+              "of the zone of load");
   Set.addNumber("log-lines", "200", 1, 1000000,
                 "most log lines per event and second");
 }
@@ -131,6 +134,7 @@
   Settings.PeerAddresses = splitList(Set.getText("peers"));
   Settings.MetricsAddress = Set.getText("metrics-address");
   Settings.StoreAddress = Set.getText("store-address");
+  Settings.IsEvenLoad = Set.getFlag("even-load");
   Settings.RetryLimits.RetriesPerRequest = Set.getDecimal("repeat-ratio");
   Settings.RetryLimits.ExtraPerWindow = Set.getDecimal("repeat-slack");
   Settings.RetryLimits.WindowMs =
--- a/packages/daemon/src/router_settings.hpp
+++ b/packages/daemon/src/router_settings.hpp
@@ -20,6 +20,7 @@
   std::string StoreAddress;               // host:port of the platform's store.
   dispatch::zone_regions ZoneRegions;     // Of all zones with endpoints.
   dispatch::retry_limits RetryLimits;
+  bool IsEvenLoad = false; // See load_balancer::setEvenLoad.
   // An endpoint serves at least so long after the list says that it leaves.
   int LeaveNoticeMs = 2'000;
   int ShutdownGraceMs = 8'000;    // From the stop signal to the forced stop.
--- a/packages/dispatch/include/tamarack/dispatch.hpp
+++ b/packages/dispatch/include/tamarack/dispatch.hpp
@@ -290,6 +290,9 @@
   // Number of instances that share the retries, this one included.
   void setInstanceCount(int Count) { InstanceCount = std::max(1, Count); }
   void setRetryLimits(const retry_limits &To) { RetryLimits = To; }
+  // Lets reports age by their pace, and instances tell each other of load. If
+  // off, the last report counts whatever its age.
+  void setEvenLoad(bool To) { IsEvenLoad = To; }
   void onLoadReport(std::string_view Endpoint, const load_report &Load,
                     time_ms Now);
   // News of load for Peer, an instance of this zone; empty if there are none.
@@ -407,6 +410,7 @@
   cost_weights Weights;
   time_ms LastChoiceAt = 0;
   std::optional<int> InstanceCount; // Empty until setInstanceCount.
+  bool IsEvenLoad = false;          // See setEvenLoad.
   std::shared_ptr<const relay::route_table> Table;
   std::map<std::string, endpoint_state, std::less<>> Endpoints; // By id.
   std::map<std::string, std::vector<std::string>, std::less<>>
--- a/packages/dispatch/src/load_balancer.cpp
+++ b/packages/dispatch/src/load_balancer.cpp
@@ -162,9 +162,12 @@
   endpoint_state *State = findEndpoint(Endpoint);
   if (State == nullptr)
     return;
-  State->Load.onReport(Load, Now);
-  if (Load.PacePercent)
-    News.add(load::report_news{load::keyOf(Endpoint), 0, Load}, {}, Now);
+  load_report Report = Load;
+  if (!IsEvenLoad)
+    Report.PacePercent.reset();
+  State->Load.onReport(Report, Now);
+  if (Report.PacePercent)
+    News.add(load::report_news{load::keyOf(Endpoint), 0, Report}, {}, Now);
 }
 
 std::string load_balancer::composeNews(std::string_view Peer, time_ms Now) {
@@ -178,6 +181,8 @@
   const std::optional<load::load_news> Told = load::decodeNews(Bytes);
   if (!Told)
     return false;
+  if (!IsEvenLoad)
+    return true;
   for (const load::report_news &Item : Told->Reports) {
     endpoint_state *State = findEndpoint(Item.Endpoint);
     if (State != nullptr && News.add(Item, Peer, Now))
--- a/tests/unit/load_test.cpp
+++ b/tests/unit/load_test.cpp
@@ -35,6 +35,7 @@
     Service.KvCacheTokens = KvTokens;
     Table->add(Service);
     Balancer.setTable(Table);
+    Balancer.setEvenLoad(true);
     std::vector<dispatch::endpoint_entry> Entries;
     for (int I = 0; I < Count; ++I) {
       dispatch::endpoint_entry Entry;
