--- a/packages/relay/include/tamarack/relay.hpp
+++ b/packages/relay/include/tamarack/relay.hpp
@@ -607,7 +607,6 @@
   void finishCompleteResponse(time_ms Now);
   void refuseNotRun(error_kind Kind, int RetryAfterMs);
   void refuseUnplaced();
-  int unreachedRetryAfterMs() const;
   void failAfterSend(bool TimedOut);
   void failUnstoredBill();
   void sendError(error_kind Kind);
--- a/packages/relay/src/exchange.cpp
+++ b/packages/relay/src/exchange.cpp
@@ -13,8 +13,7 @@
 constexpr int MaxOriginWaitMs = 500;           // For a look-up in the store.
 constexpr int StoreOutageRetryAfterMs = 6'000; // Store outages last seconds.
 constexpr int MaxUnreachedEndpoints = 3; // Each is replaced by another one.
-constexpr std::uint64_t UnreachedSpreadMs = 80;
-constexpr int MinAttemptMs = 20; // A shorter attempt is not worthwhile.
+constexpr int MinAttemptMs = 20;         // A shorter attempt is not worthwhile.
 constexpr std::size_t MaxCompleteBodyBytes = 8u << 20;
 constexpr std::size_t MaxEventBytes = 1u << 20;
 
@@ -328,6 +327,8 @@
   if (!StreamBegun) {
     beginStream();
   }
+  Report.ResponseBytes += Events.size();
+  ++Report.ResponseParts;
   Host.forwardEvents(Events);
 }
 
@@ -455,17 +456,7 @@
 
 void exchange::refuseUnplaced() {
   const placement_refusal Refusal = Placement.refusal(Call);
-  const bool IsCutOff = Refusal.Kind == error_kind::NoEndpoint &&
-                        Report.LastOutcome == attempt_outcome::Unreached;
-  refuseNotRun(Refusal.Kind,
-               IsCutOff ? unreachedRetryAfterMs() : Refusal.RetryAfterMs);
-}
-
-// This instance could not connect to its endpoints; another one may. Callers
-// come back spread over UnreachedSpreadMs.
-int exchange::unreachedRetryAfterMs() const {
-  return OtherInstanceRetryAfterMs +
-         static_cast<int>(Call.Number % UnreachedSpreadMs);
+  refuseNotRun(Refusal.Kind, Refusal.RetryAfterMs);
 }
 
 // Refuses the call with an error that promises that the call did not run.
