--- a/packages/relay/src/exchange.cpp
+++ b/packages/relay/src/exchange.cpp
@@ -327,8 +327,6 @@
   if (!StreamBegun) {
     beginStream();
   }
-  Report.ResponseBytes += Events.size();
-  ++Report.ResponseParts;
   Host.forwardEvents(Events);
 }
 
