--- a/packages/load/include/tamarack/load.hpp
+++ b/packages/load/include/tamarack/load.hpp
@@ -44,7 +44,7 @@
   int Waiting = 0; // Requests in the endpoint's queue.
   int Slots = 0;   // Requests that it processes concurrently.
   // Time that work takes at that moment, 100 as usual. Empty if not stated.
-  std::optional<int> PacePercent;
+  std::optional<int> PacePercent = {};
 };
 
 //---------------------------------------------------------------------------
