--- /dev/null
+++ b/tests/process/broken_answer_scenarios.py
@@ -0,0 +1,327 @@
+"""End-to-end tests of answers that are broken: callers never get them.
+
+A caller gets the endpoint's whole answer, or a statement of the router that
+there is none, or, once an answer has begun, an end that shows that it is cut.
+Each function of SCENARIOS is one test. Its name says what must hold.
+"""
+import collections
+import http.client
+import itertools
+import time
+
+from platform_fleet import DESK_HOST, STREAM_HOST, PlatformFleet
+from raw_endpoint import RawEndpoint, wait_for_endpoints
+
+# Kinds of routes: service, host and path.
+KINDS = {"stream": ("engine", STREAM_HOST, "/stream/a"),  # Resumable.
+         "once": ("engine", STREAM_HOST, "/stream/once/a"),
+         "sale": ("desk", DESK_HOST, "/sale/a"),  # Not repeatable.
+         "lookup": ("desk", DESK_HOST, "/lookup/a")}
+SMALL_BYTES = 100
+LARGE_BYTES = 4_000_000  # More than the buffers of sockets hold.
+LIMITS = {"maxHeaderBytes": 8192, "maxBodyBytes": 4 << 20,
+          "headerTimeoutMs": 3000, "idleTimeoutMs": 15000}
+RECEIVE_BYTES = 16_384  # Of endpoints that don't read.
+MAX_TRIES = 100  # Of one case, until an endpoint has got the request.
+RETRY_S = 0.1
+FOREIGN = b"not-the-answer"  # In all bytes that no caller may get.
+NONE_STATUSES = {502, 504}  # There is no answer; the request may have run.
+
+LAST_CHUNK = b"0\r\n\r\n"
+
+Got = collections.namedtuple("Got", "status headers body cut")
+request_numbers = itertools.count()
+
+
+def call(fleet, kind, request_id, size=SMALL_BYTES, router="router-0",
+         **headers):
+    """Sends a request on a connection of its own; returns what came back.
+
+    "_" in the names of headers means "-".
+    """
+    _, host, path = KINDS[kind]
+    fields = {"Host": host, "Attempt-Id": request_id, "Key": "key-ring",
+              "Deadline-Ms": "6000", "Connection": "close"}
+    if kind in ("stream", "once"):
+        fields["Token-Count"] = "100,10"
+        fields["Prompt-Prefix"] = f"a1:50,{hash(request_id) & 0xffffff:x}:50"
+    fields.update({name.replace("_", "-"): value
+                   for name, value in headers.items()})
+    connection = http.client.HTTPConnection(
+        "127.0.0.1", fleet.routers[router][0], timeout=30)
+    status, headers, body = None, {}, b""
+    try:
+        connection.request("POST", path, request_id.encode().ljust(size, b"."),
+                           fields)
+        response = connection.getresponse()
+        status, headers = response.status, dict(response.headers)
+        body = response.read()
+        return Got(status, headers, body, False)
+    except http.client.IncompleteRead as error:
+        return Got(status, headers, error.partial, True)
+    except (OSError, http.client.HTTPException):
+        return Got(status, headers, body, True)
+    finally:
+        connection.close()
+
+
+class BrokenEndpoint(RawEndpoint):
+    """Answers as `answer` says: a function that gets the arrival, or None.
+
+    Without one, and if `kept` to the first request on a connection, it answers
+    a stream or a complete body, as it should.
+    """
+
+    def __init__(self, fleet, name, service, **options):
+        super().__init__(fleet, name, service, self.respond_to, **options)
+        self.answer = None
+        self.kept = False
+        self.broken = set()  # Ids of requests that `answer` has answered.
+        self.sound = set()
+
+    def respond_to(self, arrival):
+        if self.answer is None or (self.kept and arrival.number == 0):
+            arrival.read_body()
+            self.sound.add(arrival.id)
+            return arrival.send(sound_answer(self.service, arrival))
+        self.broken.add(arrival.id)
+        self.answer(arrival)
+
+
+def chunk(data):
+    return b"%x\r\n%s\r\n" % (len(data), data)
+
+
+def events(first, last):
+    return b"".join(b"id: %d\ndata: piece %d\n\n" % (number, number)
+                    for number in range(first, last + 1))
+
+
+def sound_answer(service, arrival):
+    if service == "desk":
+        return arrival.whole(b'{"by":"sound"}')
+    first = int(arrival.fields.get("last-event-id", "0")) + 1
+    return arrival.whole(events(first, 10), "200 OK",
+                         "Content-Type: text/event-stream")
+
+
+def expected_body(kind):
+    return (b'{"by":"sound"}' if KINDS[kind][0] == "desk" else events(1, 10))
+
+
+def provoke(fleet, endpoint, kind, answer, kept=False, size=SMALL_BYTES):
+    """Repeats a call, with a new id each, until `answer` has answered one."""
+    for _ in range(MAX_TRIES):
+        number = next(request_numbers)
+        if kept:
+            call(fleet, kind, f"first-{number}")
+        endpoint.kept, endpoint.answer = kept, answer
+        got = call(fleet, kind, f"case-{number}", size)
+        endpoint.kept, endpoint.answer = False, None
+        if f"case-{number}" in endpoint.broken:
+            return got
+        time.sleep(RETRY_S)
+    raise AssertionError(f"no {kind} request was answered by {answer}")
+
+
+def assert_no_answer(got, case):
+    """There is one statement, of the router, that there is no answer."""
+    assert not got.cut, (case, got)
+    assert got.status in NONE_STATUSES, (case, got)
+    assert FOREIGN not in got.body, (case, got)
+    assert "Server-Stamp" not in got.headers, (case, got)
+
+
+def assert_sound(got, kind, case):
+    assert got.status == 200 and not got.cut, (case, got)
+    assert got.body == expected_body(kind), (case, got)
+
+
+def sends(*parts):
+    """Returns an answer that reads the request and writes bytes.
+
+    parts: functions of the arrival that return bytes, or bytes.
+    """
+    def answer(arrival):
+        arrival.read_body()
+        for part in parts:
+            arrival.send(part(arrival) if callable(part) else part)
+    return answer
+
+
+def closes(*parts):
+    """Like sends(), and ends the connection in an orderly way."""
+    def answer(arrival):
+        sends(*parts)(arrival)
+        arrival.close()
+    return answer
+
+
+def resets(*parts):
+    """Like sends(), and resets the connection."""
+    def answer(arrival):
+        sends(*parts)(arrival)
+        arrival.reset()
+    return answer
+
+
+def start_lines(*lines):
+    """Returns an answer for each line that stands for the status line."""
+    return {line: sends(lambda arrival, line=line: arrival.whole(FOREIGN)
+                        .replace(b"HTTP/1.1 200 OK", line.encode()))
+            for line in lines}
+
+
+def assert_no_answers(answers, sizes=(SMALL_BYTES, LARGE_BYTES)):
+    """None of the answers reaches a caller.
+
+    Each is sent on new and on kept connections, to calls of each kind. Where
+    another endpoint could take the call, its answer comes in place of it, if
+    the kind of the route allows that.
+    """
+    failures = []
+    with PlatformFleet(routers=1, engines=0, desks=0,
+                       repeat_slack=10_000) as fleet:
+        fleet.publish(limits=LIMITS)
+        with BrokenEndpoint(fleet, "desk-0", "desk") as desk, \
+                BrokenEndpoint(fleet, "engine-0", "engine") as engine:
+            wait_for_endpoints(fleet, 2)
+            for name, answer in answers.items():
+                for kind, kept in itertools.product(KINDS, (False, True)):
+                    for size in sizes:
+                        endpoint = desk if KINDS[kind][0] == "desk" else engine
+                        case = (name, kind, "kept" if kept else "new", size)
+                        try:
+                            got = provoke(fleet, endpoint, kind, answer, kept,
+                                          size)
+                            assert_no_answer(got, case)
+                        except AssertionError as error:
+                            failures.append(str(error)[:400])
+    print(f"{len(answers) * 8 * len(sizes)} cases, {len(failures)} failed",
+          flush=True)
+    assert not failures, "\n".join(failures)
+
+
+def a_head_that_stops_is_no_answer():
+    """Endpoints close or reset the connection inside of an answer's head."""
+    answers = {}
+    for cut in ("HTTP/1.1", "HTTP/1.1 200 O", "HTTP/1.1 200 OK\r\n",
+                "HTTP/1.1 200 OK\r\nAttempt-Id: ",):
+        for end in (closes, resets):
+            answers[cut, end.__name__] = end(cut.encode())
+    for cut in (1, 2, 3, 4, 10, 25):
+        for end in (closes, resets):
+            answers[f"{cut} bytes short", end.__name__] = end(
+                lambda arrival, cut=cut: arrival.whole(b"")[:-cut])
+    assert_no_answers(answers, sizes=(SMALL_BYTES,))
+    some = {case: answers[case] for case in (
+        ("2 bytes short", "closes"), ("25 bytes short", "resets"))}
+    assert_no_answers(some, sizes=(LARGE_BYTES,))
+
+
+def a_start_line_of_another_protocol_is_no_answer():
+    """Endpoints begin an answer by something else than HTTP/1."""
+    assert_no_answers(start_lines(
+        "HTTP/2.0 200 OK", "HTTP/0.9 200 OK", "HTTP/1.15 200 OK",
+        "http/1.1 200 OK", "ICY 200 OK", "HTTP/1.1\t200 OK",
+        "HTTP/1.1  200 OK", " HTTP/1.1 200 OK", "HTTP/1.1 200\tOK",
+        "HTTP/1.1 200 O\x01K", "{}"), sizes=(SMALL_BYTES,))
+
+
+def a_body_that_stops_is_no_answer():
+    """Endpoints close or reset the connection inside of an answer's body.
+
+    A stream that has begun ends with the connection instead.
+    """
+    def chunked(arrival):
+        return arrival.head("200 OK", "Transfer-Encoding: chunked")
+    bodies = {
+        "length": lambda arrival: arrival.whole(FOREIGN)[:-1],
+        "no byte": lambda arrival: arrival.whole(FOREIGN)[:-len(FOREIGN)],
+        "size of a chunk": lambda arrival: chunked(arrival) + b"a",
+        "chunk": lambda arrival: chunked(arrival) + chunk(FOREIGN)[:-4],
+        "end of a chunk": lambda arrival: chunked(arrival) + chunk(FOREIGN),
+        "last chunk": lambda arrival: (chunked(arrival) + chunk(FOREIGN)
+                                       + LAST_CHUNK[:-2]),
+        "trailer": lambda arrival: (chunked(arrival) + chunk(FOREIGN)
+                                    + b"0\r\nX: y\r\n"),
+        "malformed size": lambda arrival: chunked(arrival) + b"zz\r\n",
+        "malformed trailer": lambda arrival: (
+            chunked(arrival) + chunk(FOREIGN) + b"0\r\nX Y: z\r\n\r\n"),
+        "no end of a chunk": lambda arrival: (
+            chunked(arrival) + chunk(FOREIGN)[:-2] + LAST_CHUNK)}
+    answers = {(name, end.__name__): end(body)
+               for name, body in bodies.items() for end in (closes, resets)}
+    assert_no_answers(answers, sizes=(SMALL_BYTES,))
+
+
+def early(part, pause, end, read=0):
+    """Returns an answer that is written before the request was read.
+
+    part: function of the arrival that returns bytes. end: what ends it, after
+    a pause in s. read: bytes of the body that are read before.
+    """
+    def answer(arrival):
+        arrival.read_body(read)
+        arrival.send(part(arrival))
+        time.sleep(pause)
+        end(arrival)
+    return answer
+
+
+def early_answers(part):
+    """Returns answers that are reset at once or later, by description."""
+    return {(pause, read): early(part, pause, lambda arrival: arrival.reset(),
+                                 read)
+            for pause in (0, 0.01, 0.1) for read in (0, 20_000)}
+
+
+def an_early_answer_that_is_whole_is_passed_on():
+    """Endpoints answer an upload at once and end or reset the connection.
+
+    The answer is whole by its length or its chunks, or its sender has ended it
+    in an orderly way. Guards against an answer that is lost because the rest
+    of the upload could not be written.
+    """
+    failures = []
+    count = 0
+    with PlatformFleet(routers=1, engines=0, desks=0,
+                       repeat_slack=10_000) as fleet:
+        fleet.publish(limits=LIMITS)
+        with BrokenEndpoint(fleet, "desk-0", "desk",
+                            receive_bytes=RECEIVE_BYTES) as desk, \
+                BrokenEndpoint(fleet, "engine-0", "engine",
+                               receive_bytes=RECEIVE_BYTES) as engine:
+            wait_for_endpoints(fleet, 2)
+            for kind, kept, size in itertools.product(
+                    KINDS, (False, True), (SMALL_BYTES, LARGE_BYTES)):
+                endpoint = desk if KINDS[kind][0] == "desk" else engine
+                body = expected_body(kind)
+                answers = {}
+                for name, part in (
+                        ("length", lambda arrival: arrival.whole(body)),
+                        ("chunks", lambda arrival: arrival.head(
+                            "200 OK", "Transfer-Encoding: chunked")
+                         + chunk(body) + LAST_CHUNK)):
+                    answers.update({(name, *key): value for key, value
+                                    in early_answers(part).items()})
+                answers["ended"] = early(
+                    lambda arrival: arrival.head() + body, 0.05,
+                    lambda arrival: arrival.close())
+                for name, answer in answers.items():
+                    count += 1
+                    got = provoke(fleet, endpoint, kind, answer, kept, size)
+                    try:
+                        assert_sound(got, kind, (kind, kept, size, name))
+                    except AssertionError as error:
+                        failures.append(str(error)[:300])
+    print(f"{count} cases, {len(failures)} failed", flush=True)
+    assert not failures, "\n".join(failures)
+
+
+SCENARIOS = [
+    a_head_that_stops_is_no_answer,
+    a_body_that_stops_is_no_answer,
+    a_start_line_of_another_protocol_is_no_answer,
+    an_early_answer_that_is_whole_is_passed_on,
+]
--- a/tests/process/platform_fleet.py
+++ b/tests/process/platform_fleet.py
@@ -68,6 +68,7 @@
         self.routers = {f"router-{n}": [ports.pop() for _ in range(4)]
                         for n in range(routers)}
         self.software = {}  # Of runners by name; v1 if absent.
+        self.router_store_port = self.store_port  # Where routers look for it.
         self.cut_off = set(list(self.routers)[routers - cut_off:])
 
     def __enter__(self):
@@ -133,7 +134,7 @@
         peers = ",".join(f"127.0.0.1:{ports[2]}"
                          for ports in self.routers.values())
         store_port = (self.closed_port if name in self.cut_off
-                      else self.store_port)
+                      else self.router_store_port)
         settings = self.folder / f"{name}.settings"
         settings.write_text(
             f"instance = {name}\nzone = zone-a\n"
--- a/tests/process/scenarios.py
+++ b/tests/process/scenarios.py
@@ -13,6 +13,8 @@
 from http.client import HTTPConnection
 
 import answer_scenarios
+import broken_answer_scenarios
+import broken_store_answer_scenarios
 import configuration_scenarios
 import crowd_scenarios
 import delayed_stop_scenarios
@@ -656,7 +658,8 @@
      + version_scenarios.SCENARIOS + statement_scenarios.SCENARIOS
      + entry_scenarios.SCENARIOS + pool_scenarios.SCENARIOS
      + answer_scenarios.SCENARIOS + evacuation_scenarios.SCENARIOS
-     + crowd_scenarios.SCENARIOS)
+     + crowd_scenarios.SCENARIOS + broken_answer_scenarios.SCENARIOS
+     + broken_store_answer_scenarios.SCENARIOS)
 
 
 def read_known_red():
