Keep a chunked body that arrives in pieces from ending the process

What callers saw: all connections to an instance ended at once. An endpoint, a caller or a peer sent an empty body in chunks and the line of its last chunk in pieces ('0 CR LF', then 'CR'), and the process ended by SIGABRT. Cause: Boost.Beast's parser asserts that it never gets less than five bytes of the last chunk twice, and assertions stay enabled in our builds. Fix: mayParseChunks() holds such bytes back until five have come, which any chunked message has left at that point. Readers of requests ask it; responses of endpoints get a parser of their own (packages/responses) that does. Requests in chunks are refused on the internal port: instances state the lengths of their bodies.

--- a/packages/edge/src/endpoint_attempt.cpp
+++ b/packages/edge/src/endpoint_attempt.cpp
@@ -12,11 +12,8 @@
 // Responses to other requests that are skipped on one connection.
 constexpr int MaxDiscardedResponses = 3;
 constexpr std::size_t MaxDiscardedBytes = 8u << 20; // Of their bodies.
-// Interim (1xx) responses before a response. An endpoint may report progress
-// for as long as the call takes.
-constexpr int MaxInterimResponses = 100;
-constexpr std::string_view HeadPrefix = "HTTP/1."; // Of every response.
-constexpr std::size_t HeadReadBytes = 2'048;       // Per read operation.
+constexpr std::size_t HeadReadBytes = 2'048;        // Per read operation.
+constexpr std::size_t BodyReadBytes = 4'096;        // The same, of a body.
 constexpr std::uint32_t MaxHeadBytes = MaxUnparsedBytes - HeadReadBytes;
 // Bytes of a head that count in no budget, since most heads are no larger.
 constexpr std::size_t UncountedHeadBytes = 4'096;
@@ -125,7 +122,8 @@
                       if (Error && Self->IsResponseComplete)
                         Self->Connection->close();
                     });
-  readHead();
+  beginResponse();
+  parseReceived();
 }
 
 void endpoint_attempt::withdraw() {
@@ -133,147 +131,139 @@
   std::exchange(Listener, nullptr)->onWithdrawn(this);
 }
 
-void endpoint_attempt::readHead() {
-  Parser.emplace();
-  Parser->header_limit(MaxHeadBytes);
-  Parser->body_limit(std::numeric_limits<std::uint64_t>::max());
-  if (Request.method() == http::verb::head)
-    Parser->skip(true);
+void endpoint_attempt::beginResponse() {
+  responses::parser_settings Settings;
+  Settings.IsToHead = Request.method() == http::verb::head;
+  Settings.MaxHeadBytes = MaxHeadBytes;
+  Parser.emplace(Settings);
+  IsDiscarding = false;
   Connection->Buffer.max_size(MaxUnparsedBytes);
-  parseHead();
 }
 
-// Bytes that begin no response are recognized at once, instead of waiting for
-// the end of a line.
-void endpoint_attempt::parseHead() {
-  const net::const_buffer Received = Connection->Buffer.cdata();
-  const std::string_view Begin(static_cast<const char *>(Received.data()),
-                               std::min(Received.size(), HeadPrefix.size()));
-  const bool IsStartLine = !Parser->got_some();
-  if (IsStartLine && !HeadPrefix.starts_with(Begin))
-    return failBroken();
-  if (IsStartLine && Begin.size() < HeadPrefix.size())
-    return readMoreOfHead();
-  error_code Error;
-  Connection->Buffer.consume(Parser->put(Received, Error));
-  if (Error == http::error::need_more)
-    return readMoreOfHead();
-  Connection->Buffer.max_size(
-      std::max(MaxUnparsedBodyBytes, Connection->Buffer.size()));
-  onHead(Error);
+void endpoint_attempt::parseReceived() {
+  const std::shared_ptr<endpoint_attempt> Self = shared_from_this();
+  bool MayGoOn = true;
+  while (Listener != nullptr && MayGoOn) {
+    const bool IsOwnBody =
+        Parser->hasHead() && !IsDiscarding && !Parser->isComplete();
+    if (IsOwnBody && !Listener->canAcceptBody()) {
+      IsReadPaused = true;
+      return;
+    }
+    const net::const_buffer Received = Connection->Buffer.cdata();
+    MayGoOn = onParsed(Parser->next(
+        {static_cast<const char *>(Received.data()), Received.size()}));
+  }
+}
+
+// False if nothing more can be parsed for now.
+bool endpoint_attempt::onParsed(const responses::parsed &Next) {
+  if (Next.Kind == responses::part::Body)
+    onBody(Next.Body);
+  // The connection may have gone on to another use.
+  if (Connection)
+    Connection->Buffer.consume(Next.Consumed);
+  switch (Next.Kind) {
+  case responses::part::Body:
+    return true;
+  case responses::part::Head:
+    onHead();
+    return true;
+  case responses::part::NeedsBytes:
+    readMore();
+    return false;
+  case responses::part::End:
+    onResponseEnd();
+    return true;
+  case responses::part::Defect:
+    failBroken();
+    return false;
+  }
+  return false;
 }
 
-void endpoint_attempt::readMoreOfHead() {
-  const std::size_t Size = Connection->Buffer.size() + HeadReadBytes;
-  if (Size > UncountedHeadBytes && Size > HeadCharge.bytes() &&
-      !HeadCharge.trySet(Size))
+void endpoint_attempt::readMore() {
+  boost::beast::flat_buffer &Buffer = Connection->Buffer;
+  const bool IsInHead = !Parser->hasHead();
+  if (IsInHead && !chargeHead(Buffer.size() + HeadReadBytes))
+    return failBroken();
+  const std::size_t Size = std::min(IsInHead ? HeadReadBytes : BodyReadBytes,
+                                    Buffer.max_size() - Buffer.size());
+  if (Size == 0)
     return failBroken();
   const std::shared_ptr<endpoint_attempt> Self = shared_from_this();
   Connection->Socket.async_read_some(
-      Connection->Buffer.prepare(HeadReadBytes),
-      [Self](const error_code &Error, std::size_t Count) {
+      Buffer.prepare(Size), [Self](const error_code &Error, std::size_t Count) {
         if (Self->Listener == nullptr)
           return;
         if (Error)
-          return Self->failBroken();
+          return Self->onConnectionEnd(Error);
         Self->Connection->Buffer.commit(Count);
-        Self->parseHead();
+        Self->parseReceived();
       });
 }
 
-void endpoint_attempt::onHead(const error_code &Error) {
-  if (Listener == nullptr)
-    return;
-  if (Error)
-    return failBroken();
-  const response_fields &Fields = Parser->get().base();
-  if (Fields.result_int() < 200)
-    return ++InterimResponses > MaxInterimResponses ? failBroken() : readHead();
+bool endpoint_attempt::chargeHead(std::size_t Size) {
+  return Size <= UncountedHeadBytes || Size <= HeadCharge.bytes() ||
+         HeadCharge.trySet(Size);
+}
+
+void endpoint_attempt::onConnectionEnd(const error_code &Error) {
+  const bool IsClosed = Error == net::error::eof;
+  onParsed(Parser->onConnectionEnd(IsClosed
+                                       ? responses::connection_end::Closed
+                                       : responses::connection_end::Broken));
+}
+
+void endpoint_attempt::onHead() {
+  Connection->Buffer.max_size(
+      std::max(MaxUnparsedBodyBytes, Connection->Buffer.size()));
+  const response_fields &Fields = Parser->head();
   const response_match Match = Codec.matchResponse(Call, Fields);
   IsUnmarked = Match == response_match::Unmarked;
   // It may belong to an earlier request, and say that this one has not run.
   if (IsUnmarked && Connection->RequestCount > 1)
     return failBroken();
-  if (Match == response_match::Other) {
-    if (++DiscardedResponses > MaxDiscardedResponses || Parser->need_eof())
-      return failBroken();
-    return discardBody();
+  IsDiscarding = Match == response_match::Other;
+  if (IsDiscarding) {
+    if (++DiscardedResponses > MaxDiscardedResponses ||
+        Parser->endsWithConnection())
+      failBroken();
+    return;
   }
   const time_ms Now = Clock.monotonic();
   Codec.recordEndpointState(Target, Fields, Now);
   const boost::beast::string_view KeepAlive = Fields["Keep-Alive"];
   ServerKeepAliveS =
       parseKeepAliveTimeoutS({KeepAlive.data(), KeepAlive.size()});
-  const std::shared_ptr<endpoint_attempt> Self = shared_from_this();
   relay::response_head Head = Codec.decodeResponseHead(Fields);
-  Head.EndsWithConnection = Parser->need_eof();
-  const boost::optional<std::uint64_t> Length = Parser->content_length();
-  if (Length && Request.method() != http::verb::head)
-    Head.BodyBytes = *Length;
+  Head.EndsWithConnection = Parser->endsWithConnection();
+  Head.BodyBytes = Parser->statedLength();
   Head.ConnectedAt = Connection->ConnectedAt;
   Listener->onHead(this, std::move(Head));
-  readBody();
-}
-
-// Skips the rest of a response to another request that arrived first on this
-// connection.
-void endpoint_attempt::discardBody() {
-  if (Parser->is_done())
-    return readHead();
-  const std::shared_ptr<endpoint_attempt> Self = shared_from_this();
-  Parser->get().body().data = BodyBuffer.data();
-  Parser->get().body().size = BodyBuffer.size();
-  Parser->get().body().more = true;
-  http::async_read_some(
-      Connection->Socket, Connection->Buffer, *Parser,
-      [Self](const error_code &Error, std::size_t) { Self->onDiscard(Error); });
-}
-
-void endpoint_attempt::onDiscard(const error_code &Error) {
-  if (Listener == nullptr)
-    return;
-  DiscardedBytes += BodyBuffer.size() - Parser->get().body().size;
-  const bool IsReadable = !Error || Error == http::error::need_buffer;
-  if (!IsReadable || DiscardedBytes > MaxDiscardedBytes)
-    return failBroken();
-  discardBody();
 }
 
-void endpoint_attempt::readBody() {
-  if (Listener == nullptr)
-    return;
-  if (Parser->is_done())
-    return complete();
-  if (!Listener->canAcceptBody()) {
-    IsReadPaused = true;
-    return;
-  }
-  Parser->get().body().data = BodyBuffer.data();
-  Parser->get().body().size = BodyBuffer.size();
-  Parser->get().body().more = true;
-  const std::shared_ptr<endpoint_attempt> Self = shared_from_this();
-  http::async_read_some(
-      Connection->Socket, Connection->Buffer, *Parser,
-      [Self](const error_code &Error, std::size_t) { Self->onBody(Error); });
+void endpoint_attempt::onBody(std::string_view Bytes) {
+  if (!IsDiscarding)
+    return Listener->onBody(this, Bytes);
+  DiscardedBytes += Bytes.size();
+  if (DiscardedBytes > MaxDiscardedBytes)
+    failBroken();
 }
 
-void endpoint_attempt::onBody(const error_code &Error) {
-  if (Listener == nullptr)
-    return;
-  if (Error && Error != http::error::need_buffer)
-    return failBroken();
-  const std::size_t ReadBytes = BodyBuffer.size() - Parser->get().body().size;
-  const std::shared_ptr<endpoint_attempt> Self = shared_from_this();
-  if (ReadBytes > 0)
-    Listener->onBody(this, std::string_view(BodyBuffer.data(), ReadBytes));
-  readBody();
+// A response to another request may come first on this connection.
+void endpoint_attempt::onResponseEnd() {
+  if (IsDiscarding)
+    beginResponse();
+  else
+    complete();
 }
 
 void endpoint_attempt::resume() {
   if (!IsReadPaused)
     return;
   IsReadPaused = false;
-  readBody();
+  net::post(Context, [Self = shared_from_this()] { Self->parseReceived(); });
 }
 
 // Monotonic time until which the connection may stay in the pool.
@@ -290,8 +280,8 @@
   IsResponseComplete = true;
   // A late copy of a response that names no request could be taken for the one
   // to a later request.
-  const bool CanReuse =
-      Parser->keep_alive() && !IsUnmarked && Connection->Buffer.size() == 0;
+  const bool CanReuse = Parser->keepsConnection() && !IsUnmarked &&
+                        Connection->Buffer.size() == 0;
   // While the request is still being written, the connection can't be used for
   // another one; send() calls complete() again once the write has ended.
   if (CanReuse && !IsWriting) {
--- a/packages/edge/src/endpoint_attempt.hpp
+++ b/packages/edge/src/endpoint_attempt.hpp
@@ -4,6 +4,7 @@
 
 #include "sockets.hpp"
 #include "tamarack/edge.hpp"
+#include "tamarack/responses.hpp"
 
 namespace tamarack::edge {
 
@@ -85,14 +86,15 @@
   void connect();
   void send();
   void withdraw();
-  void readHead();
-  void parseHead();
-  void readMoreOfHead();
-  void onHead(const error_code &Error);
-  void readBody();
-  void onBody(const error_code &Error);
-  void discardBody();
-  void onDiscard(const error_code &Error);
+  void beginResponse();
+  void parseReceived();
+  bool onParsed(const responses::parsed &Next);
+  void readMore();
+  bool chargeHead(std::size_t Size);
+  void onConnectionEnd(const error_code &Error);
+  void onHead();
+  void onBody(std::string_view Bytes);
+  void onResponseEnd();
   void complete();
   void failBroken();
   time_ms idleExpiry(time_ms Now) const;
@@ -109,10 +111,9 @@
   std::shared_ptr<endpoint_connection> Connection;
   net::steady_timer ConnectTimer;
   memory::memory_charge HeadCharge; // Received bytes of a head.
-  std::optional<http::response_parser<http::buffer_body>> Parser;
-  std::array<char, 4096> BodyBuffer;
-  int InterimResponses = 0;
-  int DiscardedResponses = 0; // To other requests.
+  std::optional<responses::response_parser> Parser;
+  bool IsDiscarding = false;  // The response belongs to another request.
+  int DiscardedResponses = 0; // Of this kind.
   std::size_t DiscardedBytes = 0;
   std::optional<int> ServerKeepAliveS; // Stated in the Keep-Alive field.
   bool IsWriting = false;              // The request is not written completely.
--- a/packages/edge/src/request_reader.cpp
+++ b/packages/edge/src/request_reader.cpp
@@ -136,12 +136,17 @@
 reading_state request_reader::parseBody(boost::beast::flat_buffer &Buffer) {
   // Nothing follows the head of a request without a body.
   while (!Parser->is_done()) {
-    if (Buffer.size() == 0)
+    const net::const_buffer Received = Buffer.cdata();
+    const bool MayParse =
+        !Parser->chunked() ||
+        responses::mayParseChunks(
+            {static_cast<const char *>(Received.data()), Received.size()});
+    if (Buffer.size() == 0 || !MayParse)
       return reading_state::Body;
     if (!holdNextBytes(Buffer.size()))
       return reading_state::Full;
     error_code Error;
-    const std::size_t Taken = Parser->put(Buffer.cdata(), Error);
+    const std::size_t Taken = Parser->put(Received, Error);
     Buffer.consume(Taken);
     if (Error == http::error::need_more || (!Error && Taken == 0))
       return Buffer.size() >= MaxUnparsedBodyBytes
--- a/packages/edge/src/simple_http_server.cpp
+++ b/packages/edge/src/simple_http_server.cpp
@@ -29,12 +29,13 @@
       if (!Error)
         Self->close();
     });
-    http::async_read(Socket, Buffer, *Parser,
-                     [Self](const error_code &Error, std::size_t) {
-                       if (Error)
-                         return Self->close();
-                       Self->handleRequest();
-                     });
+    http::async_read_header(Socket, Buffer, *Parser,
+                            [Self](const error_code &Error, std::size_t) {
+                              // Instances state the lengths of their bodies.
+                              if (Error || Self->Parser->chunked())
+                                return Self->close();
+                              Self->readBody();
+                            });
   }
 
   void close() {
@@ -45,6 +46,16 @@
   }
 
 private:
+  void readBody() {
+    const std::shared_ptr<simple_http_session> Self = shared_from_this();
+    http::async_read(Socket, Buffer, *Parser,
+                     [Self](const error_code &Error, std::size_t) {
+                       if (Error)
+                         return Self->close();
+                       Self->handleRequest();
+                     });
+  }
+
   void handleRequest() {
     Timer.cancel();
     request_message Request = Parser->release();
--- a/packages/edge/src/sockets.hpp
+++ b/packages/edge/src/sockets.hpp
@@ -2,13 +2,14 @@
 #pragma once
 
 #include "tamarack/edge.hpp"
+#include "tamarack/responses.hpp"
 
 namespace tamarack::edge {
 
 // Bytes that were received and not parsed yet. The parser needs a whole head,
 // line of a chunk or trailer at once, and sets no limit for the last two. It
 // throws for a field of 64 KB or more, which does not fit here.
-constexpr std::size_t MaxUnparsedBytes = (1u << 16) - 1;
+constexpr std::size_t MaxUnparsedBytes = responses::MaxUnparsedBytes;
 // The same while the body of a message of a caller or endpoint is read.
 constexpr std::size_t MaxUnparsedBodyBytes = 16 * 1024;
 
--- /dev/null
+++ b/packages/responses/src/response_parser.cpp
@@ -0,0 +1,227 @@
+// Parses one response of an HTTP/1 server.
+#include "tamarack/responses.hpp"
+
+#include <boost/beast/core/string.hpp>
+#include <boost/beast/http/basic_parser.hpp>
+#include <boost/beast/http/error.hpp>
+
+#include <algorithm>
+
+namespace tamarack::responses {
+
+namespace {
+
+using boost::beast::string_view;
+using boost::system::error_code;
+
+constexpr std::string_view StartLinePrefix = "HTTP/1."; // Of every response.
+constexpr unsigned MinFinalStatus = 200;
+// Interim (1xx) responses before a response. A server may report progress for
+// as long as the call takes.
+constexpr int MaxInterimResponses = 100;
+constexpr std::size_t MinLastChunkBytes = 5; // With an empty trailer.
+
+defect defectOf(const error_code &Error) {
+  switch (static_cast<http::error>(Error.value())) {
+  case http::error::bad_version:
+  case http::error::bad_reason:
+    return defect::StartLine;
+  case http::error::bad_status:
+    return defect::Status;
+  case http::error::header_limit:
+  case http::error::body_limit:
+  case http::error::buffer_overflow:
+    return defect::TooLarge;
+  case http::error::bad_field:
+  case http::error::bad_value:
+  case http::error::bad_obs_fold:
+  case http::error::bad_line_ending:
+    return defect::Field;
+  default:
+    return defect::Framing;
+  }
+}
+
+} // namespace
+
+std::string_view toString(defect Defect) {
+  switch (Defect) {
+  case defect::None:
+    return "none";
+  case defect::StartLine:
+    return "start_line";
+  case defect::Status:
+    return "status";
+  case defect::Field:
+    return "field";
+  case defect::Framing:
+    return "framing";
+  case defect::TooLarge:
+    return "too_large";
+  case defect::Incomplete:
+    return "incomplete";
+  }
+  return "none";
+}
+
+bool mayParseChunks(std::string_view Received) {
+  return Received.size() >= MinLastChunkBytes || !Received.starts_with('0');
+}
+
+// One message, interim or final, by Beast's grammar.
+class response_parser::message_parser final : public http::basic_parser<false> {
+public:
+  response_fields Head;
+  string_view Body; // Of the last put().
+
+  bool canParse(std::string_view Received) const {
+    return !Received.empty() && (!IsBetweenChunks || mayParseChunks(Received));
+  }
+
+private:
+  void on_request_impl(http::verb, string_view, string_view, int,
+                       error_code &) override {}
+
+  void on_response_impl(int Status, string_view, int Version,
+                        error_code &) override {
+    Head.result(static_cast<unsigned>(Status));
+    Head.version(static_cast<unsigned>(Version));
+  }
+
+  // The fields of a trailer are not used.
+  void on_field_impl(http::field Name, string_view NameText, string_view Value,
+                     error_code &) override {
+    if (!is_header_done())
+      Head.insert(Name, NameText, Value);
+  }
+
+  void on_header_impl(error_code &) override { IsBetweenChunks = chunked(); }
+
+  void on_body_init_impl(boost::optional<std::uint64_t> const &,
+                         error_code &) override {}
+
+  std::size_t on_body_impl(string_view Bytes, error_code &) override {
+    Body = Bytes;
+    return Bytes.size();
+  }
+
+  void on_chunk_header_impl(std::uint64_t Size, string_view,
+                            error_code &) override {
+    IsBetweenChunks = Size == 0;
+  }
+
+  std::size_t on_chunk_body_impl(std::uint64_t Remaining, string_view Bytes,
+                                 error_code &) override {
+    Body = Bytes;
+    IsBetweenChunks = Bytes.size() == Remaining;
+    return Bytes.size();
+  }
+
+  void on_finish_impl(error_code &) override {}
+
+  bool IsBetweenChunks = false; // The line of a chunk or a trailer is due.
+};
+
+response_parser::response_parser(parser_settings Settings)
+    : Settings(Settings) {
+  startMessage();
+}
+
+response_parser::~response_parser() = default;
+
+void response_parser::startMessage() {
+  Message = std::make_unique<message_parser>();
+  Message->header_limit(Settings.MaxHeadBytes);
+  Message->body_limit(Settings.MaxBodyBytes);
+  if (Settings.IsToHead)
+    Message->skip(true);
+}
+
+parsed response_parser::fail(defect Why, std::size_t Consumed) {
+  Defect = Why;
+  return {part::Defect, Consumed, {}};
+}
+
+parsed response_parser::awaitMore(std::size_t Unparsed, std::size_t Consumed) {
+  if (Unparsed >= MaxUnparsedBytes)
+    return fail(defect::TooLarge, Consumed);
+  return {part::NeedsBytes, Consumed, {}};
+}
+
+parsed response_parser::next(std::string_view Received) {
+  std::size_t Consumed = 0;
+  while (Defect == defect::None) {
+    if (isComplete())
+      return {part::End, Consumed, {}};
+    const std::string_view Rest = Received.substr(Consumed);
+    // Bytes that begin no response are recognized before the end of a line.
+    const std::string_view Begin = Rest.substr(0, StartLinePrefix.size());
+    const bool IsAtStart = !Message->got_some();
+    if (IsAtStart && !StartLinePrefix.starts_with(Begin))
+      return fail(defect::StartLine, Consumed);
+    HasBegun = HasBegun || !Rest.empty();
+    if (!Message->canParse(Rest) ||
+        (IsAtStart && Begin.size() < StartLinePrefix.size()))
+      return awaitMore(Rest.size(), Consumed);
+    error_code Error;
+    Message->Body = {};
+    const std::size_t Count = Message->put(
+        boost::asio::const_buffer(Rest.data(), Rest.size()), Error);
+    Consumed += Count;
+    if (Error == http::error::need_more)
+      return awaitMore(Rest.size() - Count, Consumed);
+    if (Error)
+      return fail(defectOf(Error), Consumed);
+    if (!HasHead) {
+      if (isInterim()) {
+        if (++InterimResponses > MaxInterimResponses)
+          return fail(defect::TooLarge, Consumed);
+        startMessage();
+        continue;
+      }
+      HasHead = true;
+      return {part::Head, Consumed, {}};
+    }
+    if (!Message->Body.empty())
+      return {
+          part::Body, Consumed, {Message->Body.data(), Message->Body.size()}};
+  }
+  return {part::Defect, Consumed, {}};
+}
+
+parsed response_parser::onConnectionEnd(connection_end How) {
+  if (Defect != defect::None)
+    return {part::Defect, 0, {}};
+  if (isComplete())
+    return {part::End, 0, {}};
+  EndedByClose =
+      HasHead && Message->need_eof() && How == connection_end::Closed;
+  if (!EndedByClose)
+    return fail(defect::Incomplete, 0);
+  return {part::End, 0, {}};
+}
+
+bool response_parser::isInterim() const {
+  return Message->Head.result_int() < MinFinalStatus;
+}
+
+bool response_parser::isComplete() const {
+  return HasHead && (EndedByClose || Message->is_done());
+}
+
+const response_fields &response_parser::head() const { return Message->Head; }
+
+std::optional<std::uint64_t> response_parser::statedLength() const {
+  const boost::optional<std::uint64_t> Length = Message->content_length();
+  if (!Length || Settings.IsToHead)
+    return std::nullopt;
+  return *Length;
+}
+
+bool response_parser::endsWithConnection() const { return Message->need_eof(); }
+
+bool response_parser::keepsConnection() const {
+  return isComplete() && Message->keep_alive();
+}
+
+} // namespace tamarack::responses
--- a/tests/process/broken_answer_scenarios.py
+++ b/tests/process/broken_answer_scenarios.py
@@ -5,8 +5,10 @@
 Each function of SCENARIOS is one test. Its name says what must hold.
 """
 import collections
+import contextlib
 import http.client
 import itertools
+import socket
 import time
 
 from platform_fleet import DESK_HOST, STREAM_HOST, PlatformFleet
@@ -319,7 +321,57 @@
     assert not failures, "\n".join(failures)
 
 
+def chunks_that_arrive_in_pieces_end_no_router():
+    """Endpoints, a caller and a peer send the end of a body byte by byte.
+
+    Guards against a process that ends by an assertion of its HTTP library,
+    and with it the requests of everybody else.
+    """
+    last_chunk = [LAST_CHUNK[:3], LAST_CHUNK[3:4], LAST_CHUNK[4:]]
+
+    def slowly(send, pieces):
+        for piece in pieces:
+            send(piece)
+            time.sleep(0.02)
+
+    def empty(arrival):
+        arrival.read_body()
+        slowly(arrival.send, [arrival.head(
+            "200 OK", "Transfer-Encoding: chunked"), *last_chunk])
+
+    def byte_by_byte(arrival):
+        arrival.read_body()
+        answer = arrival.head("200 OK", "Transfer-Encoding: chunked")
+        answer += chunk(FOREIGN) + LAST_CHUNK
+        slowly(arrival.send, [answer[at:at + 1] for at in range(len(answer))])
+    with PlatformFleet(routers=1, engines=0, desks=0) as fleet:
+        with BrokenEndpoint(fleet, "desk-0", "desk") as desk:
+            wait_for_endpoints(fleet, 1)
+            front, _, peer, _ = fleet.routers["router-0"]
+            for port, path in ((front, "/lookup/a"), (peer, "/store")):
+                with socket.create_connection(("127.0.0.1", port),
+                                              timeout=30) as connection:
+                    slowly(connection.sendall, [
+                        f"POST {path} HTTP/1.1\r\nHost: {DESK_HOST}\r\n"
+                        f"Attempt-Id: to-{port}\r\nKey: key-ring\r\n"
+                        "Deadline-Ms: 6000\r\nConnection: close\r\n"
+                        "Transfer-Encoding: chunked\r\n\r\n".encode()])
+                    with contextlib.suppress(OSError):  # A peer is refused.
+                        slowly(connection.sendall, last_chunk)
+                        status = connection.recv(12)
+                    if port == front:
+                        assert status == b"HTTP/1.1 200", status
+                assert fleet.processes["router-0"].poll() is None, (
+                    "the router has ended")
+            assert provoke(fleet, desk, "lookup", empty).status == 200
+            got = provoke(fleet, desk, "sale", byte_by_byte)
+            assert (got.status, got.body, got.cut) == (200, FOREIGN, False)
+            assert fleet.processes["router-0"].poll() is None, (
+                "the router has ended")
+
+
 SCENARIOS = [
+    chunks_that_arrive_in_pieces_end_no_router,
     a_head_that_stops_is_no_answer,
     a_body_that_stops_is_no_answer,
     a_start_line_of_another_protocol_is_no_answer,
--- a/tests/unit/request_reader_test.cpp
+++ b/tests/unit/request_reader_test.cpp
@@ -138,6 +138,25 @@
   }
 }
 
+// Guards against an assertion of the library that ended the process: the line
+// of the last chunk arrived in pieces.
+TEST_CASE("a body in chunks is complete however its bytes arrive", "[edge]") {
+  for (const std::string &Body :
+       {std::string("0\r\n\r\n"), std::string("00\r\nX: y\r\n\r\n"),
+        std::string("2\r\n00\r\n0\r\n\r\n")})
+    for (std::size_t Size = 1; Size <= Body.size(); ++Size) {
+      reader_fixture Fixture(1'000 * KiB);
+      reading_state State = Fixture.receive(ChunkedHead);
+      for (std::size_t Begin = 0; Begin < Body.size(); Begin += Size) {
+        CHECK(State == reading_state::Body);
+        State = Fixture.receive(Body.substr(Begin, Size));
+      }
+      CHECK(State == reading_state::Complete);
+      const bool IsEmpty = Body.front() == '0';
+      CHECK(Fixture.Reader.release().body() == (IsEmpty ? "" : "00"));
+    }
+}
+
 // Guards against a fast or small request that gives way before others.
 TEST_CASE("the slowest and then the largest gives way first", "[edge]") {
   CHECK(givesWayBefore({0, 1}, {10, 1'000}));
