Skip interim responses of the store and of peers

What was seen: a store or peer that sent an interim response (100, 103) before its response. http_channel took the interim one for the response, so the call counted as refused. If the response itself comes a moment later, the connection looks unused by then, and the response goes to the next request on it. Cause: http_channel had its own reading of responses, which ended at the first complete head without a body. That a late response goes to the next request follows from the code; the test sends both at once. Fix: http_channel reads by the parser that responses of endpoints get, which passes interim responses over.

--- a/packages/edge/include/tamarack/edge.hpp
+++ b/packages/edge/include/tamarack/edge.hpp
@@ -355,6 +355,7 @@
   void connect();
   void send();
   void readSome();
+  void onReceived();
   void finishRequest(std::optional<response_message> Response);
   // Removes the first request from the queue and passes on its result.
   void completeFront(std::optional<response_message> Response);
--- a/packages/edge/src/http_channel.cpp
+++ b/packages/edge/src/http_channel.cpp
@@ -7,6 +7,8 @@
 
 // A page of the store has up to 1 MB, and more in JSON or as a message.
 constexpr std::uint64_t MaxBodyBytes = 4u << 20;
+constexpr std::uint32_t MaxHeadBytes = 8'192;
+constexpr std::size_t ReadBytes = 8 * 1024; // Per read operation.
 // A timer that runs out later than this shows that the process stood still.
 constexpr int MaxTimerDelayMs = 50;
 // Time to read what has arrived while the process stood still.
@@ -25,9 +27,33 @@
   explicit connection(net::io_context &Context)
       : Socket(Context), Buffer(MaxUnparsedBytes) {}
 
+  void beginResponse() {
+    responses::parser_settings Expected;
+    Expected.MaxHeadBytes = MaxHeadBytes;
+    Expected.MaxBodyBytes = MaxBodyBytes;
+    Parser.emplace(Expected);
+    Body.clear();
+  }
+
+  // Parses what was received up to the end of the response or to a defect.
+  responses::part parseReceived() {
+    for (;;) {
+      const net::const_buffer Received = Buffer.cdata();
+      const responses::parsed Next = Parser->next(
+          {static_cast<const char *>(Received.data()), Received.size()});
+      Body.append(Next.Body);
+      Buffer.consume(Next.Consumed);
+      const bool IsOngoing = Next.Kind == responses::part::Head ||
+                             Next.Kind == responses::part::Body;
+      if (!IsOngoing)
+        return Next.Kind;
+    }
+  }
+
   tcp::socket Socket;
   boost::beast::flat_buffer Buffer;
-  std::optional<http::response_parser<http::string_body>> Parser;
+  std::optional<responses::response_parser> Parser;
+  std::string Body; // Of the response.
   bool IsConnected = false;
 };
 
@@ -140,8 +166,7 @@
   const std::shared_ptr<http_channel> Self = shared_from_this();
   const std::shared_ptr<connection> UsedConnection = Connection;
   const std::shared_ptr<const request_message> Message = Queue.front().Message;
-  UsedConnection->Parser.emplace();
-  UsedConnection->Parser->body_limit(MaxBodyBytes);
+  UsedConnection->beginResponse();
   http::async_write(UsedConnection->Socket, *Message,
                     [Self, UsedConnection, Message, OwnAttempt = AttemptNumber](
                         const error_code &Error, std::size_t) {
@@ -158,25 +183,39 @@
 void http_channel::readSome() {
   const std::shared_ptr<http_channel> Self = shared_from_this();
   const std::shared_ptr<connection> UsedConnection = Connection;
-  http::async_read_some(
-      UsedConnection->Socket, UsedConnection->Buffer, *UsedConnection->Parser,
-      [Self, UsedConnection,
-       OwnAttempt = AttemptNumber](const error_code &Error, std::size_t) {
+  boost::beast::flat_buffer &Buffer = UsedConnection->Buffer;
+  // Never 0: the parser fails before the buffer is full.
+  const std::size_t Size =
+      std::min(ReadBytes, Buffer.max_size() - Buffer.size());
+  UsedConnection->Socket.async_read_some(
+      Buffer.prepare(Size), [Self, UsedConnection, OwnAttempt = AttemptNumber](
+                                const error_code &Error, std::size_t Count) {
         if (!Self->HasActive || Self->AttemptNumber != OwnAttempt)
           return;
         if (Error)
           return Self->finishRequest(std::nullopt);
-        if (UsedConnection->Parser->is_done())
-          return Self->finishRequest(UsedConnection->Parser->release());
-        Self->HasCaughtUp = false;
-        Self->startTimer(Self->Queue.front().InactivityTimeoutMs);
-        Self->readSome();
+        UsedConnection->Buffer.commit(Count);
+        Self->onReceived();
       });
 }
 
+void http_channel::onReceived() {
+  switch (Connection->parseReceived()) {
+  case responses::part::End:
+    return finishRequest(response_message(Connection->Parser->head(),
+                                          std::move(Connection->Body)));
+  case responses::part::Defect:
+    return finishRequest(std::nullopt);
+  default:
+    HasCaughtUp = false;
+    startTimer(Queue.front().InactivityTimeoutMs);
+    readSome();
+  }
+}
+
 void http_channel::onTimeout() {
   const bool IsSilent =
-      Connection && Connection->IsConnected && !Connection->Parser->got_some();
+      Connection && Connection->IsConnected && !Connection->Parser->hasBegun();
   queued_request &Active = Queue.front();
   if (!IsSilent || !Active.Repeatable)
     return finishRequest(std::nullopt);
@@ -197,8 +236,8 @@
   Timer.cancel();
   HasActive = false;
   ++AttemptNumber;
-  const bool CanReuse =
-      Response && Response->keep_alive() && Connection->Buffer.size() == 0;
+  const bool CanReuse = Response && Connection->Parser->keepsConnection() &&
+                        Connection->Buffer.size() == 0;
   if (!CanReuse)
     close();
   const std::shared_ptr<http_channel> Self = shared_from_this();
--- /dev/null
+++ b/tests/unit/http_channel_test.cpp
@@ -0,0 +1,111 @@
+// Responses of the store and of peers, over loopback.
+#include "tamarack/edge.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace tamarack;
+using namespace tamarack::edge;
+
+namespace {
+
+// Responds to the requests of all connections, in order, by a script.
+class scripted_server {
+public:
+  scripted_server(net::io_context &Context, std::vector<std::string> Script)
+      : Acceptor(Context, {net::ip::make_address("127.0.0.1"), 0}),
+        Script(std::move(Script)) {
+    accept();
+  }
+  std::string address() const {
+    return "127.0.0.1:" + std::to_string(Acceptor.local_endpoint().port());
+  }
+  int connectionCount() const { return static_cast<int>(Sessions.size()); }
+
+private:
+  struct session {
+    explicit session(tcp::socket Socket) : Socket(std::move(Socket)) {}
+    tcp::socket Socket;
+    boost::beast::flat_buffer Buffer;
+    request_message Request;
+  };
+
+  void accept() {
+    Acceptor.async_accept([this](const error_code &Error, tcp::socket Socket) {
+      if (Error)
+        return;
+      Sessions.push_back(std::make_shared<session>(std::move(Socket)));
+      serve(Sessions.back());
+      accept();
+    });
+  }
+
+  void serve(const std::shared_ptr<session> &Session) {
+    Session->Request = {};
+    http::async_read(Session->Socket, Session->Buffer, Session->Request,
+                     [this, Session](const error_code &Error, std::size_t) {
+                       if (!Error && NextResponse < Script.size())
+                         respond(Session, Script[NextResponse++]);
+                     });
+  }
+
+  void respond(const std::shared_ptr<session> &Session,
+               const std::string &Response) {
+    net::write(Session->Socket, net::buffer(Response));
+    serve(Session);
+  }
+
+  tcp::acceptor Acceptor;
+  std::vector<std::string> Script;
+  std::size_t NextResponse = 0;
+  std::vector<std::shared_ptr<session>> Sessions;
+};
+
+struct channel_fixture {
+  explicit channel_fixture(std::vector<std::string> Script)
+      : Server(Context, std::move(Script)),
+        Channel(std::make_shared<http_channel>(Context, Server.address())) {}
+
+  // Body of the response to a new request, nothing if there is none.
+  std::optional<std::string> request() {
+    constexpr int TimeoutMs = 1'000;
+    channel_request Request;
+    Request.Message = request_message(http::verb::get, "/x", 11);
+    Request.InactivityTimeoutMs = TimeoutMs;
+    bool IsDone = false;
+    std::optional<std::string> Body;
+    Channel->request(std::move(Request),
+                     [&](const std::optional<response_message> &Response,
+                         const channel_timing &Timing) {
+                       IsDone = true;
+                       ActiveMs = Timing.ActiveMs;
+                       if (Response)
+                         Body = Response->body();
+                     });
+    while (!IsDone)
+      Context.run_one();
+    return Body;
+  }
+
+  net::io_context Context;
+  scripted_server Server;
+  std::shared_ptr<http_channel> Channel;
+  int ActiveMs = 0; // Of the last request.
+};
+
+std::string whole(const std::string &Body) {
+  return "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(Body.size()) +
+         "\r\n\r\n" + Body;
+}
+
+} // namespace
+
+// Guards against an interim response that is taken for the response, and
+// against a response that then goes to the next request.
+TEST_CASE("a channel skips interim responses", "[edge]") {
+  const std::string Interim = "HTTP/1.1 100 Continue\r\n\r\n"
+                              "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n";
+  channel_fixture Fixture({Interim + whole("first"), whole("second")});
+  CHECK(Fixture.request() == "first");
+  CHECK(Fixture.request() == "second");
+  CHECK(Fixture.Server.connectionCount() == 1);
+}
