Take a status that does not exist for no answer

What callers saw: an endpoint's answer with the status 600 or 999, as it was. One with the status 000, 099 or 101 was taken for an interim response: its caller waited to its deadline, or got what came behind it on the connection as the answer, so that two answers became one. Cause: statuses below 200 counted as interim and no status was refused. Fix: the parser, which all readers share, takes a head with a status outside of 100 to 599, or with 101, for no response; the attempt is broken at once.

--- a/packages/responses/include/tamarack/responses.hpp
+++ b/packages/responses/include/tamarack/responses.hpp
@@ -105,6 +105,7 @@
   void startMessage();
   parsed fail(defect Why, std::size_t Consumed);
   parsed awaitMore(std::size_t Unparsed, std::size_t Consumed);
+  defect headDefect() const;
   bool isInterim() const;
 
   parser_settings Settings;
--- a/packages/responses/src/response_parser.cpp
+++ b/packages/responses/src/response_parser.cpp
@@ -15,7 +15,10 @@
 using boost::system::error_code;
 
 constexpr std::string_view StartLinePrefix = "HTTP/1."; // Of every response.
+constexpr unsigned MinStatus = 100;
 constexpr unsigned MinFinalStatus = 200;
+constexpr unsigned MaxStatus = 599;
+constexpr unsigned SwitchingProtocols = 101;
 // Interim (1xx) responses before a response. A server may report progress for
 // as long as the call takes.
 constexpr int MaxInterimResponses = 100;
@@ -173,6 +176,8 @@
     if (Error)
       return fail(defectOf(Error), Consumed);
     if (!HasHead) {
+      if (const defect Found = headDefect(); Found != defect::None)
+        return fail(Found, Consumed);
       if (isInterim()) {
         if (++InterimResponses > MaxInterimResponses)
           return fail(defect::TooLarge, Consumed);
@@ -205,6 +210,15 @@
   return Message->Head.result_int() < MinFinalStatus;
 }
 
+// Of a complete head, interim or final.
+defect response_parser::headDefect() const {
+  const response_fields &Head = Message->Head;
+  const unsigned Status = Head.result_int();
+  if (Status < MinStatus || Status > MaxStatus || Status == SwitchingProtocols)
+    return defect::Status;
+  return defect::None;
+}
+
 bool response_parser::isComplete() const {
   return HasHead && (EndedByClose || Message->is_done());
 }
--- a/tests/process/broken_answer_scenarios.py
+++ b/tests/process/broken_answer_scenarios.py
@@ -174,6 +174,10 @@
             for line in lines}
 
 
+def statuses(*texts):
+    return start_lines(*(f"HTTP/1.1 {text}" for text in texts))
+
+
 def assert_no_answers(answers, sizes=(SMALL_BYTES, LARGE_BYTES)):
     """None of the answers reaches a caller.
 
@@ -204,6 +208,28 @@
     assert not failures, "\n".join(failures)
 
 
+def a_status_that_does_not_exist_is_no_answer():
+    """Endpoints answer with a status outside of 200 to 599.
+
+    Guards against such an answer that is passed on, against one that is taken
+    for an interim response, so that its caller waits to the deadline, and
+    against a second answer behind it that is taken for the first.
+    """
+    answers = statuses("000 ", "000 OK", "099 Low", "101 Switching",
+                       "600 High", "999 High", "20 OK", "2000 OK", "-20 OK",
+                       "2x0 OK")
+    for status in ("000 OK", "000 ", "099 Low", "101 Switching", "600 High"):
+        answers[f"{status}, empty"] = sends(
+            lambda arrival, status=status: arrival.whole(b"", status))
+        answers[f"{status}, before an answer"] = sends(
+            lambda arrival, status=status: arrival.whole(b"", status),
+            lambda arrival: arrival.whole(FOREIGN))
+        answers[f"{status}, without a length"] = closes(
+            lambda arrival, status=status: arrival.head(status) + FOREIGN)
+    assert_no_answers(answers, sizes=(SMALL_BYTES,))
+    assert_no_answers(statuses("000 OK", "600 High"), sizes=(LARGE_BYTES,))
+
+
 def a_head_that_stops_is_no_answer():
     """Endpoints close or reset the connection inside of an answer's head."""
     answers = {}
@@ -372,6 +398,7 @@
 
 SCENARIOS = [
     chunks_that_arrive_in_pieces_end_no_router,
+    a_status_that_does_not_exist_is_no_answer,
     a_head_that_stops_is_no_answer,
     a_body_that_stops_is_no_answer,
     a_start_line_of_another_protocol_is_no_answer,
--- a/tests/unit/responses_test.cpp
+++ b/tests/unit/responses_test.cpp
@@ -138,6 +138,16 @@
   CHECK(Outcome.Unparsed == Second.size());
 }
 
+TEST_CASE("a status outside of 200 to 599 is no response", "[responses]") {
+  for (const char *Status :
+       {"000 OK", "000 ", "001 Low", "099 Low", "101 Switching", "600 High",
+        "999 High", "20 OK", "2000 OK", "-20 OK", "2x0 OK", "+20 OK"})
+    CHECK(defectOf(withStatus(Status)) == defect::Status);
+  // Such a response is no interim one either.
+  CHECK(defectOf("HTTP/1.1 000 OK\r\n\r\n" + withStatus("200 OK")) ==
+        defect::Status);
+}
+
 TEST_CASE("another protocol is no response", "[responses]") {
   for (const char *Line :
        {"HTTP/2.0 200 OK", "HTTP/1.2 200 OK", "ICY 200 OK", "http/1.1 200 OK",
