Take a folded line in a head for no answer

What callers saw: an endpoint's answer in whose head a line began with a blank. The line was passed on as a part of the field before it. If it was the one that stated the length, the body was whatever came to the end of the connection. Cause: the library accepts folded lines (obs-fold) and joins them silently. Names that hold a blank or a control byte anywhere else it refuses: that was held before, and stays tested on every kind of route. Fix: the parser looks at the lines of a head that it has consumed, and takes a head with a folded line for no response, as RFC 9112, 5.2 lets a gateway do.

--- a/packages/responses/src/response_parser.cpp
+++ b/packages/responses/src/response_parser.cpp
@@ -24,6 +24,12 @@
 constexpr int MaxInterimResponses = 100;
 constexpr std::size_t MinLastChunkBytes = 5; // With an empty trailer.
 
+// A line that begins with a blank continues the field before it.
+bool hasFoldedLine(std::string_view Lines) {
+  return Lines.find("\n ") != std::string_view::npos ||
+         Lines.find("\n\t") != std::string_view::npos;
+}
+
 defect defectOf(const error_code &Error) {
   switch (static_cast<http::error>(Error.value())) {
   case http::error::bad_version:
@@ -171,6 +177,8 @@
     const std::size_t Count = Message->put(
         boost::asio::const_buffer(Rest.data(), Rest.size()), Error);
     Consumed += Count;
+    if (!HasHead && hasFoldedLine(Rest.substr(0, Count)))
+      return fail(defect::Field, Consumed);
     if (Error == http::error::need_more)
       return awaitMore(Rest.size() - Count, Consumed);
     if (Error)
--- a/tests/process/broken_answer_scenarios.py
+++ b/tests/process/broken_answer_scenarios.py
@@ -178,6 +178,12 @@
     return start_lines(*(f"HTTP/1.1 {text}" for text in texts))
 
 
+def fields(*lines):
+    """Returns an answer for each line that stands among the fields."""
+    return {repr(line): sends(lambda arrival, line=line: arrival.whole(
+        FOREIGN, "200 OK", line)) for line in lines}
+
+
 def assert_no_answers(answers, sizes=(SMALL_BYTES, LARGE_BYTES)):
     """None of the answers reaches a caller.
 
@@ -230,6 +236,23 @@
     assert_no_answers(statuses("000 OK", "600 High"), sizes=(LARGE_BYTES,))
 
 
+def a_field_name_with_a_blank_or_control_byte_is_no_answer():
+    """Endpoints answer with a malformed name of a field, or a folded line."""
+    answers = fields("X Y: z", "X : z", " X: z", "\tX: z", "X\x01Y: z",
+                     "X\x00: z", "X\x7f: z", "X\x0b: z", "X\rY: z", ": z",
+                     "X", "Content-Length : 2", " Transfer-Encoding: chunked",
+                     "Server-Stamp\t: a")
+    # A field that a lenient reader would frame the body by.
+    for line in ("Content-Length : 14", " Content-Length: 14",
+                 "Content-Length\x01: 14", "Transfer-Encoding : chunked"):
+        answers[repr(line) + " alone"] = closes(
+            lambda arrival, line=line: arrival.head(
+                "200 OK", "X: y", line) + FOREIGN)
+    assert_no_answers(answers, sizes=(SMALL_BYTES,))
+    assert_no_answers(fields("X Y: z", "X\x01Y: z", " X: z"),
+                      sizes=(LARGE_BYTES,))
+
+
 def a_head_that_stops_is_no_answer():
     """Endpoints close or reset the connection inside of an answer's head."""
     answers = {}
@@ -399,6 +422,7 @@
 SCENARIOS = [
     chunks_that_arrive_in_pieces_end_no_router,
     a_status_that_does_not_exist_is_no_answer,
+    a_field_name_with_a_blank_or_control_byte_is_no_answer,
     a_head_that_stops_is_no_answer,
     a_body_that_stops_is_no_answer,
     a_start_line_of_another_protocol_is_no_answer,
--- a/tests/unit/responses_test.cpp
+++ b/tests/unit/responses_test.cpp
@@ -83,6 +83,10 @@
   return "HTTP/1.1 200 OK\r\n" + Line + "\r\nContent-Length: 2\r\n\r\nok";
 }
 
+std::string unframedWith(const std::string &Line) {
+  return "HTTP/1.1 200 OK\r\n" + Line + "\r\n\r\nok";
+}
+
 const std::string ChunkedHead =
     "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
 
@@ -156,6 +160,18 @@
           defect::StartLine);
 }
 
+TEST_CASE("a malformed or folded line of a head is no response",
+          "[responses]") {
+  for (const char *Line :
+       {"X Y: z", "X : z", "X\t: z", " X: z", "\tX: z", "X\x01Y: z", "X\x7f: z",
+        "X\rY: z", ": z", "X", "X: a\x01", "X: a\r\n b: c", "X: a\r\n\tb: c",
+        "X: a\nY: b", "Content-Length : 2"}) {
+    CHECK(defectOf(withField(Line)) == defect::Field);
+    CHECK(defectOf(unframedWith(Line)) == defect::Field);
+  }
+  CHECK(defectOf(withField(std::string("X\0Y: z", 6))) == defect::Field);
+}
+
 TEST_CASE("a response that stops is none", "[responses]") {
   for (const std::string &Whole :
        {withStatus("200 OK"), ChunkedHead + "2\r\nok\r\n0\r\n\r\n",
