Take a framing that nobody understands for no answer

What callers saw: an endpoint's answer with a transfer coding that we don't know or undo (gzip, identity, 'chunked, gzip', 'gzip, chunked'), as its answer with a length of ours. The body was coded, or held the lines of its chunks. Cause: the library ignores any coding but a last 'chunked', and then reads to the connection's end. The unit test of http_channel fails there with such an answer of the store too, with one of a status that does not exist, with a folded line and with a content coding. Fix: one Transfer-Encoding field that is 'chunked', in HTTP/1.1, or none; no content coding, since nobody asks for one. From the store and from peers, a body must also state its end: one that ends with its connection may have been cut there. responses.hpp now says in one place what a response is.

--- a/packages/edge/src/http_channel.cpp
+++ b/packages/edge/src/http_channel.cpp
@@ -29,6 +29,7 @@
 
   void beginResponse() {
     responses::parser_settings Expected;
+    Expected.NeedsStatedEnd = true;
     Expected.MaxHeadBytes = MaxHeadBytes;
     Expected.MaxBodyBytes = MaxBodyBytes;
     Parser.emplace(Expected);
--- a/packages/responses/include/tamarack/responses.hpp
+++ b/packages/responses/include/tamarack/responses.hpp
@@ -9,6 +9,19 @@
 //   parser_settings    what the reader of one response expects
 //   response_parser    the parser
 //
+// A response is
+//   - a status line of HTTP/1.0 or HTTP/1.1 with a status from 200 to 599,
+//   after
+//     any number of interim responses (1xx other than 101),
+//   - fields whose names are tokens and whose values hold no control bytes,
+//     without folded lines (RFC 9112, 5.2),
+//   - a body whose framing is understood: a length, chunks, or neither. In the
+//     last case the body ends with its connection. Any other transfer coding,
+//     and any content coding, is a defect: nobody here asks for one, and
+//     nobody would undo it,
+//   - its end: all bytes of the length, the last chunk with its trailer, or the
+//     connection's end if the server closed it and nothing shows that bytes
+//     were lost.
 // Bytes after the end belong to no response to this request.
 //
 // The grammar is Boost.Beast's. Nothing here is thread-safe.
@@ -31,12 +44,13 @@
 
 enum class defect {
   None,
-  StartLine,  // Not one of HTTP/1.0 or HTTP/1.1.
-  Status,     // No status of a response, or a protocol that nobody asked for.
-  Field,      // A malformed or folded line of the head or of the trailer.
-  Framing,    // The end of the body can't be known for certain.
-  TooLarge,   // A head, line or body beyond the limits.
-  Incomplete, // The connection ended before the response.
+  StartLine, // Not one of HTTP/1.0 or HTTP/1.1.
+  Status,    // No status of a response, or a protocol that nobody asked for.
+  Field,     // A malformed or folded line of the head or of the trailer.
+  Framing,   // The end of the body can't be known for certain.
+  ContentCoding, // The body is encoded.
+  TooLarge,      // A head, line or body beyond the limits.
+  Incomplete,    // The connection ended before the response.
 };
 
 std::string_view toString(defect Defect);
@@ -71,6 +85,9 @@
 
 struct parser_settings {
   bool IsToHead = false; // The request's method is HEAD: there is no body.
+  // A body that ends with its connection is a defect. For servers that always
+  // state the end: such a body may have lost its rest unnoticed.
+  bool NeedsStatedEnd = false;
   std::uint32_t MaxHeadBytes = MaxUnparsedBytes; // Of one head.
   std::uint64_t MaxBodyBytes = std::numeric_limits<std::uint64_t>::max();
 };
--- a/packages/responses/src/response_parser.cpp
+++ b/packages/responses/src/response_parser.cpp
@@ -19,6 +19,7 @@
 constexpr unsigned MinFinalStatus = 200;
 constexpr unsigned MaxStatus = 599;
 constexpr unsigned SwitchingProtocols = 101;
+constexpr int Http11 = 11; // Version as Beast counts.
 // Interim (1xx) responses before a response. A server may report progress for
 // as long as the call takes.
 constexpr int MaxInterimResponses = 100;
@@ -65,6 +66,8 @@
     return "field";
   case defect::Framing:
     return "framing";
+  case defect::ContentCoding:
+    return "content_coding";
   case defect::TooLarge:
     return "too_large";
   case defect::Incomplete:
@@ -224,6 +227,18 @@
   const unsigned Status = Head.result_int();
   if (Status < MinStatus || Status > MaxStatus || Status == SwitchingProtocols)
     return defect::Status;
+  const std::size_t Codings = Head.count(http::field::transfer_encoding);
+  const bool IsChunked =
+      Codings == 1 && Head.version() == Http11 &&
+      boost::beast::iequals(Head[http::field::transfer_encoding], "chunked");
+  if (Codings > 0 && !IsChunked)
+    return defect::Framing;
+  if (isInterim())
+    return defect::None;
+  if (Head.count(http::field::content_encoding) > 0)
+    return defect::ContentCoding;
+  if (Settings.NeedsStatedEnd && Message->need_eof())
+    return defect::Framing;
   return defect::None;
 }
 
--- a/tests/process/broken_answer_scenarios.py
+++ b/tests/process/broken_answer_scenarios.py
@@ -270,6 +270,40 @@
     assert_no_answers(some, sizes=(LARGE_BYTES,))
 
 
+def a_framing_that_is_unknown_or_contradicts_itself_is_no_answer():
+    """Endpoints frame an answer in a way that tells no end for certain.
+
+    Guards against a body in an encoding that nobody has undone, and against
+    one that is taken to its connection's end because its framing is unknown.
+    """
+    lengths = ["Content-Length: " + text for text in (
+        "x", "-1", "+14", "0x0e", "14, 15", "14;", "1 4",
+        "99999999999999999999")]
+    encodings = ["Transfer-Encoding: " + text for text in (
+        "gzip", "identity", "xchunked", "chunked, gzip", "gzip, chunked",
+        "chunked, chunked", "chunked;q=1", "\"chunked\"", "", "x")]
+    lines = lengths + encodings + [
+        "Transfer-Encoding: gzip\r\nContent-Length: 14",
+        "Content-Length: 14\r\nTransfer-Encoding: gzip",
+        "Content-Length: 14\r\nTransfer-Encoding: chunked",
+        "Transfer-Encoding: chunked\r\nContent-Length: 14",
+        "Transfer-Encoding: gzip\r\nTransfer-Encoding: chunked",
+        "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked",
+        "Content-Length: 14\r\nContent-Length: 15",
+        "Content-Length: 14\r\nContent-Encoding: gzip",
+        "Content-Length: 14\r\nContent-Encoding: unheard-of"]
+    answers = {line: closes(lambda arrival, line=line: arrival.head(
+        "200 OK", line) + FOREIGN) for line in lines}
+    for line in encodings[:5]:
+        answers["in chunks, " + line] = closes(
+            lambda arrival, line=line: arrival.head("200 OK", line)
+            + chunk(FOREIGN) + LAST_CHUNK)
+    answers["HTTP/1.0 with chunks"] = closes(
+        lambda arrival: arrival.head("200 OK", "Transfer-Encoding: chunked")
+        .replace(b"HTTP/1.1", b"HTTP/1.0") + chunk(FOREIGN) + LAST_CHUNK)
+    assert_no_answers(answers, sizes=(SMALL_BYTES,))
+
+
 def a_start_line_of_another_protocol_is_no_answer():
     """Endpoints begin an answer by something else than HTTP/1."""
     assert_no_answers(start_lines(
@@ -425,6 +459,7 @@
     a_field_name_with_a_blank_or_control_byte_is_no_answer,
     a_head_that_stops_is_no_answer,
     a_body_that_stops_is_no_answer,
+    a_framing_that_is_unknown_or_contradicts_itself_is_no_answer,
     a_start_line_of_another_protocol_is_no_answer,
     an_early_answer_that_is_whole_is_passed_on,
 ]
--- a/tests/unit/http_channel_test.cpp
+++ b/tests/unit/http_channel_test.cpp
@@ -1,4 +1,4 @@
-// Responses of the store and of peers, over loopback.
+// Broken responses of the store and of peers, over loopback.
 #include "tamarack/edge.hpp"
 
 #include <catch2/catch.hpp>
@@ -8,10 +8,19 @@
 
 namespace {
 
+enum class after_response { Stay, Close, Reset };
+
+// What a server sends in response to one request.
+struct scripted_response {
+  std::string Bytes;
+  after_response Then = after_response::Stay;
+};
+
 // Responds to the requests of all connections, in order, by a script.
 class scripted_server {
 public:
-  scripted_server(net::io_context &Context, std::vector<std::string> Script)
+  scripted_server(net::io_context &Context,
+                  std::vector<scripted_response> Script)
       : Acceptor(Context, {net::ip::make_address("127.0.0.1"), 0}),
         Script(std::move(Script)) {
     accept();
@@ -49,19 +58,23 @@
   }
 
   void respond(const std::shared_ptr<session> &Session,
-               const std::string &Response) {
-    net::write(Session->Socket, net::buffer(Response));
-    serve(Session);
+               const scripted_response &Response) {
+    net::write(Session->Socket, net::buffer(Response.Bytes));
+    if (Response.Then == after_response::Stay)
+      return serve(Session);
+    if (Response.Then == after_response::Reset)
+      Session->Socket.set_option(net::socket_base::linger(true, 0));
+    Session->Socket.close();
   }
 
   tcp::acceptor Acceptor;
-  std::vector<std::string> Script;
+  std::vector<scripted_response> Script;
   std::size_t NextResponse = 0;
   std::vector<std::shared_ptr<session>> Sessions;
 };
 
 struct channel_fixture {
-  explicit channel_fixture(std::vector<std::string> Script)
+  explicit channel_fixture(std::vector<scripted_response> Script)
       : Server(Context, std::move(Script)),
         Channel(std::make_shared<http_channel>(Context, Server.address())) {}
 
@@ -92,19 +105,54 @@
   int ActiveMs = 0; // Of the last request.
 };
 
-std::string whole(const std::string &Body) {
-  return "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(Body.size()) +
-         "\r\n\r\n" + Body;
+std::string whole(const std::string &Body, const std::string &Line = "X: y") {
+  return "HTTP/1.1 200 OK\r\n" + Line +
+         "\r\nContent-Length: " + std::to_string(Body.size()) + "\r\n\r\n" +
+         Body;
 }
 
 } // namespace
 
+// Guards against a store or peer whose broken response is acted on, and against
+// its rest, which would be the response to the next request.
+TEST_CASE("a broken response is none, and the next request gets its own",
+          "[edge]") {
+  const std::string Head = "HTTP/1.1 200 OK\r\n";
+  const std::string Chunked = Head + "Transfer-Encoding: chunked\r\n\r\n";
+  const std::vector<scripted_response> Broken = {
+      {"HTTP/1.1 000 OK\r\nContent-Length: 1\r\n\r\nx"},
+      {"HTTP/1.1 600 OK\r\nContent-Length: 1\r\n\r\nx"},
+      {"HTTP/1.1 101 Switching\r\n\r\n"},
+      {"ICY 200 OK\r\nContent-Length: 1\r\n\r\nx"},
+      {whole("x", "X Y: z")},
+      {whole("x", "X: y\r\n Content-Length: 1")},
+      {whole("x", "Content-Encoding: gzip")},
+      {whole("x", "Transfer-Encoding: gzip")},
+      {Head + "Transfer-Encoding: gzip\r\n\r\nx", after_response::Close},
+      {Head + "\r\nx", after_response::Close},
+      {Head + "\r\nx", after_response::Reset},
+      {Head + "Content-Len", after_response::Close},
+      {Head + "Content-Length: 2\r\n\r\nx", after_response::Close},
+      {Chunked + "1\r\nx\r\n", after_response::Close},
+      {Chunked + "1\r\nx\r\n0\r\n", after_response::Close},
+      {Chunked + "zz\r\n\r\n"},
+      {"", after_response::Close},
+      {"", after_response::Reset}};
+  for (const scripted_response &Response : Broken) {
+    INFO(Response.Bytes);
+    channel_fixture Fixture({Response, {whole("own")}});
+    CHECK_FALSE(Fixture.request().has_value());
+    CHECK(Fixture.request() == "own");
+    CHECK(Fixture.Server.connectionCount() == 2);
+  }
+}
+
 // Guards against an interim response that is taken for the response, and
 // against a response that then goes to the next request.
 TEST_CASE("a channel skips interim responses", "[edge]") {
   const std::string Interim = "HTTP/1.1 100 Continue\r\n\r\n"
                               "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n";
-  channel_fixture Fixture({Interim + whole("first"), whole("second")});
+  channel_fixture Fixture({{Interim + whole("first")}, {whole("second")}});
   CHECK(Fixture.request() == "first");
   CHECK(Fixture.request() == "second");
   CHECK(Fixture.Server.connectionCount() == 1);
--- a/tests/unit/responses_test.cpp
+++ b/tests/unit/responses_test.cpp
@@ -172,6 +172,34 @@
   CHECK(defectOf(withField(std::string("X\0Y: z", 6))) == defect::Field);
 }
 
+TEST_CASE("a framing that is unknown or contradictory is no response",
+          "[responses]") {
+  for (const char *Line :
+       {"Transfer-Encoding: gzip", "Transfer-Encoding: identity",
+        "Transfer-Encoding: xchunked", "Transfer-Encoding: chunked, gzip",
+        "Transfer-Encoding: gzip, chunked",
+        "Transfer-Encoding:", "Transfer-Encoding: chunked;q=1",
+        "Transfer-Encoding: gzip\r\nTransfer-Encoding: chunked",
+        "Transfer-Encoding: gzip\r\nContent-Length: 2",
+        "Content-Length: 2\r\nTransfer-Encoding: chunked",
+        "Transfer-Encoding: chunked\r\nContent-Length: 2",
+        "Content-Length: 2\r\nContent-Length: 3", "Content-Length: 2, 3",
+        "Content-Length: x", "Content-Length: -1", "Content-Length: +2",
+        "Content-Length:", "Content-Length: 99999999999999999999"})
+    CHECK(defectOf(unframedWith(Line)) == defect::Framing);
+  CHECK(defectOf("HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n") ==
+        defect::Framing);
+  CHECK(defectOf(ChunkedHead + "zz\r\n") == defect::Framing);
+  CHECK(defectOf(ChunkedHead + "2\r\nokX0\r\n\r\n") == defect::Framing);
+  CHECK(defectOf(ChunkedHead + "2\r\nok\r\n0\r\nX Y: z\r\n\r\n") ==
+        defect::Field);
+}
+
+TEST_CASE("an encoded body is no response", "[responses]") {
+  CHECK(defectOf(withField("Content-Encoding: gzip")) == defect::ContentCoding);
+  CHECK(defectOf(withField("content-encoding: x")) == defect::ContentCoding);
+}
+
 TEST_CASE("a response that stops is none", "[responses]") {
   for (const std::string &Whole :
        {withStatus("200 OK"), ChunkedHead + "2\r\nok\r\n0\r\n\r\n",
@@ -194,6 +222,10 @@
   CHECK_FALSE(Closed.KeepsConnection);
   CHECK(parseInAllPieces(Unframed, connection_end::Broken).Why ==
         defect::Incomplete);
+  parser_settings NeedsEnd;
+  NeedsEnd.NeedsStatedEnd = true;
+  CHECK(parseInAllPieces(Unframed, connection_end::Closed, NeedsEnd).Why ==
+        defect::Framing);
 }
 
 TEST_CASE("a response to HEAD has no body", "[responses]") {
