Take an answer for cut if the reset took away its end

What callers saw: an endpoint answered a long upload at once with a 200 that had neither a length nor chunks, sent a part of it and reset the connection while the upload was still being written. Callers got that part as a complete answer; on streams, some events and then a proper end. Cause: the kernel reports a reset once. The write of the upload got the error, and the read that followed found nothing but an end, which completes an answer of that form. Small uploads are written before, so the read gets the error. Fix: once the write has failed, the connection's end completes no answer. The handler of a failed write may run after that of the read, so the latter is posted. An answer that is whole by its length or its chunks never needs that end: it is passed on as before, and so is one whose sender closes its side while the upload goes on. a_broken_answer_is_replaced_as_the_kind_allows shows with two endpoints that lookups and resumable streams go on at the other one, sales and other streams don't run twice.

--- a/packages/edge/src/endpoint_attempt.cpp
+++ b/packages/edge/src/endpoint_attempt.cpp
@@ -113,6 +113,7 @@
   http::async_write(Connection->Socket, Request,
                     [Self](const error_code &Error, std::size_t) {
                       Self->IsWriting = false;
+                      Self->HasWriteFailed = Error.failed();
                       Self->Body.reset();
                       // The response may be complete before the request is
                       // written. A write error before that is not reported
@@ -196,8 +197,10 @@
       Buffer.prepare(Size), [Self](const error_code &Error, std::size_t Count) {
         if (Self->Listener == nullptr)
           return;
+        // The handler of a write that failed before may still be waiting.
         if (Error)
-          return Self->onConnectionEnd(Error);
+          return net::post(Self->Context,
+                           [Self, Error] { Self->onConnectionEnd(Error); });
         Self->Connection->Buffer.commit(Count);
         Self->parseReceived();
       });
@@ -209,7 +212,11 @@
 }
 
 void endpoint_attempt::onConnectionEnd(const error_code &Error) {
-  const bool IsClosed = Error == net::error::eof;
+  if (Listener == nullptr)
+    return;
+  // The kernel reports a reset once: if the write has got it, the read finds
+  // nothing but an end.
+  const bool IsClosed = Error == net::error::eof && !HasWriteFailed;
   onParsed(Parser->onConnectionEnd(IsClosed
                                        ? responses::connection_end::Closed
                                        : responses::connection_end::Broken));
--- a/packages/edge/src/endpoint_attempt.hpp
+++ b/packages/edge/src/endpoint_attempt.hpp
@@ -117,7 +117,8 @@
   std::size_t DiscardedBytes = 0;
   std::optional<int> ServerKeepAliveS; // Stated in the Keep-Alive field.
   bool IsWriting = false;              // The request is not written completely.
-  bool IsReadPaused = false;           // Until resume().
+  bool HasWriteFailed = false;
+  bool IsReadPaused = false; // Until resume().
   bool IsResponseComplete = false;
   bool IsUnmarked = false; // The response names no request.
 };
--- a/tests/process/broken_answer_scenarios.py
+++ b/tests/process/broken_answer_scenarios.py
@@ -19,6 +19,7 @@
          "once": ("engine", STREAM_HOST, "/stream/once/a"),
          "sale": ("desk", DESK_HOST, "/sale/a"),  # Not repeatable.
          "lookup": ("desk", DESK_HOST, "/lookup/a")}
+REPEATABLE = {"stream", "lookup"}
 SMALL_BYTES = 100
 LARGE_BYTES = 4_000_000  # More than the buffers of sockets hold.
 LIMITS = {"maxHeaderBytes": 8192, "maxBodyBytes": 4 << 20,
@@ -340,6 +341,55 @@
     assert_no_answers(answers, sizes=(SMALL_BYTES,))
 
 
+def a_broken_answer_is_replaced_as_the_kind_allows():
+    """The first endpoint that gets a request breaks its answer.
+
+    Guards against a call that could go to another endpoint and does not, and
+    against one that may not and runs there again.
+    """
+    answers = {
+        "status": statuses("000 OK")["HTTP/1.1 000 OK"],
+        "field": fields("X Y: z")[repr("X Y: z")],
+        "framing": closes(lambda arrival: arrival.head(
+            "200 OK", "Transfer-Encoding: gzip") + FOREIGN),
+        "head": closes(lambda arrival: arrival.head()[:-2]),
+        "early reset": early(lambda arrival: arrival.head(), 0.02,
+                             lambda arrival: arrival.reset())}
+    with PlatformFleet(routers=1, engines=0, desks=0,
+                       repeat_slack=10_000) as fleet, \
+            contextlib.ExitStack() as stack:
+        fleet.publish(limits=LIMITS)
+        endpoints = {
+            service: [stack.enter_context(BrokenEndpoint(
+                fleet, f"{service}-{number}", service,
+                receive_bytes=RECEIVE_BYTES)) for number in range(2)]
+            for service in ("desk", "engine")}
+        wait_for_endpoints(fleet, 4)
+        for (name, answer), kind, size in itertools.product(
+                answers.items(), KINDS, (SMALL_BYTES, LARGE_BYTES)):
+            service = KINDS[kind][0]
+            both = endpoints[service]
+
+            def first_only(arrival):
+                seen = sum(each.seen.count(arrival.id) for each in both)
+                if seen == 1:
+                    return answer(arrival)
+                arrival.read_body()
+                return arrival.send(sound_answer(service, arrival))
+            request = f"case-{next(request_numbers)}"
+            for each in both:
+                each.answer = first_only
+            got = call(fleet, kind, request, size)
+            seen = sum(each.seen.count(request) for each in both)
+            case = (name, kind, size, seen)
+            if kind in REPEATABLE:
+                assert_sound(got, kind, case)
+                assert seen == 2, (case, got)
+            else:
+                assert_no_answer(got, case)
+                assert seen == 1, (case, got)
+
+
 def early(part, pause, end, read=0):
     """Returns an answer that is written before the request was read.
 
@@ -361,6 +411,53 @@
             for pause in (0, 0.01, 0.1) for read in (0, 20_000)}
 
 
+def an_early_answer_without_a_length_that_is_reset_is_no_answer():
+    """Endpoints answer an upload at once, in part, and reset the connection.
+
+    The answer has neither a length nor chunks, so its connection's end is its
+    own end. Guards against a router whose write of the upload takes the error
+    of the reset, and whose read then finds nothing but an end.
+    """
+    failures = []
+    count = 0
+    with PlatformFleet(routers=1, engines=0, desks=0,
+                       repeat_slack=10_000) as fleet:
+        fleet.publish(limits=LIMITS)
+        with BrokenEndpoint(fleet, "desk-0", "desk",
+                            receive_bytes=RECEIVE_BYTES) as desk, \
+                BrokenEndpoint(fleet, "engine-0", "engine",
+                               receive_bytes=RECEIVE_BYTES) as engine:
+            wait_for_endpoints(fleet, 2)
+            for kind, kept, size in itertools.product(
+                    KINDS, (False, True), (SMALL_BYTES, LARGE_BYTES)):
+                endpoint = desk if KINDS[kind][0] == "desk" else engine
+                parts = ([FOREIGN, b""] if KINDS[kind][0] == "desk" else
+                         [events(1, 2), events(1, 2) + b"id: 3\nda", b""])
+                for part in parts:
+                    for name, answer in early_answers(
+                            lambda arrival, part=part: arrival.head()
+                            + part).items():
+                        count += 1
+                        got = provoke(fleet, endpoint, kind, answer, kept,
+                                      size)
+                        case = (kind, kept, size, len(part), name)
+                        try:
+                            assert_cut_or_none(got, kind, case)
+                        except AssertionError as error:
+                            failures.append(str(error)[:300])
+    print(f"{count} cases, {len(failures)} failed", flush=True)
+    assert not failures, "\n".join(failures)
+
+
+def assert_cut_or_none(got, kind, case):
+    """Like assert_no_answer; a stream may also be cut after whole events."""
+    if kind in ("stream", "once") and got.status == 200:
+        assert got.cut, (case, got)
+        assert events(1, 10).startswith(got.body), (case, got)
+        return
+    assert_no_answer(got, case)
+
+
 def an_early_answer_that_is_whole_is_passed_on():
     """Endpoints answer an upload at once and end or reset the connection.
 
@@ -459,7 +556,9 @@
     a_field_name_with_a_blank_or_control_byte_is_no_answer,
     a_head_that_stops_is_no_answer,
     a_body_that_stops_is_no_answer,
+    a_broken_answer_is_replaced_as_the_kind_allows,
     a_framing_that_is_unknown_or_contradicts_itself_is_no_answer,
     a_start_line_of_another_protocol_is_no_answer,
+    an_early_answer_without_a_length_that_is_reset_is_no_answer,
     an_early_answer_that_is_whole_is_passed_on,
 ]
