Take a refusal that stops for no refusal

What callers saw: an endpoint's answer said in its head that the request had not run, and broke off before its end. Callers were told 'not run', and a request that may run once only was sent to a second endpoint, on the word of a part of an answer. Cause: exchange acted on the head of a refusal (Not-Executed, 421) and dropped the rest unread. Fix: a refusal counts once it has ended, like any answer. Its body is read and dropped, 64 KB at most; one that breaks off, is longer or is unfinished at the deadline is a broken attempt. A refusal that is whole also leaves its connection open for later requests. The test of relay that expected the next attempt at the head of a refusal now expects none there and one at its end; the random sequences of events have refusals that end and that break off.

--- a/packages/relay/include/tamarack/relay.hpp
+++ b/packages/relay/include/tamarack/relay.hpp
@@ -12,7 +12,8 @@
 //
 // Guarantees for every kind of call and endpoint:
 //   - A call that is not repeatable is retried only if nothing had been sent or
-//     the endpoint itself reported that it did not execute the call.
+//     the endpoint itself reported, in a complete response, that it did not
+//     execute the call.
 //   - An error response says "not run" only if no attempt can have run the
 //     call.
 //   - A response that ends early never looks complete to the caller.
@@ -595,6 +596,9 @@
   bool tryRetry(time_ms Now);
   void replaceUnsent(attempt_outcome Outcome, time_ms Now);
   void beginStream();
+  bool isRefusal() const;
+  void onRefusalBody(std::size_t Size, time_ms Now);
+  void finishRefusal(time_ms Now);
   bool isForwarded() const;
   bool makeRoom(std::size_t Size);
   void cancelAttempt(time_ms Now); // If one is in flight.
@@ -623,12 +627,13 @@
   state State = state::New;
   exchange_report Report;
   std::set<std::string> TriedEndpoints;
-  endpoint_choice Target;     // Of the current attempt.
-  response_head Head;         // Of the current attempt.
-  std::string Body;           // Of a response that is not a stream.
-  event_stream_parser Parser; // Of the current attempt.
-  std::string FinalEvent;     // Held back until the call is settled.
-  memory::memory_charge Kept; // Of the current attempt's response.
+  endpoint_choice Target;       // Of the current attempt.
+  response_head Head;           // Of the current attempt.
+  std::string Body;             // Of a response that is not a stream.
+  std::size_t RefusalBytes = 0; // Received of the body of a refusal.
+  event_stream_parser Parser;   // Of the current attempt.
+  std::string FinalEvent;       // Held back until the call is settled.
+  memory::memory_charge Kept;   // Of the current attempt's response.
   bool HoldsReservation = false;
   bool AttemptInFlight = false;
   bool MayHaveRun = false;   // At least one attempt may have run the call.
--- a/packages/relay/src/exchange.cpp
+++ b/packages/relay/src/exchange.cpp
@@ -16,6 +16,7 @@
 constexpr int MinAttemptMs = 20;         // A shorter attempt is not worthwhile.
 constexpr std::size_t MaxCompleteBodyBytes = 8u << 20;
 constexpr std::size_t MaxEventBytes = 1u << 20;
+constexpr std::size_t MaxRefusalBytes = 64 * 1024; // That are read for its end.
 
 bool isSuccess(int Status) { return Status >= 200 && Status < 300; }
 
@@ -122,6 +123,7 @@
   SawFirstByte = false;
   Head = {};
   Body = {};
+  RefusalBytes = 0;
   Parser.clear();
   Kept.set(0);
   if (!StreamBegun)
@@ -198,17 +200,10 @@
   Head = std::move(NewHead);
   if (Head.Unusable)
     return onBroken(Now);
-  if (Head.NotRun || Head.Misplaced) {
-    Host.cancelAttempt();
-    endAttempt(Head.Misplaced ? attempt_outcome::Misplaced
-                              : attempt_outcome::Refused,
-               Now);
-    if (tryRetry(Now))
-      return startNextAttempt(Now);
-    if (MayHaveRun)
-      return failAfterSend(false);
-    return refuseNotRun(error_kind::Overloaded,
-                        Placement.refusal(Call).RetryAfterMs);
+  // It counts once it is complete: a part of a response states nothing.
+  if (isRefusal()) {
+    State = state::Receiving;
+    return;
   }
   MayHaveRun = true;
   const bool Failed = Head.Status >= 500;
@@ -229,6 +224,26 @@
     onBroken(Now);
 }
 
+// True if the endpoint states that it did not run the call.
+bool exchange::isRefusal() const { return Head.NotRun || Head.Misplaced; }
+
+void exchange::onRefusalBody(std::size_t Size, time_ms Now) {
+  RefusalBytes += Size;
+  if (RefusalBytes > MaxRefusalBytes)
+    onBroken(Now);
+}
+
+void exchange::finishRefusal(time_ms Now) {
+  endAttempt(Head.Misplaced ? attempt_outcome::Misplaced
+                            : attempt_outcome::Refused,
+             Now);
+  if (tryRetry(Now))
+    return startNextAttempt(Now);
+  if (MayHaveRun)
+    return failAfterSend(false);
+  refuseNotRun(error_kind::Overloaded, Placement.refusal(Call).RetryAfterMs);
+}
+
 // True if the response is passed on event by event, so that little of it is
 // kept.
 bool exchange::isForwarded() const {
@@ -236,7 +251,8 @@
 }
 
 bool exchange::canReceiveBody() {
-  if (State != state::Receiving || isForwarded() || !Head.BodyBytes)
+  const bool IsKept = !isForwarded() && !isRefusal();
+  if (State != state::Receiving || !IsKept || !Head.BodyBytes)
     return true;
   const std::size_t Size = static_cast<std::size_t>(*Head.BodyBytes);
   return Kept.bytes() >= Size || Kept.trySet(Size);
@@ -254,6 +270,8 @@
 void exchange::onBody(std::string_view Bytes, time_ms Now) {
   if (State != state::Receiving)
     return;
+  if (isRefusal())
+    return onRefusalBody(Bytes.size(), Now);
   if (isForwarded()) {
     Parser.push(Bytes);
     return processEvents(Now);
@@ -333,6 +351,8 @@
 void exchange::onEnd(time_ms Now) {
   if (State != state::Receiving)
     return;
+  if (isRefusal())
+    return finishRefusal(Now);
   if (!isForwarded())
     return finishCompleteResponse(Now);
   const bool EndsInsideEvent = Parser.pending() > 0;
--- a/tests/process/broken_answer_scenarios.py
+++ b/tests/process/broken_answer_scenarios.py
@@ -341,6 +341,31 @@
     assert_no_answers(answers, sizes=(SMALL_BYTES,))
 
 
+def a_refusal_that_stops_promises_nothing():
+    """Endpoints state "not run", and the answer breaks off after its head.
+
+    Guards against callers that are told "not run" by a part of an answer, and
+    against requests that run at a second endpoint on the word of one.
+    """
+    refusal = "503 Busy"
+    answers = {}
+    for end in (closes, resets):
+        answers["length", end.__name__] = end(lambda arrival: arrival.whole(
+            FOREIGN, refusal, "Not-Executed: 1")[:-1])
+        answers["no byte", end.__name__] = end(lambda arrival: arrival.whole(
+            FOREIGN, refusal, "Not-Executed: 1")[:-len(FOREIGN)])
+        answers["chunks", end.__name__] = end(lambda arrival: arrival.head(
+            refusal, "Not-Executed: 1", "Transfer-Encoding: chunked")
+            + chunk(FOREIGN))
+    answers["field"] = sends(lambda arrival: arrival.whole(
+        FOREIGN, refusal, "Not-Executed: 1", "X Y: z"))
+    answers["coding"] = closes(lambda arrival: arrival.head(
+        refusal, "Not-Executed: 1", "Transfer-Encoding: gzip"))
+    answers["421"] = closes(lambda arrival: arrival.whole(
+        FOREIGN, "421 Elsewhere")[:-1])
+    assert_no_answers(answers, sizes=(SMALL_BYTES,))
+
+
 def a_broken_answer_is_replaced_as_the_kind_allows():
     """The first endpoint that gets a request breaks its answer.
 
@@ -556,6 +581,7 @@
     a_field_name_with_a_blank_or_control_byte_is_no_answer,
     a_head_that_stops_is_no_answer,
     a_body_that_stops_is_no_answer,
+    a_refusal_that_stops_promises_nothing,
     a_broken_answer_is_replaced_as_the_kind_allows,
     a_framing_that_is_unknown_or_contradicts_itself_is_no_answer,
     a_start_line_of_another_protocol_is_no_answer,
--- a/tests/unit/relay_test.cpp
+++ b/tests/unit/relay_test.cpp
@@ -223,14 +223,39 @@
   exchange_fixture Fixture(callOf(call_kind::NotRepeatable));
   Fixture.Exchange.start(Start);
   Fixture.Exchange.onHead(notRunHead(), Start + 10);
+  CHECK(Fixture.Host.AttemptedEndpoints == std::vector<std::string>{"e1"});
+  Fixture.Exchange.onBody("busy", Start + 11);
+  Fixture.Exchange.onEnd(Start + 12);
   CHECK(Fixture.Host.AttemptedEndpoints ==
         std::vector<std::string>{"e1", "e2"});
   Fixture.Exchange.onHead(notRunHead(), Start + 20);
+  CHECK(Fixture.Host.FinalResponses == 0);
+  Fixture.Exchange.onEnd(Start + 21);
   CHECK(Fixture.Host.RefusedWith == error_kind::Overloaded);
   CHECK(Fixture.Host.AdvisedRetryMs == 250);
   CHECK(Fixture.Budget.Billed == 0);
 }
 
+// Guards against "not run" for a call that may have run, and against a second
+// attempt, on the word of a response that is not whole.
+TEST_CASE("a refusal that breaks off states nothing", "[relay]") {
+  const call_kind Kind = GENERATE(call_kind::NotRepeatable, call_kind::Stream);
+  exchange_fixture Fixture(callOf(Kind));
+  Fixture.Exchange.start(Start);
+  Fixture.Exchange.onHead(notRunHead(), Start + 10);
+  Fixture.Exchange.onBody("bu", Start + 11);
+  SECTION("the connection breaks") { Fixture.Exchange.onBroken(Start + 12); }
+  SECTION("the body does not end") {
+    const std::string Endless(64 * 1024, 'x');
+    Fixture.Exchange.onBody(Endless, Start + 12);
+  }
+  SECTION("the time is over") { Fixture.Exchange.onTimer(Start + Timeout); }
+  CHECK(Fixture.Host.AttemptedEndpoints.size() == 1);
+  REQUIRE(Fixture.Host.RefusedWith);
+  CHECK((*Fixture.Host.RefusedWith == error_kind::EndpointFailed ||
+         *Fixture.Host.RefusedWith == error_kind::OutcomeUnknown));
+}
+
 TEST_CASE("an unreached endpoint costs neither an attempt nor a retry",
           "[relay]") {
   exchange_fixture Fixture(callOf(call_kind::NotRepeatable, 1));
@@ -665,6 +690,7 @@
 struct endpoint_model {
   int MayHaveRun = 0;         // Attempts that may have run the call.
   bool Responding = false;    // The current attempt has sent its head.
+  bool Refusing = false;      // That head states that the call did not run.
   int Event = 0;              // Id of the last complete event that was sent.
   bool SentHalfEvent = false; // The first half of the next event was sent.
   std::set<std::string> EventVersions; // Of endpoints that sent events.
@@ -722,8 +748,11 @@
     }
     break;
   case step::NotRun:
-    if (InFlight && !Responding)
+    if (InFlight && !Responding) {
+      Responding = true;
+      Model.Refusing = true;
       Exchange.onHead(notRunHead(), Now);
+    }
     break;
   case step::Unusable:
     if (InFlight && !Responding) {
@@ -734,7 +763,7 @@
     }
     break;
   case step::Event:
-    if (InFlight && Responding) {
+    if (InFlight && Responding && !Model.Refusing) {
       ++Model.Event;
       Model.EventVersions.insert(
           actualVersion(Fixture, Fixture.Host.AttemptedEndpoints.back()));
@@ -747,7 +776,7 @@
     }
     break;
   case step::HalfEvent:
-    if (InFlight && Responding && !Model.SentHalfEvent) {
+    if (InFlight && Responding && !Model.Refusing && !Model.SentHalfEvent) {
       Model.SentHalfEvent = true;
       Exchange.onBody("id: " + std::to_string(Model.Event + 1) + "\nda", Now);
     }
@@ -760,7 +789,7 @@
     break;
   case step::Broken:
     if (InFlight) {
-      Model.MayHaveRun += Responding ? 0 : 1;
+      Model.MayHaveRun += Responding && !Model.Refusing ? 0 : 1;
       Fixture.Host.InFlight = false;
       Exchange.onBroken(Now);
     }
@@ -775,7 +804,7 @@
     Exchange.onBudgetChanged(Now);
     break;
   case step::ForcedStop:
-    if (InFlight && !Responding)
+    if (InFlight && (!Responding || Model.Refusing))
       ++Model.MayHaveRun;
     Exchange.onForcedStop(Now);
     break;
@@ -810,6 +839,7 @@
       apply(Fixture, Model, static_cast<step>(Item), Now);
       if (Fixture.Host.AttemptedEndpoints.size() != AttemptsBefore) {
         Model.Responding = false;
+        Model.Refusing = false;
         Model.SentHalfEvent = false;
       }
       // Another attempt only if the call is repeatable or has not run.
