Let a broken stream go on only with the events that follow

What callers saw: a stream had begun and broke off, and the answer of the next endpoint did not continue it. The text of its error, or a whole head, stood in the middle of the stream; an empty success ended the stream as if it were complete; events of a 202 or 206, of another media type, or after a missing one were joined to it. A caller that took a stream up got events that it had. Cause: of a second answer only its failures and repeated ids were refused. Whatever held no id was passed on as an event, and any end completed the stream. Fix: numbered_event_reader, where the rule belongs, takes an answer for the rest of a stream only with the status and media type of the answer that began, with numbered events alone, of which the first follows the last one that was sent, and with at least one. Comments are dropped. Where ids had gaps before, a gap is no missing event. Anything else breaks the attempt: another endpoint may go on where the route allows a repeat, or the answer ends cut. An empty answer to a caller that takes a stream up is still passed on: it may have every event and miss the end alone.

--- a/packages/edge/src/frontend_session.cpp
+++ b/packages/edge/src/frontend_session.cpp
@@ -249,7 +249,8 @@
   Held->Body = std::exchange(ForwardRequest.body(), {});
   Decoded.Call->Number = ++Server.CallCount;
   Server.Observer.onCallAccepted(*Decoded.Call);
-  Reader = {};
+  Reader =
+      relay::numbered_event_reader(relay::eventIdOf(Decoded.Call->ResumeAfter));
   Exchange = std::make_unique<relay::exchange>(
       std::move(*Decoded.Call), Server.Placement, Server.Allowance,
       Server.Origins, Reader, *this, Server.Memory);
--- a/packages/relay/include/tamarack/relay.hpp
+++ b/packages/relay/include/tamarack/relay.hpp
@@ -382,6 +382,9 @@
 
 // Status and header of an endpoint's response.
 struct response_head {
+  // Value of the first field of this name, in any case; empty if there is none.
+  std::string_view field(std::string_view Name) const;
+
   int Status = 0;
   bool NotRun = false;    // The endpoint reports that it did not run the call.
   bool Misplaced = false; // From another endpoint than the expected one.
@@ -429,6 +432,9 @@
   std::string Raw;      // The event as received, with its empty line.
 };
 
+// Id of an event, -1 if Text is not a number.
+std::int64_t eventIdOf(std::string_view Text);
+
 // Splits a text/event-stream into events.
 class event_stream_parser {
 public:
@@ -490,23 +496,40 @@
 };
 
 // Reads event streams with increasing ids. An attempt at another endpoint
-// continues after the last forwarded id.
+// continues after the last forwarded id: its response has the status and media
+// type of the one that began, at least one event, and only numbered events, of
+// which the first follows the last one that was forwarded. Comments in it are
+// dropped.
 class numbered_event_reader final : public response_reader {
 public:
-  void restart() override { *this = {}; }
-  bool onHead(const response_head &, std::string_view) override { return true; }
+  // LastReceivedId: of the last event that the caller has from an earlier call,
+  // -1 if none.
+  explicit numbered_event_reader(std::int64_t LastReceivedId = -1)
+      : LastReceivedId(LastReceivedId), LastId(LastReceivedId) {}
+
+  void restart() override { *this = numbered_event_reader(LastReceivedId); }
+  bool onHead(const response_head &Head, std::string_view Endpoint) override;
   event_action onEvent(const stream_event &Event) override;
   bool onCompleteBody(const response_head &, std::string_view) override {
     return true;
   }
-  bool isComplete() const override { return true; }
+  bool isComplete() const override;
   bool canResume(call_kind Kind) const override;
   std::string lastEventId() const override;
   std::int64_t tokensToCharge(const call &Call, delivery How) const override;
 
 private:
-  std::int64_t LastForwardedId = -1; // -1 if none.
+  bool mayFollow(std::int64_t Id) const;
+
+  std::int64_t LastReceivedId; // See the constructor.
+  std::int64_t LastId;         // Forwarded or received, -1 if none.
   std::int64_t ForwardedEvents = 0;
+  bool HasIdGaps =
+      false;             // Some ids were skipped, by the endpoint's own choice.
+  int Status = 0;        // Of the response that began.
+  std::string MediaType; // The same, in lower case, without parameters.
+  bool IsContinuation = false; // Of a response that another endpoint began.
+  bool HasContinued = false;   // An event of the continuation was forwarded.
 };
 
 //---------------------------------------------------------------------------
--- a/packages/relay/src/event_stream_parser.cpp
+++ b/packages/relay/src/event_stream_parser.cpp
@@ -21,12 +21,8 @@
 }
 
 void parseField(std::string_view Line, stream_event &Event) {
-  if (Line.starts_with("id:")) {
-    const std::string_view Value = fieldValue(Line, "id:");
-    std::int64_t Id = -1;
-    std::from_chars(Value.data(), Value.data() + Value.size(), Id);
-    Event.Id = Id;
-  }
+  if (Line.starts_with("id:"))
+    Event.Id = eventIdOf(fieldValue(Line, "id:"));
   if (Line.starts_with("data:")) {
     if (!Event.Data.empty())
       Event.Data.push_back('\n');
@@ -36,6 +32,12 @@
 
 } // namespace
 
+std::int64_t eventIdOf(std::string_view Text) {
+  std::int64_t Id = -1;
+  std::from_chars(Text.data(), Text.data() + Text.size(), Id);
+  return Id;
+}
+
 // Size of the first event, nothing if it is incomplete. Bytes that were
 // searched before are not searched again.
 std::optional<std::size_t> event_stream_parser::findEventEnd() {
--- a/tests/process/scenarios.py
+++ b/tests/process/scenarios.py
@@ -15,6 +15,7 @@
 import answer_scenarios
 import broken_answer_scenarios
 import broken_store_answer_scenarios
+import broken_stream_scenarios
 import configuration_scenarios
 import crowd_scenarios
 import delayed_stop_scenarios
@@ -659,6 +660,7 @@
      + entry_scenarios.SCENARIOS + pool_scenarios.SCENARIOS
      + answer_scenarios.SCENARIOS + evacuation_scenarios.SCENARIOS
      + crowd_scenarios.SCENARIOS + broken_answer_scenarios.SCENARIOS
+     + broken_stream_scenarios.SCENARIOS
      + broken_store_answer_scenarios.SCENARIOS)
 
 
--- a/tests/unit/relay_test.cpp
+++ b/tests/unit/relay_test.cpp
@@ -305,6 +305,103 @@
   CHECK(Fixture.Budget.Billed == 100 + 2 * 5);
 }
 
+// Guards against a second endpoint's response, or its error page, inside of the
+// stream that the first one began, and against a stream that ends too early.
+TEST_CASE("a stream goes on only with the events that follow", "[relay]") {
+  response_head Begun = headOf(200);
+  Begun.Fields = {{"Content-Type", "text/event-stream; charset=utf-8"}};
+  response_head Next = headOf(200);
+  Next.Fields = {{"content-type", "Text/Event-Stream"}};
+  exchange_fixture Fixture(callOf(call_kind::ResumableStream, 2));
+  Fixture.Exchange.start(Start);
+  Fixture.Exchange.onHead(Begun, Start + 10);
+  Fixture.Exchange.onBody("id: 1\ndata: a\n\nid: 2\ndata: b\n\n", Start + 11);
+  const std::string Received = Fixture.Host.Body;
+  Fixture.Exchange.onBroken(Start + 20);
+  REQUIRE(Fixture.Host.AttemptedEndpoints.size() == 2);
+  bool IsWhole = false;
+  std::string Expected = Received;
+  SECTION("they do") {
+    IsWhole = true;
+    const std::string Rest = "id: 3\ndata: c\n\nid: 4\ndata: d\n\n";
+    Expected += Rest;
+    Fixture.Exchange.onHead(Next, Start + 30);
+    Fixture.Exchange.onBody(": comment\n\n" + Rest, Start + 31);
+  }
+  SECTION("another media type") {
+    Next.Fields[0].Value = "text/html";
+    Fixture.Exchange.onHead(Next, Start + 30);
+  }
+  SECTION("another success") {
+    Next.Status = 206;
+    Fixture.Exchange.onHead(Next, Start + 30);
+  }
+  SECTION("a failure") {
+    Next.Status = 404;
+    Fixture.Exchange.onHead(Next, Start + 30);
+  }
+  SECTION("no event") { Fixture.Exchange.onHead(Next, Start + 30); }
+  SECTION("a comment alone") {
+    Fixture.Exchange.onHead(Next, Start + 30);
+    Fixture.Exchange.onBody(": comment\n\n", Start + 31);
+  }
+  SECTION("an event without an id") {
+    Fixture.Exchange.onHead(Next, Start + 30);
+    Fixture.Exchange.onBody("data: error\n\n", Start + 31);
+  }
+  SECTION("a page") {
+    Fixture.Exchange.onHead(Next, Start + 30);
+    Fixture.Exchange.onBody("HTTP/1.1 502 Bad\r\n\r\n<html>\n\n", Start + 31);
+  }
+  SECTION("an event that the caller has") {
+    Fixture.Exchange.onHead(Next, Start + 30);
+    Fixture.Exchange.onBody("id: 2\ndata: b\n\n", Start + 31);
+  }
+  SECTION("an event after a missing one") {
+    Fixture.Exchange.onHead(Next, Start + 30);
+    Fixture.Exchange.onBody("id: 4\ndata: d\n\n", Start + 31);
+  }
+  if (!Fixture.Exchange.isDone())
+    Fixture.Exchange.onEnd(Start + 32);
+  CHECK(Fixture.Host.Body == Expected);
+  CHECK(Fixture.Host.FinalResponses == 1);
+  CHECK(Fixture.Host.AbortedResponses == (IsWhole ? 0 : 1));
+}
+
+// Guards against a sound stream that is cut: its ids need not count its events.
+TEST_CASE("a stream whose ids have gaps goes on after any of them", "[relay]") {
+  exchange_fixture Fixture(callOf(call_kind::ResumableStream, 2));
+  Fixture.Exchange.start(Start);
+  Fixture.Exchange.onHead(headOf(200), Start + 10);
+  Fixture.Exchange.onBody("id: 10\ndata: a\n\nid: 20\ndata: b\n\n", Start + 11);
+  Fixture.Exchange.onBroken(Start + 20);
+  Fixture.Exchange.onHead(headOf(200), Start + 30);
+  Fixture.Exchange.onBody("id: 30\ndata: c\n\n", Start + 31);
+  Fixture.Exchange.onEnd(Start + 32);
+  CHECK(Fixture.Host.AbortedResponses == 0);
+  CHECK(Fixture.Host.Body.ends_with("id: 30\ndata: c\n\n"));
+}
+
+// Guards against events that a caller gets twice when it takes a stream up.
+TEST_CASE("a stream that is taken up begins after the caller's last event",
+          "[relay]") {
+  numbered_event_reader Reader(4);
+  const auto ActionOf = [&Reader](std::string_view Text) {
+    event_stream_parser Parser;
+    Parser.push(Text);
+    return Reader.onEvent(*Parser.next());
+  };
+  REQUIRE(Reader.onHead(headOf(200), "e"));
+  CHECK(ActionOf("id: 4\ndata: x\n\n") == event_action::Invalid);
+  CHECK(ActionOf("id: 1\ndata: x\n\n") == event_action::Invalid);
+  CHECK(ActionOf("data: x\n\n") == event_action::Invalid);
+  CHECK(ActionOf(": comment\n\n") == event_action::Drop);
+  CHECK(ActionOf("id: 5\ndata: x\n\n") == event_action::Forward);
+  Reader.restart();
+  CHECK(ActionOf("id: 4\ndata: x\n\n") == event_action::Invalid);
+  CHECK(ActionOf("id: 5\ndata: x\n\n") == event_action::Forward);
+}
+
 // Guards against responses that are joined from two versions.
 TEST_CASE("a stream goes on at an endpoint of the version that began it",
           "[relay]") {
