--- a/tests/process/broken_answer_scenarios.py
+++ b/tests/process/broken_answer_scenarios.py
@@ -242,7 +242,8 @@
     answers = fields("X Y: z", "X : z", " X: z", "\tX: z", "X\x01Y: z",
                      "X\x00: z", "X\x7f: z", "X\x0b: z", "X\rY: z", ": z",
                      "X", "Content-Length : 2", " Transfer-Encoding: chunked",
-                     "Server-Stamp\t: a")
+                     "Server-Stamp\t: a", "Attempt-Id: of-another",
+                     "Server-Stamp: of-another")
     # A field that a lenient reader would frame the body by.
     for line in ("Content-Length : 14", " Content-Length: 14",
                  "Content-Length\x01: 14", "Transfer-Encoding : chunked"):
--- a/tests/unit/platform_test.cpp
+++ b/tests/unit/platform_test.cpp
@@ -639,6 +639,13 @@
     Fields.set("Content-Encoding", "gzip");
     CHECK(Fixture.Codec.decodeResponseHead(Fields).Unusable);
   }
+  SECTION("a response with two ids or signatures is unusable") {
+    const char *Name = GENERATE("Attempt-Id", "Server-Stamp");
+    Fields.set(Name, "a");
+    CHECK_FALSE(Fixture.Codec.decodeResponseHead(Fields).Unusable);
+    Fields.insert(Name, "b");
+    CHECK(Fixture.Codec.decodeResponseHead(Fields).Unusable);
+  }
   SECTION("the call was not executed") {
     Fields.result(503);
     Fields.set("Not-Executed", "1");
