Read no bytes that came before a request as its response

What was seen: the store or a peer sent a second copy of a response, late. The next request on the connection got it as its own response. Cause: http_channel looked for such bytes only at the end of a response. Fix: a connection on which bytes wait is closed before the next request. Copies that come later than that can't be told apart: store and peers name no request.

--- a/packages/edge/src/http_channel.cpp
+++ b/packages/edge/src/http_channel.cpp
@@ -36,6 +36,13 @@
     Body.clear();
   }
 
+  // True if the server has sent bytes since the last response: they can't be
+  // the response to a request that is yet to be sent.
+  bool hasUnaskedBytes() const {
+    error_code Error; // Without an answer of the system, nothing is known.
+    return Socket.available(Error) > 0 && !Error;
+  }
+
   // Parses what was received up to the end of the response or to a defect.
   responses::part parseReceived() {
     for (;;) {
@@ -101,6 +108,8 @@
   queued_request &Active = Queue.front();
   ++Active.Attempts;
   HasCaughtUp = false;
+  if (Connection && Connection->hasUnaskedBytes())
+    close();
   // A reused connection may have died unnoticed, so a repeatable request gets a
   // shorter timeout and is sent once more.
   const bool IsRetryable = Connection && Active.Repeatable;
--- a/tests/unit/http_channel_test.cpp
+++ b/tests/unit/http_channel_test.cpp
@@ -28,6 +28,11 @@
   std::string address() const {
     return "127.0.0.1:" + std::to_string(Acceptor.local_endpoint().port());
   }
+  // Sends Bytes that no request has asked for on the newest connection.
+  void sendUnasked(std::string_view Bytes) {
+    net::write(Sessions.back()->Socket,
+               net::buffer(Bytes.data(), Bytes.size()));
+  }
   int connectionCount() const { return static_cast<int>(Sessions.size()); }
 
 private:
@@ -157,3 +162,13 @@
   CHECK(Fixture.request() == "second");
   CHECK(Fixture.Server.connectionCount() == 1);
 }
+
+// Guards against a second copy of a response that is taken for the response to
+// a request that was sent later.
+TEST_CASE("bytes that came before a request are no response to it", "[edge]") {
+  channel_fixture Fixture({{whole("first")}, {whole("second")}});
+  CHECK(Fixture.request() == "first");
+  Fixture.Server.sendUnasked(whole("first"));
+  CHECK(Fixture.request() == "second");
+  CHECK(Fixture.Server.connectionCount() == 2);
+}
