Read responses to daemons by the same parser

What callers saw at a daemon of the project's own form: an endpoint's answer with the status 000 as 'HTTP/1.1 0 OK', and 600 as it was; answers of another protocol, with a malformed name of a field, a transfer or content coding that nobody undid, as a 200; an answer whose head stopped two bytes before its end as a whole 200 with an empty body. A whole early answer to an upload of 1 MB was lost at times if the connection was reset after it. The rest of a completion was taken from a 202. Cause: POCO's HTTP client reads a head up to the end of the connection, ignores what it can't read of it, and has rules of its own for the rest; each was checked separately, or not. Fix: http_client uses POCO's sockets, and the parser that the router uses. It receives while it still sends, so an early answer needs no end of the upload. An idle connection on which bytes or an end wait is not used again. The rest of a completion must have the status of its beginning. This also covers the log and the list of instances of that form, reports of load, tamarackctl, and calls that one daemon passes on to another.

--- a/packages/adapters/include/tamarack/adapters.hpp
+++ b/packages/adapters/include/tamarack/adapters.hpp
@@ -15,7 +15,6 @@
 #include "tamarack/ports.hpp"
 
 #include <Poco/Net/Context.h>
-#include <Poco/Net/HTTPClientSession.h>
 
 #include <atomic>
 #include <condition_variable>
@@ -272,19 +271,19 @@
 
 private:
   class response;
-  using session_ptr = std::unique_ptr<Poco::Net::HTTPClientSession>;
+  struct connection;
+  using connection_ptr = std::unique_ptr<connection>;
 
-  // Returns an idle session, or a new one if there is none or if
-  // FreshConnection is true.
-  session_ptr acquireSession(const std::string &Url, bool FreshConnection);
-  session_ptr createSession(const std::string &Url);
-  // Returns a session to the pool for further requests.
-  void releaseSession(const std::string &Url, session_ptr Session);
+  // Throws Poco::Exception or endpoint_unreached.
+  connection_ptr connect(const std::string &Url, int TimeoutMs);
+  connection_ptr takeIdleConnection(const std::string &Url);
+  // Returns a connection to the pool for further requests.
+  void releaseConnection(const std::string &Url, connection_ptr Connection);
 
   Poco::Net::Context::Ptr Tls;
-  std::mutex Lock; // Guards IdleSessions.
-  std::map<std::string, std::vector<session_ptr>, std::less<>>
-      IdleSessions; // By URL of the server.
+  std::mutex Lock; // Guards IdleConnections.
+  std::map<std::string, std::vector<connection_ptr>, std::less<>>
+      IdleConnections; // By URL of the server.
 };
 
 // A complete response with its body.
--- a/packages/daemon/src/response_readers.cpp
+++ b/packages/daemon/src/response_readers.cpp
@@ -42,6 +42,9 @@
 
 bool completion_response_reader::onHead(const relay::response_head &Head,
                                         std::string_view Endpoint) {
+  const bool IsContinuation = Validator.nextPosition() > 0;
+  if (IsContinuation && Head.Status != StatusOk)
+    return false;
   IsError = Head.Status != StatusOk;
   if (IsError)
     return true;
--- a/stand_ins/service.cpp
+++ b/stand_ins/service.cpp
@@ -12,6 +12,7 @@
 
 #include <Poco/JSON/Object.h>
 #include <Poco/Net/HTTPServerRequestImpl.h>
+#include <Poco/Net/StreamSocket.h>
 
 #include <chrono>
 #include <iostream>
--- a/tests/process/scenarios.py
+++ b/tests/process/scenarios.py
@@ -14,6 +14,7 @@
 
 import answer_scenarios
 import broken_answer_scenarios
+import broken_daemon_answer_scenarios
 import broken_store_answer_scenarios
 import broken_stream_scenarios
 import configuration_scenarios
@@ -661,7 +662,8 @@
      + answer_scenarios.SCENARIOS + evacuation_scenarios.SCENARIOS
      + crowd_scenarios.SCENARIOS + broken_answer_scenarios.SCENARIOS
      + broken_stream_scenarios.SCENARIOS
-     + broken_store_answer_scenarios.SCENARIOS)
+     + broken_store_answer_scenarios.SCENARIOS
+     + broken_daemon_answer_scenarios.SCENARIOS)
 
 
 def read_known_red():
