Log why an answer is none

An operator saw that an attempt was 'broken', not what was wrong with the answer. The router now writes response_broken with the id, the endpoint and the parser's reason, and counts it in tamarack_responses_broken_total by reason. The reason 'none' is an answer that the attempt gave up for another cause: it named no request on a kept connection, or there was no memory for its head. What exchange refuses of a well-formed answer, such as one that doesn't continue a stream, has attempt_failed alone.

--- a/packages/daemon/src/router.hpp
+++ b/packages/daemon/src/router.hpp
@@ -63,6 +63,9 @@
   void onCallDone(const relay::call &Call, const relay::exchange_report &Report,
                   time_ms Now) override;
   void onRequestWhileDraining(const edge::drain_arrival &Request) override;
+  void onResponseBroken(const relay::call &Call,
+                        const relay::endpoint_choice &Source,
+                        responses::defect Why) override;
 
   // pools::token_source: the grants of this instance. If those are short, the
   // watermark and the grant record are written without waiting for the next
--- a/packages/daemon/src/router_reports.cpp
+++ b/packages/daemon/src/router_reports.cpp
@@ -345,6 +345,17 @@
                      {"bound", Call.maxTokens()}});
 }
 
+void router::onResponseBroken(const relay::call &Call,
+                              const relay::endpoint_choice &Source,
+                              responses::defect Why) {
+  const std::string Reason(responses::toString(Why));
+  Metrics.counterOf("tamarack_responses_broken_total{why=\"" + Reason + "\"}")
+      .add();
+  Log.write("response_broken", {{"id", std::string_view(Call.Id)},
+                                {"endpoint", std::string_view(Source.Endpoint)},
+                                {"why", std::string_view(Reason)}});
+}
+
 void router::onRequestWhileDraining(const edge::drain_arrival &Request) {
   const bool IsNewConnection = Request.EarlierRequests == 0;
   Metrics
--- a/packages/edge/include/tamarack/edge.hpp
+++ b/packages/edge/include/tamarack/edge.hpp
@@ -19,6 +19,7 @@
 
 #include "tamarack/memory.hpp"
 #include "tamarack/relay.hpp"
+#include "tamarack/responses.hpp"
 
 #include <utility> // Boost.Asio needs std::exchange and does not include it.
 
@@ -214,6 +215,10 @@
                           const relay::exchange_report &Report,
                           time_ms Now) = 0;
   virtual void onRequestWhileDraining(const drain_arrival &Request) = 0;
+  // What Source sent was no response; Why is None if nothing of it was wrong.
+  virtual void onResponseBroken(const relay::call & /*Call*/,
+                                const relay::endpoint_choice & /*Source*/,
+                                responses::defect /*Why*/) {}
 };
 
 class frontend_session;
--- a/packages/edge/src/endpoint_attempt.hpp
+++ b/packages/edge/src/endpoint_attempt.hpp
@@ -81,6 +81,10 @@
   // Continues to read the body after canAcceptBody() returned false.
   void resume();
   const relay::endpoint_choice &target() const { return Target; }
+  // Why the received bytes are no response; None if it is not known.
+  responses::defect whyBroken() const {
+    return Parser ? Parser->whyBroken() : responses::defect::None;
+  }
 
 private:
   void connect();
--- a/packages/edge/src/frontend_session.cpp
+++ b/packages/edge/src/frontend_session.cpp
@@ -392,6 +392,8 @@
 void frontend_session::onBroken(const endpoint_attempt *Source) {
   if (!Exchange || Source != Attempt.get())
     return;
+  Server.Observer.onResponseBroken(Exchange->request(), Source->target(),
+                                   Source->whyBroken());
   Attempt.reset();
   Exchange->onBroken(now());
   afterExchangeEvent();
