--- a/tests/process/broken_answer_scenarios.py
+++ b/tests/process/broken_answer_scenarios.py
@@ -95,6 +95,23 @@
     return b"%x\r\n%s\r\n" % (len(data), data)
 
 
+@contextlib.contextmanager
+def broken_endpoints(receive_bytes=None):
+    """Starts a router and an endpoint of each service.
+
+    Yields the fleet, and the endpoint by kind of route.
+    """
+    with PlatformFleet(routers=1, engines=0, desks=0,
+                       repeat_slack=10_000) as fleet:
+        fleet.publish(limits=LIMITS)
+        with contextlib.ExitStack() as stack:
+            endpoints = {service: stack.enter_context(BrokenEndpoint(
+                fleet, f"{service}-0", service, receive_bytes=receive_bytes))
+                for service in ("desk", "engine")}
+            wait_for_endpoints(fleet, 2)
+            yield fleet, {kind: endpoints[KINDS[kind][0]] for kind in KINDS}
+
+
 def events(first, last):
     return b"".join(b"id: %d\ndata: piece %d\n\n" % (number, number)
                     for number in range(first, last + 1))
@@ -193,23 +210,15 @@
     the kind of the route allows that.
     """
     failures = []
-    with PlatformFleet(routers=1, engines=0, desks=0,
-                       repeat_slack=10_000) as fleet:
-        fleet.publish(limits=LIMITS)
-        with BrokenEndpoint(fleet, "desk-0", "desk") as desk, \
-                BrokenEndpoint(fleet, "engine-0", "engine") as engine:
-            wait_for_endpoints(fleet, 2)
-            for name, answer in answers.items():
-                for kind, kept in itertools.product(KINDS, (False, True)):
-                    for size in sizes:
-                        endpoint = desk if KINDS[kind][0] == "desk" else engine
-                        case = (name, kind, "kept" if kept else "new", size)
-                        try:
-                            got = provoke(fleet, endpoint, kind, answer, kept,
-                                          size)
-                            assert_no_answer(got, case)
-                        except AssertionError as error:
-                            failures.append(str(error)[:400])
+    with broken_endpoints() as (fleet, endpoints):
+        for (name, answer), kind, kept, size in itertools.product(
+                answers.items(), KINDS, (False, True), sizes):
+            case = (name, kind, "kept" if kept else "new", size)
+            try:
+                got = provoke(fleet, endpoints[kind], kind, answer, kept, size)
+                assert_no_answer(got, case)
+            except AssertionError as error:
+                failures.append(str(error)[:400])
     print(f"{len(answers) * 8 * len(sizes)} cases, {len(failures)} failed",
           flush=True)
     assert not failures, "\n".join(failures)
@@ -446,31 +455,23 @@
     """
     failures = []
     count = 0
-    with PlatformFleet(routers=1, engines=0, desks=0,
-                       repeat_slack=10_000) as fleet:
-        fleet.publish(limits=LIMITS)
-        with BrokenEndpoint(fleet, "desk-0", "desk",
-                            receive_bytes=RECEIVE_BYTES) as desk, \
-                BrokenEndpoint(fleet, "engine-0", "engine",
-                               receive_bytes=RECEIVE_BYTES) as engine:
-            wait_for_endpoints(fleet, 2)
-            for kind, kept, size in itertools.product(
-                    KINDS, (False, True), (SMALL_BYTES, LARGE_BYTES)):
-                endpoint = desk if KINDS[kind][0] == "desk" else engine
-                parts = ([FOREIGN, b""] if KINDS[kind][0] == "desk" else
-                         [events(1, 2), events(1, 2) + b"id: 3\nda", b""])
-                for part in parts:
-                    for name, answer in early_answers(
-                            lambda arrival, part=part: arrival.head()
-                            + part).items():
-                        count += 1
-                        got = provoke(fleet, endpoint, kind, answer, kept,
-                                      size)
-                        case = (kind, kept, size, len(part), name)
-                        try:
-                            assert_cut_or_none(got, kind, case)
-                        except AssertionError as error:
-                            failures.append(str(error)[:300])
+    with broken_endpoints(RECEIVE_BYTES) as (fleet, endpoints):
+        for kind, kept, size in itertools.product(
+                KINDS, (False, True), (SMALL_BYTES, LARGE_BYTES)):
+            parts = ([FOREIGN, b""] if KINDS[kind][0] == "desk" else
+                     [events(1, 2), events(1, 2) + b"id: 3\nda", b""])
+            for part in parts:
+                for name, answer in early_answers(
+                        lambda arrival, part=part: arrival.head()
+                        + part).items():
+                    count += 1
+                    got = provoke(fleet, endpoints[kind], kind, answer, kept,
+                                  size)
+                    case = (kind, kept, size, len(part), name)
+                    try:
+                        assert_cut_or_none(got, kind, case)
+                    except AssertionError as error:
+                        failures.append(str(error)[:300])
     print(f"{count} cases, {len(failures)} failed", flush=True)
     assert not failures, "\n".join(failures)
 
@@ -493,36 +494,28 @@
     """
     failures = []
     count = 0
-    with PlatformFleet(routers=1, engines=0, desks=0,
-                       repeat_slack=10_000) as fleet:
-        fleet.publish(limits=LIMITS)
-        with BrokenEndpoint(fleet, "desk-0", "desk",
-                            receive_bytes=RECEIVE_BYTES) as desk, \
-                BrokenEndpoint(fleet, "engine-0", "engine",
-                               receive_bytes=RECEIVE_BYTES) as engine:
-            wait_for_endpoints(fleet, 2)
-            for kind, kept, size in itertools.product(
-                    KINDS, (False, True), (SMALL_BYTES, LARGE_BYTES)):
-                endpoint = desk if KINDS[kind][0] == "desk" else engine
-                body = expected_body(kind)
-                answers = {}
-                for name, part in (
-                        ("length", lambda arrival: arrival.whole(body)),
-                        ("chunks", lambda arrival: arrival.head(
-                            "200 OK", "Transfer-Encoding: chunked")
-                         + chunk(body) + LAST_CHUNK)):
-                    answers.update({(name, *key): value for key, value
-                                    in early_answers(part).items()})
-                answers["ended"] = early(
-                    lambda arrival: arrival.head() + body, 0.05,
-                    lambda arrival: arrival.close())
-                for name, answer in answers.items():
-                    count += 1
-                    got = provoke(fleet, endpoint, kind, answer, kept, size)
-                    try:
-                        assert_sound(got, kind, (kind, kept, size, name))
-                    except AssertionError as error:
-                        failures.append(str(error)[:300])
+    with broken_endpoints(RECEIVE_BYTES) as (fleet, endpoints):
+        for kind, kept, size in itertools.product(
+                KINDS, (False, True), (SMALL_BYTES, LARGE_BYTES)):
+            body = expected_body(kind)
+            answers = {}
+            for name, part in (
+                    ("length", lambda arrival: arrival.whole(body)),
+                    ("chunks", lambda arrival: arrival.head(
+                        "200 OK", "Transfer-Encoding: chunked")
+                     + chunk(body) + LAST_CHUNK)):
+                answers.update({(name, *key): value for key, value
+                                in early_answers(part).items()})
+            answers["ended"] = early(
+                lambda arrival: arrival.head() + body, 0.05,
+                lambda arrival: arrival.close())
+            for name, answer in answers.items():
+                count += 1
+                got = provoke(fleet, endpoints[kind], kind, answer, kept, size)
+                try:
+                    assert_sound(got, kind, (kind, kept, size, name))
+                except AssertionError as error:
+                    failures.append(str(error)[:300])
     print(f"{count} cases, {len(failures)} failed", flush=True)
     assert not failures, "\n".join(failures)
 
