Split the parser of responses into short functions

next() did five things in forty lines. Measured: the unit tests and the process tests of statuses, framings, heads, chunks in pieces and daemons pass.

--- a/packages/responses/include/tamarack/responses.hpp
+++ b/packages/responses/include/tamarack/responses.hpp
@@ -9,19 +9,16 @@
 //   parser_settings    what the reader of one response expects
 //   response_parser    the parser
 //
-// A response is
-//   - a status line of HTTP/1.0 or HTTP/1.1 with a status from 200 to 599,
-//   after
-//     any number of interim responses (1xx other than 101),
+// A response has
+//   - a status line of HTTP/1.0 or HTTP/1.1, with a status from 200 to 599.
+//     Interim responses may come before it (1xx other than 101).
 //   - fields whose names are tokens and whose values hold no control bytes,
-//     without folded lines (RFC 9112, 5.2),
+//     without folded lines (RFC 9112, 5.2).
 //   - a body whose framing is understood: a length, chunks, or neither. In the
-//     last case the body ends with its connection. Any other transfer coding,
-//     and any content coding, is a defect: nobody here asks for one, and
-//     nobody would undo it,
-//   - its end: all bytes of the length, the last chunk with its trailer, or the
-//     connection's end if the server closed it and nothing shows that bytes
-//     were lost.
+//     last case it ends with its connection. Any other transfer coding, and any
+//     content coding, is a defect: nobody here asks for one or would undo it.
+//   - an end: all bytes of the length, the last chunk with its trailer, or the
+//     end of the connection, if the server closed it and no bytes were lost.
 // Bytes after the end belong to no response to this request.
 //
 // The grammar is Boost.Beast's. Nothing here is thread-safe.
@@ -120,8 +117,9 @@
   class message_parser;
 
   void startMessage();
-  parsed fail(defect Why, std::size_t Consumed);
-  parsed awaitMore(std::size_t Unparsed, std::size_t Consumed);
+  std::size_t parsePiece(std::string_view Rest);
+  bool canParse(std::string_view Rest) const;
+  void onHeadComplete();
   defect headDefect() const;
   bool isInterim() const;
 
@@ -130,6 +128,7 @@
   int InterimResponses = 0;
   bool HasBegun = false;
   bool HasHead = false;      // Of the final response.
+  bool NeedsBytes = false;   // Nothing more can be parsed of what was received.
   bool EndedByClose = false; // The connection's end was the response's end.
   defect Defect = defect::None;
 };
--- a/packages/responses/src/response_parser.cpp
+++ b/packages/responses/src/response_parser.cpp
@@ -25,6 +25,12 @@
 constexpr int MaxInterimResponses = 100;
 constexpr std::size_t MinLastChunkBytes = 5; // With an empty trailer.
 
+// Recognizes other bytes before the end of their first line.
+bool isStartOfResponse(std::string_view Received) {
+  return StartLinePrefix.starts_with(
+      Received.substr(0, StartLinePrefix.size()));
+}
+
 // A line that begins with a blank continues the field before it.
 bool hasFoldedLine(std::string_view Lines) {
   return Lines.find("\n ") != std::string_view::npos ||
@@ -86,9 +92,8 @@
   response_fields Head;
   string_view Body; // Of the last put().
 
-  bool canParse(std::string_view Received) const {
-    return !Received.empty() && (!IsBetweenChunks || mayParseChunks(Received));
-  }
+  // The line of a chunk or a trailer is due.
+  bool isBetweenChunks() const { return IsBetweenChunks; }
 
 private:
   void on_request_impl(http::verb, string_view, string_view, int,
@@ -131,7 +136,7 @@
 
   void on_finish_impl(error_code &) override {}
 
-  bool IsBetweenChunks = false; // The line of a chunk or a trailer is due.
+  bool IsBetweenChunks = false;
 };
 
 response_parser::response_parser(parser_settings Settings)
@@ -149,60 +154,62 @@
     Message->skip(true);
 }
 
-parsed response_parser::fail(defect Why, std::size_t Consumed) {
-  Defect = Why;
-  return {part::Defect, Consumed, {}};
-}
-
-parsed response_parser::awaitMore(std::size_t Unparsed, std::size_t Consumed) {
-  if (Unparsed >= MaxUnparsedBytes)
-    return fail(defect::TooLarge, Consumed);
-  return {part::NeedsBytes, Consumed, {}};
-}
-
 parsed response_parser::next(std::string_view Received) {
   std::size_t Consumed = 0;
-  while (Defect == defect::None) {
-    if (isComplete())
-      return {part::End, Consumed, {}};
-    const std::string_view Rest = Received.substr(Consumed);
-    // Bytes that begin no response are recognized before the end of a line.
-    const std::string_view Begin = Rest.substr(0, StartLinePrefix.size());
-    const bool IsAtStart = !Message->got_some();
-    if (IsAtStart && !StartLinePrefix.starts_with(Begin))
-      return fail(defect::StartLine, Consumed);
-    HasBegun = HasBegun || !Rest.empty();
-    if (!Message->canParse(Rest) ||
-        (IsAtStart && Begin.size() < StartLinePrefix.size()))
-      return awaitMore(Rest.size(), Consumed);
-    error_code Error;
-    Message->Body = {};
-    const std::size_t Count = Message->put(
-        boost::asio::const_buffer(Rest.data(), Rest.size()), Error);
-    Consumed += Count;
-    if (!HasHead && hasFoldedLine(Rest.substr(0, Count)))
-      return fail(defect::Field, Consumed);
-    if (Error == http::error::need_more)
-      return awaitMore(Rest.size() - Count, Consumed);
-    if (Error)
-      return fail(defectOf(Error), Consumed);
-    if (!HasHead) {
-      if (const defect Found = headDefect(); Found != defect::None)
-        return fail(Found, Consumed);
-      if (isInterim()) {
-        if (++InterimResponses > MaxInterimResponses)
-          return fail(defect::TooLarge, Consumed);
-        startMessage();
-        continue;
-      }
-      HasHead = true;
+  NeedsBytes = false;
+  while (!NeedsBytes && !isComplete() && Defect == defect::None) {
+    const bool HadHead = HasHead;
+    Consumed += parsePiece(Received.substr(Consumed));
+    if (HasHead && !HadHead)
       return {part::Head, Consumed, {}};
-    }
-    if (!Message->Body.empty())
-      return {
-          part::Body, Consumed, {Message->Body.data(), Message->Body.size()}};
+    const string_view Body = Message->Body;
+    if (!Body.empty() && Defect == defect::None)
+      return {part::Body, Consumed, {Body.data(), Body.size()}};
   }
-  return {part::Defect, Consumed, {}};
+  if (Defect != defect::None)
+    return {part::Defect, Consumed, {}};
+  return {NeedsBytes ? part::NeedsBytes : part::End, Consumed, {}};
+}
+
+// Parses a line, a head or a part of the body. Returns the bytes that it took.
+std::size_t response_parser::parsePiece(std::string_view Rest) {
+  HasBegun = HasBegun || !Rest.empty();
+  Message->Body = {};
+  error_code Error = http::error::need_more;
+  std::size_t Count = 0;
+  if (!isStartOfResponse(Rest) && !Message->got_some())
+    Error = http::error::bad_version;
+  else if (canParse(Rest))
+    Count = Message->put({Rest.data(), Rest.size()}, Error);
+  NeedsBytes = Error == http::error::need_more;
+  if (!HasHead && hasFoldedLine(Rest.substr(0, Count)))
+    Defect = defect::Field;
+  else if (Error.failed() && !NeedsBytes)
+    Defect = defectOf(Error);
+  else if (NeedsBytes && Rest.size() - Count >= MaxUnparsedBytes)
+    Defect = defect::TooLarge;
+  else if (!HasHead && !NeedsBytes)
+    onHeadComplete();
+  return Count;
+}
+
+bool response_parser::canParse(std::string_view Rest) const {
+  const std::size_t MinBytes = Message->got_some() ? 1 : StartLinePrefix.size();
+  return Rest.size() >= MinBytes &&
+         (!Message->isBetweenChunks() || mayParseChunks(Rest));
+}
+
+void response_parser::onHeadComplete() {
+  Defect = headDefect();
+  if (Defect != defect::None)
+    return;
+  HasHead = !isInterim();
+  if (HasHead)
+    return;
+  if (++InterimResponses > MaxInterimResponses)
+    Defect = defect::TooLarge;
+  else
+    startMessage();
 }
 
 parsed response_parser::onConnectionEnd(connection_end How) {
@@ -212,9 +219,10 @@
     return {part::End, 0, {}};
   EndedByClose =
       HasHead && Message->need_eof() && How == connection_end::Closed;
-  if (!EndedByClose)
-    return fail(defect::Incomplete, 0);
-  return {part::End, 0, {}};
+  if (EndedByClose)
+    return {part::End, 0, {}};
+  Defect = defect::Incomplete;
+  return {part::Defect, 0, {}};
 }
 
 bool response_parser::isInterim() const {
