--- a/tests/unit/store_test.cpp
+++ b/tests/unit/store_test.cpp
@@ -37,7 +37,7 @@
                       const edge::respond_callback &Respond) {
                  Targets.emplace_back(Request.target().data(),
                                       Request.target().size());
-                 edge::response_message Response(edge::http::status::ok, 11);
+                 edge::response_message Response(Status, 11);
                  Response.body() = Body();
                  Respond(std::move(Response));
                }),
@@ -51,6 +51,8 @@
         Context, {edge::net::ip::make_address("127.0.0.1"), 0});
     return "127.0.0.1:" + std::to_string(PortFinder.local_endpoint().port());
   }
+  edge::http::status Status = edge::http::status::ok; // Of all responses.
+
   store_status append(const store_writer &Writer, std::string_view Key) {
     std::optional<store_status> Outcome;
     Store.appendAs(store_topic::Grants, Writer, Key, "v",
@@ -132,3 +134,26 @@
     CHECK(ReadAfter(Text) == std::vector{Text});
   }
 }
+
+// Guards against an append that counts as not stored, though the store failed
+// or sent what the protocol does not have, and may have stored it.
+TEST_CASE("only a status that says so refuses an append", "[platform]") {
+  using edge::http::status;
+  store_fixture Fixture;
+  const auto Append = [&Fixture](status Status) {
+    Fixture.Status = Status;
+    return Fixture.append({"w", 1, 7}, "k");
+  };
+  CHECK(Append(status::ok) == store_status::Ok);
+  CHECK(Append(status::conflict) == store_status::Conflict);
+  for (status Status :
+       {status::bad_request, status::forbidden, status::precondition_failed,
+        status::too_many_requests, status::service_unavailable,
+        status::insufficient_storage})
+    CHECK(Append(Status) == store_status::Refused);
+  for (status Status :
+       {status::accepted, status::no_content, status::moved_permanently,
+        status::internal_server_error, status::bad_gateway,
+        status::gateway_timeout})
+    CHECK(Append(Status) == store_status::Unavailable);
+}
