Test that the log says why an answer is none

Six ways to be no answer; the router's log has the request's line with the reason, and the counter rises.

--- a/packages/relay/include/tamarack/relay.hpp
+++ b/packages/relay/include/tamarack/relay.hpp
@@ -524,10 +524,9 @@
   std::int64_t LastReceivedId; // See the constructor.
   std::int64_t LastId;         // Forwarded or received, -1 if none.
   std::int64_t ForwardedEvents = 0;
-  bool HasIdGaps =
-      false;             // Some ids were skipped, by the endpoint's own choice.
-  int Status = 0;        // Of the response that began.
-  std::string MediaType; // The same, in lower case, without parameters.
+  bool HasIdGaps = false;      // The endpoint skips ids by its own choice.
+  int Status = 0;              // Of the response that began.
+  std::string MediaType;       // The same, in lower case, without parameters.
   bool IsContinuation = false; // Of a response that another endpoint began.
   bool HasContinued = false;   // An event of the continuation was forwarded.
 };
--- a/tests/process/broken_answer_scenarios.py
+++ b/tests/process/broken_answer_scenarios.py
@@ -11,6 +11,7 @@
 import socket
 import time
 
+from harness import wait_until
 from platform_fleet import DESK_HOST, STREAM_HOST, PlatformFleet
 from raw_endpoint import RawEndpoint, wait_for_endpoints
 
@@ -569,7 +570,42 @@
                 "the router has ended")
 
 
+def the_log_says_why_an_answer_is_none():
+    """Each way to be no answer leaves its reason in the log and the metrics.
+
+    Guards against an operator who sees that an attempt broke and not why.
+    """
+    answers = {
+        "start_line": start_lines("ICY 200 OK")["ICY 200 OK"],
+        "status": statuses("000 OK")["HTTP/1.1 000 OK"],
+        "field": fields("X Y: z")[repr("X Y: z")],
+        "framing": closes(lambda arrival: arrival.head(
+            "200 OK", "Transfer-Encoding: gzip")),
+        "content_coding": fields("Content-Encoding: gzip")[
+            repr("Content-Encoding: gzip")],
+        "incomplete": closes(lambda arrival: arrival.head()[:-2])}
+    with broken_endpoints() as (fleet, endpoints):
+        desk = endpoints["sale"]
+
+        def reasons():
+            """Returns the reasons in the log, by id of the request."""
+            return {line["id"]: line["why"]
+                    for line in fleet.log_lines("router-0")
+                    if line["event"] == "response_broken"
+                    and line["endpoint"] == desk.name}
+        for why, answer in answers.items():
+            before = set(desk.broken)
+            provoke(fleet, desk, "sale", answer)
+            (request,) = desk.broken - before
+            wait_until(lambda: request in reasons(), f"a line for {why}")
+            assert reasons()[request] == why, (why, reasons())
+            count = fleet.metrics("router-0")[
+                f'tamarack_responses_broken_total{{why="{why}"}}']
+            assert count >= 1, (why, count)
+
+
 SCENARIOS = [
+    the_log_says_why_an_answer_is_none,
     chunks_that_arrive_in_pieces_end_no_router,
     a_status_that_does_not_exist_is_no_answer,
     a_field_name_with_a_blank_or_control_byte_is_no_answer,
