--- a/packages/daemon/src/router.hpp
+++ b/packages/daemon/src/router.hpp
@@ -66,6 +66,9 @@
   void onResponseBroken(const relay::call &Call,
                         const relay::endpoint_choice &Source,
                         responses::defect Why) override;
+  void onAttemptDropped(const relay::call &Call,
+                        const relay::endpoint_choice &Target,
+                        const edge::dropped_attempt &Attempt) override;
 
   // pools::token_source: the grants of this instance. If those are short, the
   // watermark and the grant record are written without waiting for the next
--- a/packages/daemon/src/router_reports.cpp
+++ b/packages/daemon/src/router_reports.cpp
@@ -356,6 +356,26 @@
                                 {"why", std::string_view(Reason)}});
 }
 
+void router::onAttemptDropped(const relay::call &Call,
+                              const relay::endpoint_choice &Target,
+                              const edge::dropped_attempt &Attempt) {
+  const bool IsAcknowledged = Attempt.UnacknowledgedBytes == 0;
+  Metrics
+      .counterOf(
+          std::string("tamarack_attempts_dropped_total{acknowledged=\"") +
+          (IsAcknowledged ? "1" : "0") + "\"}")
+      .add();
+  Log.write(
+      "attempt_dropped",
+      {{"id", std::string_view(Call.Id)},
+       {"endpoint", std::string_view(Target.Endpoint)},
+       {"connection", Attempt.IsKeptConnection ? "kept" : "new"},
+       {"connection_age_ms", Attempt.ConnectionAgeMs},
+       {"silent_ms", Attempt.SilentMs},
+       {"unacknowledged_bytes", std::int64_t(Attempt.UnacknowledgedBytes)},
+       {"error", std::string_view(Attempt.Error)}});
+}
+
 void router::onRequestWhileDraining(const edge::drain_arrival &Request) {
   const bool IsNewConnection = Request.EarlierRequests == 0;
   Metrics
--- a/packages/edge/include/tamarack/edge.hpp
+++ b/packages/edge/include/tamarack/edge.hpp
@@ -5,7 +5,8 @@
 //   codec               response_match, exchange_codec
 //   endpoint side       connection_pool_settings, connection_pool
 //   caller side         slow_request_rule, frontend_settings,
-//                       frontend_counts, frontend_observer, frontend_server
+//                       frontend_counts, dropped_attempt, frontend_observer,
+//                       frontend_server
 //   internal HTTP       http_channel, simple_http_server
 //
 // Everything runs on the one thread of the daemon's io_context. All decisions
@@ -204,6 +205,18 @@
   int EarlierRequests = 0;     // Read before on the same connection.
 };
 
+// An attempt whose connection was closed before its response was complete, for
+// logs.
+struct dropped_attempt {
+  bool IsKeptConnection = false; // It had carried earlier requests.
+  time_ms ConnectionAgeMs = 0;
+  time_ms SilentMs = 0; // Since the request was sent, or bytes came last.
+  // Of the request, that the endpoint's host has not acknowledged; -1 if the
+  // kernel does not tell.
+  int UnacknowledgedBytes = -1;
+  std::string Error; // Of the connection, empty if this instance closed it.
+};
+
 // Notified about calls, for logs, metrics and the load balancer.
 class frontend_observer {
 public:
@@ -219,6 +232,10 @@
   virtual void onResponseBroken(const relay::call & /*Call*/,
                                 const relay::endpoint_choice & /*Source*/,
                                 responses::defect /*Why*/) {}
+  // The request had been sent, at least in part.
+  virtual void onAttemptDropped(const relay::call & /*Call*/,
+                                const relay::endpoint_choice & /*Target*/,
+                                const dropped_attempt & /*Attempt*/) {}
 };
 
 class frontend_session;
--- a/packages/edge/src/endpoint_attempt.cpp
+++ b/packages/edge/src/endpoint_attempt.cpp
@@ -108,6 +108,7 @@
   if (!Listener->maySend(this, Connection->ConnectedAt))
     return withdraw();
   IsWriting = true;
+  LastProgressAt = Clock.monotonic();
   Connection->addRequest(Call.Id);
   const std::shared_ptr<endpoint_attempt> Self = shared_from_this();
   http::async_write(Connection->Socket, Request,
@@ -201,6 +202,7 @@
         if (Error)
           return net::post(Self->Context,
                            [Self, Error] { Self->onConnectionEnd(Error); });
+        Self->LastProgressAt = Self->Clock.monotonic();
         Self->Connection->Buffer.commit(Count);
         Self->parseReceived();
       });
@@ -214,6 +216,7 @@
 void endpoint_attempt::onConnectionEnd(const error_code &Error) {
   if (Listener == nullptr)
     return;
+  ConnectionError = Error;
   // The kernel reports a reset once: if the write has got it, the read finds
   // nothing but an end.
   const bool IsClosed = Error == net::error::eof && !HasWriteFailed;
@@ -305,8 +308,22 @@
     std::exchange(Listener, nullptr)->onEnd(this);
 }
 
-void endpoint_attempt::failBroken() {
+void endpoint_attempt::drop() {
+  const bool IsSent = LastProgressAt > 0;
+  if (IsSent && !Dropped) {
+    Dropped.emplace();
+    Dropped->IsKeptConnection = Connection->RequestCount > 1;
+    Dropped->ConnectionAgeMs = Clock.sinceBoot() - Connection->ConnectedAt;
+    Dropped->SilentMs = Clock.monotonic() - LastProgressAt;
+    Dropped->UnacknowledgedBytes = unacknowledgedBytes(Connection->Socket);
+    if (ConnectionError)
+      Dropped->Error = ConnectionError.message();
+  }
   Connection->close();
+}
+
+void endpoint_attempt::failBroken() {
+  drop();
   std::exchange(Listener, nullptr)->onBroken(this);
 }
 
@@ -314,7 +331,7 @@
   Listener = nullptr;
   ConnectTimer.cancel();
   if (Connection)
-    Connection->close();
+    drop();
 }
 
 } // namespace tamarack::edge
--- a/packages/edge/src/endpoint_attempt.hpp
+++ b/packages/edge/src/endpoint_attempt.hpp
@@ -78,6 +78,9 @@
   void start(bool OnlyRecentConnection);
   // Closes the connection; the listener is not called any more.
   void cancel();
+  // How the connection ended, if it did before the response was complete and
+  // after the request was sent.
+  const std::optional<dropped_attempt> &dropped() const { return Dropped; }
   // Continues to read the body after canAcceptBody() returned false.
   void resume();
   const relay::endpoint_choice &target() const { return Target; }
@@ -101,6 +104,8 @@
   void onResponseEnd();
   void complete();
   void failBroken();
+  // Closes the connection before the response is complete.
+  void drop();
   time_ms idleExpiry(time_ms Now) const;
 
   net::io_context &Context;
@@ -124,7 +129,10 @@
   bool HasWriteFailed = false;
   bool IsReadPaused = false; // Until resume().
   bool IsResponseComplete = false;
-  bool IsUnmarked = false; // The response names no request.
+  bool IsUnmarked = false;    // The response names no request.
+  time_ms LastProgressAt = 0; // Monotonic: sent, or bytes received.
+  error_code ConnectionError; // That ended the connection, if any.
+  std::optional<dropped_attempt> Dropped;
 };
 
 } // namespace tamarack::edge
--- a/packages/edge/src/frontend_session.cpp
+++ b/packages/edge/src/frontend_session.cpp
@@ -285,8 +285,18 @@
 }
 
 void frontend_session::cancelAttempt() {
-  if (Attempt)
-    std::exchange(Attempt, nullptr)->cancel();
+  if (!Attempt)
+    return;
+  const std::shared_ptr<endpoint_attempt> Cancelled =
+      std::exchange(Attempt, nullptr);
+  Cancelled->cancel();
+  reportDropped(*Cancelled);
+}
+
+void frontend_session::reportDropped(const endpoint_attempt &Source) {
+  if (Exchange && Source.dropped())
+    Server.Observer.onAttemptDropped(Exchange->request(), Source.target(),
+                                     *Source.dropped());
 }
 
 void frontend_session::beginResponse(const relay::response_head &Head) {
@@ -394,6 +404,7 @@
     return;
   Server.Observer.onResponseBroken(Exchange->request(), Source->target(),
                                    Source->whyBroken());
+  reportDropped(*Source);
   Attempt.reset();
   Exchange->onBroken(now());
   afterExchangeEvent();
--- a/packages/edge/src/frontend_session.hpp
+++ b/packages/edge/src/frontend_session.hpp
@@ -88,6 +88,8 @@
   void onBroken(const endpoint_attempt *Source) override;
   bool canAcceptBody() override;
 
+  void reportDropped(const endpoint_attempt &Source);
+
   // Responses.
   void queueBytes(std::string Bytes);
   void startWrite();
--- a/packages/edge/src/sockets.cpp
+++ b/packages/edge/src/sockets.cpp
@@ -2,8 +2,10 @@
 #include "sockets.hpp"
 
 #include <charconv>
+#include <linux/sockios.h>
 #include <netinet/tcp.h>
 #include <stdexcept>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 namespace tamarack::edge {
@@ -38,6 +40,12 @@
   (void)::setsockopt(Handle, SOL_SOCKET, SO_RCVBUF, &Value, sizeof Value);
 }
 
+int unacknowledgedBytes(tcp::socket &Socket) {
+  int Count = 0;
+  const bool IsKnown = ::ioctl(Socket.native_handle(), SIOCOUTQ, &Count) == 0;
+  return IsKnown ? Count : -1;
+}
+
 void openAcceptor(tcp::acceptor &Acceptor, const tcp::endpoint &Address) {
   Acceptor.open(Address.protocol());
   Acceptor.set_option(net::socket_base::reuse_address(true));
--- a/packages/edge/src/sockets.hpp
+++ b/packages/edge/src/sockets.hpp
@@ -26,6 +26,10 @@
 // Limits the bytes that the kernel holds unread, about twice as many.
 void setReceiveBuffer(int Handle, std::size_t Bytes);
 
+// Bytes that were written and that the other host has not acknowledged; -1 if
+// the kernel does not tell.
+int unacknowledgedBytes(tcp::socket &Socket);
+
 // Opens Acceptor and listens on Address. Throws boost::system::system_error.
 void openAcceptor(tcp::acceptor &Acceptor, const tcp::endpoint &Address);
 
