--- a/tests/process/broken_daemon_answer_scenarios.py
+++ b/tests/process/broken_daemon_answer_scenarios.py
@@ -63,7 +63,9 @@
              "completion": "/v1/chat/completions",
              "stream": "/v1/chat/completions"}
 
-    def __init__(self, receive_bytes=None):
+    def __init__(self, receive_bytes=None, **changes):
+        """changes: sections of the configuration that are replaced."""
+        self.changes = changes
         self.answer = None  # Of the endpoint, a function of the arrival.
         self.server = RawServer(self.respond, receive_bytes)
         self.fleet = Fleet(zones=1, daemons=1, engines=0, services=0)
@@ -75,7 +77,7 @@
         self.server.__enter__()
         # Both are the raw endpoint, so there is nothing to start.
         urls = self.fleet.engines, self.fleet.services
-        document = self.fleet.document()
+        document = self.fleet.document(**self.changes)
         self.fleet.engines, self.fleet.services = [], []
         self.fleet.document = lambda: document
         self.fleet.__enter__()
--- a/tests/process/scenarios.py
+++ b/tests/process/scenarios.py
@@ -20,6 +20,7 @@
 import configuration_scenarios
 import crowd_scenarios
 import delayed_stop_scenarios
+import drain_scenarios
 import drill_scenarios
 import entry_scenarios
 import evacuation_scenarios
@@ -663,7 +664,8 @@
      + crowd_scenarios.SCENARIOS + broken_answer_scenarios.SCENARIOS
      + broken_stream_scenarios.SCENARIOS
      + broken_store_answer_scenarios.SCENARIOS
-     + broken_daemon_answer_scenarios.SCENARIOS)
+     + broken_daemon_answer_scenarios.SCENARIOS
+     + drain_scenarios.SCENARIOS)
 
 
 def read_known_red():
