Reset connections to endpoints whose request is given up

Cause: close() leaves to the kernel what was written to a socket, and the kernel delivers it when the path or the reader comes back. The same holds for the sockets of a process that ends.

Fix: a connection is set to reset on close as soon as it is open, and is closed in the usual way only if all its requests are answered. A reset discards the unsent bytes, so nothing is left to deliver.

--- a/packages/edge/src/connection_pool.cpp
+++ b/packages/edge/src/connection_pool.cpp
@@ -41,12 +41,21 @@
 
 void endpoint_connection::addRequest(std::string_view Id) {
   ++RequestCount;
+  IsAnswered = false;
   RecentIds.push_back(hashOf(Id));
   if (RecentIds.size() > MaxRecentIds)
     RecentIds.erase(RecentIds.begin());
 }
 
+void endpoint_connection::onConnected(time_ms Now) {
+  ConnectedAt = Now;
+  applySocketOptions(Socket, {Pool.settings().TcpUserTimeoutMs});
+  setResetOnClose(Socket, true);
+}
+
 void endpoint_connection::close() {
+  if (IsAnswered)
+    setResetOnClose(Socket, false);
   error_code Ignored; // The connection is not used any more.
   Socket.close(Ignored);
 }
--- a/packages/edge/src/endpoint_attempt.cpp
+++ b/packages/edge/src/endpoint_attempt.cpp
@@ -95,9 +95,7 @@
       std::exchange(Self->Listener, nullptr)->onUnreached(Self.get());
       return;
     }
-    Self->Connection->ConnectedAt = Self->Clock.sinceBoot();
-    applySocketOptions(Self->Connection->Socket,
-                       {Self->Pool.settings().TcpUserTimeoutMs});
+    Self->Connection->onConnected(Self->Clock.sinceBoot());
     Self->send();
   });
 }
@@ -294,6 +292,7 @@
                         Connection->Buffer.size() == 0;
   // While the request is still being written, the connection can't be used for
   // another one; send() calls complete() again once the write has ended.
+  Connection->IsAnswered = !IsWriting;
   if (CanReuse && !IsWriting) {
     const time_ms Now = Clock.monotonic();
     const time_ms ExpiresAt = idleExpiry(Now);
--- a/packages/edge/src/endpoint_attempt.hpp
+++ b/packages/edge/src/endpoint_attempt.hpp
@@ -20,6 +20,11 @@
   // error or the end of the stream arrive while it is idle. Ends without effect
   // once the connection is used again.
   void watchWhileIdle();
+  // Applies the socket options of a connection that has just been opened.
+  void onConnected(time_ms Now);
+  // Resets the connection unless IsAnswered: what the kernel holds of a request
+  // that was given up must not be delivered later, neither by a closed socket
+  // nor by one of a process that ended.
   void close();
   // True if a response to a request of this id may be one to an earlier one.
   bool hasCarried(std::string_view Id) const;
@@ -30,6 +35,7 @@
   connection_pool &Pool;
   std::string Address;
   bool IsIdle = false;     // The connection is in the pool.
+  bool IsAnswered = true;  // All requests that were sent on it.
   time_ms LastUsed = 0;    // Monotonic time of the last release.
   time_ms ExpiresAt = 0;   // Monotonic; while idle.
   time_ms ConnectedAt = 0; // When it was opened, by sinceBoot.
--- a/packages/edge/src/sockets.cpp
+++ b/packages/edge/src/sockets.cpp
@@ -40,6 +40,11 @@
   (void)::setsockopt(Handle, SOL_SOCKET, SO_RCVBUF, &Value, sizeof Value);
 }
 
+void setResetOnClose(tcp::socket &Socket, bool To) {
+  error_code Ignored; // The peer may have closed the connection already.
+  Socket.set_option(net::socket_base::linger(To, 0), Ignored);
+}
+
 int unacknowledgedBytes(tcp::socket &Socket) {
   int Count = 0;
   const bool IsKnown = ::ioctl(Socket.native_handle(), SIOCOUTQ, &Count) == 0;
--- a/packages/edge/src/sockets.hpp
+++ b/packages/edge/src/sockets.hpp
@@ -26,6 +26,11 @@
 // Limits the bytes that the kernel holds unread, about twice as many.
 void setReceiveBuffer(int Handle, std::size_t Bytes);
 
+// Whether close() resets the connection, which discards the bytes that were
+// written and not delivered yet. Off, the kernel delivers them after the close,
+// and after the end of the process.
+void setResetOnClose(tcp::socket &Socket, bool To);
+
 // Bytes that were written and that the other host has not acknowledged; -1 if
 // the kernel does not tell.
 int unacknowledgedBytes(tcp::socket &Socket);
