Reset a daemon's connections whose request is given up

Cause as in the router: a closed socket goes on delivering what was written. A connection is reset now unless its response is complete and its request is sent. a_daemon_delivers_no_request_that_it_gave_up: 12,000 of 12,000 bytes arrived before, 3,211 now, what the endpoint's own buffer held.

--- a/packages/adapters/src/http_client.cpp
+++ b/packages/adapters/src/http_client.cpp
@@ -53,6 +53,15 @@
     return Socket.poll(Poco::Timespan(), Poco::Net::Socket::SELECT_READ);
   }
 
+  // Whether the end of this object resets the connection: what the kernel holds
+  // of a request that was given up must not be delivered later.
+  void setResetOnClose(bool To) {
+    // The server may have closed the connection already.
+    const linger Option{To ? 1 : 0, 0};
+    (void)::setsockopt(Socket.impl()->sockfd(), SOL_SOCKET, SO_LINGER, &Option,
+                       sizeof Option);
+  }
+
   Poco::Net::StreamSocket Socket;
   bool IsFirst = true; // It has carried no request.
   Poco::Timestamp IdleSince;
@@ -75,6 +84,7 @@
     Socket.setReceiveTimeout(toTimespan(ReadTimeoutMs));
     Socket.setSendTimeout(toTimespan(ReadTimeoutMs));
     this->Connection->IsFirst = false;
+    this->Connection->setResetOnClose(true);
     while (!Parser.hasHead())
       receivePart();
   }
@@ -82,8 +92,11 @@
   // The connection can carry another request only after the complete response,
   // and if the server has the complete request.
   ~response() override {
+    const bool IsAnswered = Parser.isComplete() && Unsent.empty();
+    if (IsAnswered)
+      Connection->setResetOnClose(false);
     const bool CanReuse =
-        Parser.keepsConnection() && Received.empty() && Unsent.empty();
+        IsAnswered && Parser.keepsConnection() && Received.empty();
     if (CanReuse)
       Client.releaseConnection(Url, std::move(Connection));
   }
