Keep no endpoint that left while this instance was cut off from the store

Cause: an instance can't tell its own cut from an outage of the store, in which entries expire although their endpoints live.

Fix: an outage of the store of 5 s or more expires all entries. If most are still there, the store was available, and what is missing is gone. And an endpoint that registered again after its entry had expired, or twice since, has left when the entry disappears.

--- a/packages/follow/include/tamarack/follow.hpp
+++ b/packages/follow/include/tamarack/follow.hpp
@@ -148,7 +148,9 @@
 // Entries that disappeared during an outage of the store, or shortly after, are
 // kept until live endpoints have had time to register again. An outage that is
 // too short for entries to expire does not count, nor does one in which most
-// endpoints kept registering: then only this instance could not read.
+// endpoints kept registering, or after which most entries are still there: then
+// only this instance could not read. An endpoint that had the store since the
+// outage began has left when its entry disappears.
 //
 // An endpoint that leaves says so in its entry, in its responses, or in both.
 // Once a response has said so it is leaving until it starts anew, whatever its
@@ -163,6 +165,14 @@
   // If this share of the endpoints registered during an outage, the store was
   // available to them.
   static constexpr double RegisteringShare = 0.75;
+  // An endpoint that registered this often since an outage began had the store
+  // after that. One registration may be from before.
+  static constexpr int RegistrationsWithStore = 2;
+  // Outages of the store that are this long expire the entries of all
+  // endpoints. If this share of them is still there after one, only this
+  // instance, and perhaps some of the endpoints, did not reach the store.
+  static constexpr int FullExpiryMs = 5'000;
+  static constexpr double RemainingShare = 0.5;
   // An endpoint that reports this often in a row is alive, and an entry that
   // seems newer than these reports is not its own.
   static constexpr int ReportsOfLife = 3;
@@ -204,7 +214,8 @@
     bool IsListed = false;
     bool StatesLeaving = false; // In a response.
     bool InSnapshot = false;    // Seen since beginSnapshot.
-    bool HasRegistered = false; // Since the beginning of the last outage.
+    int Registrations = 0;      // Since the last outage began.
+    bool HasReturned = false;   // Registered after a removal, since then.
     time_ms RemoveAt = -1;  // End of the time to register again, -1 if none.
     time_ms RemovedAt = -1; // If it is not listed.
     // The last of the reports in a row that seem older than Entry.
@@ -216,8 +227,12 @@
   bool isInOrder(known_endpoint &Known, const dispatch::endpoint_entry &Entry);
   bool isLive(known_endpoint &Known, const dispatch::endpoint_entry &Entry);
   bool markLeaving(known_endpoint &Known);
+  // True if its entry has not disappeared because of the last outage.
+  static bool hasLeft(const known_endpoint &Known);
   void expectReregistrations(time_ms Now);
+  void endReregistrations();
   bool haveMostRegistered() const; // Since the beginning of the last outage.
+  bool haveMostRemained() const;   // The same: their entries.
   void unlist(known_endpoint &Known, time_ms Now);
 
   std::map<std::string, known_endpoint, std::less<>> Endpoints; // By id.
@@ -225,6 +240,7 @@
   bool StoreUnavailable = false;
   time_ms LastAnsweredAt = 0; // When the last read that was answered was sent.
   time_ms OutageEndedAt = -1; // -1 if there was no outage that counts.
+  time_ms OutageMs = 0;       // Of that one: the longest that it can have been.
   bool IsCatchingUp = false;  // Records of the time of the outage may follow.
   bool IsReadingSnapshot = false;
 };
--- a/packages/follow/src/endpoint_directory.cpp
+++ b/packages/follow/src/endpoint_directory.cpp
@@ -94,7 +94,8 @@
   Known.IsListed = true;
   Known.InSnapshot = true;
   // An entry of a snapshot may be from before the outage.
-  Known.HasRegistered = Known.HasRegistered || !IsReadingSnapshot;
+  Known.Registrations += IsReadingSnapshot ? 0 : 1;
+  Known.HasReturned = Known.HasReturned || Known.RemoveAt >= 0;
   Known.RemoveAt = -1;
   return IsNew;
 }
@@ -123,6 +124,12 @@
   return IsNews;
 }
 
+// An endpoint that was leaving does not register again.
+bool endpoint_directory::hasLeft(const known_endpoint &Known) {
+  return Known.Entry.Leaving || Known.HasReturned ||
+         Known.Registrations >= RegistrationsWithStore;
+}
+
 void endpoint_directory::onRemoved(std::string_view Id, time_ms Now) {
   const auto Found = Endpoints.find(Id);
   if (Found == Endpoints.end())
@@ -130,15 +137,16 @@
   known_endpoint &Known = Found->second;
   if (!Known.IsListed || Known.RemoveAt >= 0)
     return;
-  // An endpoint that was leaving does not register again.
-  if (!isReregistering(Now) || Known.Entry.Leaving)
+  if (!isReregistering(Now) || hasLeft(Known))
     return unlist(Known, Now);
   Known.RemoveAt = OutageEndedAt + ReregistrationMs;
 }
 
 void endpoint_directory::onStoreResponse(time_ms SentAt, time_ms Now) {
-  if (StoreUnavailable && Now - LastAnsweredAt >= MinExpiryMs) {
+  const time_ms SilentMs = Now - LastAnsweredAt;
+  if (StoreUnavailable && SilentMs >= MinExpiryMs) {
     expectReregistrations(Now);
+    OutageMs = SilentMs;
     IsCatchingUp = true;
   }
   StoreUnavailable = false;
@@ -147,8 +155,10 @@
 
 void endpoint_directory::expectReregistrations(time_ms Now) {
   OutageEndedAt = Now;
-  for (auto &[Id, Known] : Endpoints)
-    Known.HasRegistered = false;
+  for (auto &[Id, Known] : Endpoints) {
+    Known.Registrations = 0;
+    Known.HasReturned = false;
+  }
 }
 
 void endpoint_directory::onEraChanged(time_ms Now) {
@@ -161,16 +171,35 @@
   std::size_t Registered = 0;
   for (const auto &[Id, Known] : Endpoints) {
     Listed += Known.IsListed ? 1 : 0;
-    Registered += Known.IsListed && Known.HasRegistered ? 1 : 0;
+    Registered += Known.IsListed && Known.Registrations > 0 ? 1 : 0;
   }
   return static_cast<double>(Registered) >=
          RegisteringShare * static_cast<double>(Listed);
 }
 
+bool endpoint_directory::haveMostRemained() const {
+  std::size_t Listed = 0;
+  std::size_t Remained = 0;
+  for (const auto &[Id, Known] : Endpoints) {
+    const bool HasExpired = Known.RemoveAt >= 0 || Known.HasReturned;
+    Listed += Known.IsListed ? 1 : 0;
+    Remained += Known.IsListed && !HasExpired ? 1 : 0;
+  }
+  return static_cast<double>(Remained) >=
+         RemainingShare * static_cast<double>(Listed);
+}
+
 void endpoint_directory::onCaughtUp() {
-  if (!std::exchange(IsCatchingUp, false) || !haveMostRegistered())
+  if (!std::exchange(IsCatchingUp, false))
     return;
-  // The store was available to the endpoints, so those that are gone have left.
+  const bool WasStoreAvailable =
+      haveMostRegistered() || (OutageMs >= FullExpiryMs && haveMostRemained());
+  if (WasStoreAvailable)
+    endReregistrations();
+}
+
+// The store was available to the endpoints, so those that are gone have left.
+void endpoint_directory::endReregistrations() {
   OutageEndedAt = -1;
   for (auto &[Id, Known] : Endpoints)
     if (Known.RemoveAt >= 0)
