Give up a request that is not delivered before the kernel ends its connection

It is the users' record to the second: a kept connection over a path that went silent, a request, the end of the connection 3 s after the last byte, another endpoint; the path is back, and the request arrives.

Cause: the connection was ended by the kernel, by TCP_USER_TIMEOUT and keep-alive probes, not by this instance. Nobody reset it, so what it had sent stayed on its way. attempt_dropped showed that: kept connections, "Connection timed out" 0.04 to 2.5 s after the send.

Fix: an attempt asks the kernel each 500 ms how much of its request is unacknowledged, and resets the connection after 2 s without progress, before TCP_USER_TIMEOUT is due. Probes start only once the request is delivered and the endpoint has been silent for 1.5 s, and such a connection carries no further request.

"a request that is not taken is given up before the kernel does" failed before: the kernel did.

--- a/packages/edge/src/connection_pool.cpp
+++ b/packages/edge/src/connection_pool.cpp
@@ -49,10 +49,15 @@
 
 void endpoint_connection::onConnected(time_ms Now) {
   ConnectedAt = Now;
-  applySocketOptions(Socket, {Pool.settings().TcpUserTimeoutMs});
+  applySocketOptions(Socket, {Pool.settings().TcpUserTimeoutMs, false});
   setResetOnClose(Socket, true);
 }
 
+void endpoint_connection::startProbing() {
+  setKeepAlive(Socket, true);
+  IsProbing = true;
+}
+
 void endpoint_connection::close() {
   if (IsAnswered)
     setResetOnClose(Socket, false);
--- a/packages/edge/src/endpoint_attempt.cpp
+++ b/packages/edge/src/endpoint_attempt.cpp
@@ -21,6 +21,12 @@
 // that no request is sent on a connection that the endpoint is closing.
 constexpr int KeepAliveMarginMs = 1'000;
 constexpr int MaxKeepAliveS = 3'600; // Longer timeouts count as this one.
+// A request is given up if none of it is acknowledged during so many checks,
+// which is sooner than the kernel ends the connection (TcpUserTimeoutMs).
+constexpr int DeliveryCheckMs = 500;
+constexpr int MaxUndeliveredChecks = 4;
+// Silence after which the endpoint's host is probed.
+constexpr int ProbeAfterMs = 1'500;
 
 // Seconds of "timeout=N" in a Keep-Alive field.
 std::optional<int> parseKeepAliveTimeoutS(std::string_view KeepAlive) {
@@ -50,7 +56,7 @@
       Listener(&Listener), Call(std::move(Call)), Target(std::move(Target)),
       Body(Body ? std::move(Body)
                 : std::make_shared<std::string>(std::move(Request.body()))),
-      Request(std::move(Request.base())), ConnectTimer(Context),
+      Request(std::move(Request.base())), Timer(Context),
       HeadCharge(Memory, memory::holder_kind::Response) {
   this->Request.body() = {this->Body->data(), this->Body->size()};
 }
@@ -80,14 +86,14 @@
     return;
   }
   Connection = Pool.createConnection(Target.Address);
-  ConnectTimer.expires_after(
+  Timer.expires_after(
       std::chrono::milliseconds(Pool.settings().ConnectTimeoutMs));
-  ConnectTimer.async_wait([Self](const error_code &Error) {
+  Timer.async_wait([Self](const error_code &Error) {
     if (!Error && Self->Connection)
       Self->Connection->close();
   });
   Connection->Socket.async_connect(Address, [Self](const error_code &Error) {
-    Self->ConnectTimer.cancel();
+    Self->Timer.cancel();
     if (Self->Listener == nullptr)
       return;
     if (Error || !Self->Connection->Socket.is_open()) {
@@ -122,10 +128,33 @@
                       if (Error && Self->IsResponseComplete)
                         Self->Connection->close();
                     });
+  watchDelivery();
   beginResponse();
   parseReceived();
 }
 
+void endpoint_attempt::watchDelivery() {
+  const std::shared_ptr<endpoint_attempt> Self = shared_from_this();
+  Timer.expires_after(std::chrono::milliseconds(DeliveryCheckMs));
+  Timer.async_wait([Self](const error_code &Error) {
+    if (!Error && Self->Listener != nullptr)
+      Self->checkDelivery();
+  });
+}
+
+void endpoint_attempt::checkDelivery() {
+  const int Bytes = unacknowledgedBytes(Connection->Socket);
+  const bool IsDelivered = Bytes <= 0 && !IsWriting;
+  const bool IsStuck = Bytes == UndeliveredBytes || UndeliveredChecks == 0;
+  UndeliveredChecks = IsDelivered ? 0 : IsStuck ? UndeliveredChecks + 1 : 1;
+  UndeliveredBytes = Bytes;
+  if (UndeliveredChecks >= MaxUndeliveredChecks)
+    return failBroken();
+  if (IsDelivered && Clock.monotonic() - LastProgressAt >= ProbeAfterMs)
+    return Connection->startProbing();
+  watchDelivery();
+}
+
 void endpoint_attempt::withdraw() {
   Connection->close();
   std::exchange(Listener, nullptr)->onWithdrawn(this);
@@ -286,10 +315,12 @@
 void endpoint_attempt::complete() {
   const std::shared_ptr<endpoint_attempt> Self = shared_from_this();
   IsResponseComplete = true;
+  Timer.cancel();
   // A late copy of a response that names no request could be taken for the one
   // to a later request.
   const bool CanReuse = Parser->keepsConnection() && !IsUnmarked &&
-                        Connection->Buffer.size() == 0;
+                        Connection->Buffer.size() == 0 &&
+                        !Connection->IsProbing;
   // While the request is still being written, the connection can't be used for
   // another one; send() calls complete() again once the write has ended.
   Connection->IsAnswered = !IsWriting;
@@ -322,13 +353,14 @@
 }
 
 void endpoint_attempt::failBroken() {
+  Timer.cancel();
   drop();
   std::exchange(Listener, nullptr)->onBroken(this);
 }
 
 void endpoint_attempt::cancel() {
   Listener = nullptr;
-  ConnectTimer.cancel();
+  Timer.cancel();
   if (Connection)
     drop();
 }
--- a/packages/edge/src/endpoint_attempt.hpp
+++ b/packages/edge/src/endpoint_attempt.hpp
@@ -22,6 +22,11 @@
   void watchWhileIdle();
   // Applies the socket options of a connection that has just been opened.
   void onConnected(time_ms Now);
+  // From now on the kernel ends the connection if the endpoint's host is
+  // silent. No further request may be sent on it: the kernel would end the
+  // connection without a reset, and that request could still be delivered
+  // later.
+  void startProbing();
   // Resets the connection unless IsAnswered: what the kernel holds of a request
   // that was given up must not be delivered later, neither by a closed socket
   // nor by one of a process that ended.
@@ -36,6 +41,7 @@
   std::string Address;
   bool IsIdle = false;     // The connection is in the pool.
   bool IsAnswered = true;  // All requests that were sent on it.
+  bool IsProbing = false;  // See startProbing.
   time_ms LastUsed = 0;    // Monotonic time of the last release.
   time_ms ExpiresAt = 0;   // Monotonic; while idle.
   time_ms ConnectedAt = 0; // When it was opened, by sinceBoot.
@@ -99,6 +105,10 @@
   void connect();
   void send();
   void withdraw();
+  // Gives the request up if the endpoint's host does not acknowledge it, and
+  // probes the host if it has the request and is silent.
+  void watchDelivery();
+  void checkDelivery();
   void beginResponse();
   void parseReceived();
   bool onParsed(const responses::parsed &Next);
@@ -124,7 +134,7 @@
   shared_body Body;                                   // Until it is written.
   http::request<http::span_body<const char>> Request; // Its body is in Body.
   std::shared_ptr<endpoint_connection> Connection;
-  net::steady_timer ConnectTimer;
+  net::steady_timer Timer;          // Of the connect, then of the delivery.
   memory::memory_charge HeadCharge; // Received bytes of a head.
   std::optional<responses::response_parser> Parser;
   bool IsDiscarding = false;  // The response belongs to another request.
@@ -136,6 +146,8 @@
   bool IsReadPaused = false; // Until resume().
   bool IsResponseComplete = false;
   bool IsUnmarked = false;    // The response names no request.
+  int UndeliveredBytes = 0;   // As of the last check of the delivery.
+  int UndeliveredChecks = 0;  // In a row without progress.
   time_ms LastProgressAt = 0; // Monotonic: sent, or bytes received.
   error_code ConnectionError; // That ended the connection, if any.
   std::optional<dropped_attempt> Dropped;
--- a/packages/edge/src/sockets.cpp
+++ b/packages/edge/src/sockets.cpp
@@ -28,7 +28,7 @@
 void applySocketOptions(tcp::socket &Socket, const socket_options &Options) {
   setOption(Socket, IPPROTO_TCP, TCP_NODELAY, 1);
   setOption(Socket, IPPROTO_TCP, TCP_USER_TIMEOUT, Options.TcpUserTimeoutMs);
-  setOption(Socket, SOL_SOCKET, SO_KEEPALIVE, 1);
+  setKeepAlive(Socket, Options.HasKeepAlive);
   setOption(Socket, IPPROTO_TCP, TCP_KEEPIDLE, KeepAliveIdleS);
   setOption(Socket, IPPROTO_TCP, TCP_KEEPINTVL, KeepAliveIntervalS);
   setOption(Socket, IPPROTO_TCP, TCP_KEEPCNT, KeepAliveProbes);
@@ -40,6 +40,10 @@
   (void)::setsockopt(Handle, SOL_SOCKET, SO_RCVBUF, &Value, sizeof Value);
 }
 
+void setKeepAlive(tcp::socket &Socket, bool To) {
+  setOption(Socket, SOL_SOCKET, SO_KEEPALIVE, To ? 1 : 0);
+}
+
 void setResetOnClose(tcp::socket &Socket, bool To) {
   error_code Ignored; // The peer may have closed the connection already.
   Socket.set_option(net::socket_base::linger(To, 0), Ignored);
--- a/packages/edge/src/sockets.hpp
+++ b/packages/edge/src/sockets.hpp
@@ -18,6 +18,7 @@
   // unacknowledged, or when the peer takes no bytes, for this time
   // (TCP_USER_TIMEOUT).
   int TcpUserTimeoutMs = 2'500;
+  bool HasKeepAlive = true; // See setKeepAlive.
 };
 
 // Sends small packets without delay and enables detection of a silent peer.
@@ -26,6 +27,10 @@
 // Limits the bytes that the kernel holds unread, about twice as many.
 void setReceiveBuffer(int Handle, std::size_t Bytes);
 
+// Whether the kernel probes a peer that sends nothing, and ends the connection
+// if the probes stay unanswered.
+void setKeepAlive(tcp::socket &Socket, bool To);
+
 // Whether close() resets the connection, which discards the bytes that were
 // written and not delivered yet. Off, the kernel delivers them after the close,
 // and after the end of the process.
--- a/tests/unit/endpoint_attempt_test.cpp
+++ b/tests/unit/endpoint_attempt_test.cpp
@@ -1,5 +1,6 @@
 // Responses of faulty endpoints, over loopback.
 #include "endpoint_attempt.hpp"
+#include "sockets.hpp"
 
 #include "tamarack/adapters.hpp"
 
@@ -309,6 +310,43 @@
   CHECK(IdleAfter("Keep-Alive: timeout=-3\r\n") == 0);
 }
 
+// Guards against a request that its endpoint gets long after another one has
+// answered it: the kernel ends a connection over a path that has gone silent,
+// but what it has sent may still be on its way.
+TEST_CASE("a request that is not taken is given up before the kernel does",
+          "[edge]") {
+  net::io_context Context;
+  adapters::system_clock Clock;
+  memory::memory_budget Memory{16u << 20};
+  connection_pool Pool(Context, Clock, {});
+  attempt_id_codec Codec;
+  recording_listener Listener;
+  tcp::acceptor Acceptor(Context);
+  openAcceptor(Acceptor, {net::ip::make_address("127.0.0.1"), 0});
+  setReceiveBuffer(Acceptor.native_handle(), 4'096);
+  request_message Request(http::verb::post, "/x", 11);
+  Request.body().assign(8u << 20,
+                        'x'); // More than the buffers of sockets hold.
+  Request.prepare_payload();
+  relay::call Call;
+  Call.Id = "a";
+  const std::shared_ptr<endpoint_attempt> Attempt =
+      std::make_shared<endpoint_attempt>(
+          Context, Clock, Pool, Codec, Listener, Memory, Call,
+          relay::endpoint_choice{
+              "e",
+              "127.0.0.1:" + std::to_string(Acceptor.local_endpoint().port())},
+          std::move(Request));
+  Attempt->start(false);
+  const time_ms End = Clock.monotonic() + 10'000;
+  while (Listener.End == attempt_end::None && Clock.monotonic() < End)
+    Context.run_one_for(std::chrono::milliseconds(50));
+  REQUIRE(Listener.End == attempt_end::Broken);
+  REQUIRE(Attempt->dropped());
+  CHECK(Attempt->dropped()->UnacknowledgedBytes > 0);
+  CHECK(Attempt->dropped()->Error.empty());
+}
+
 TEST_CASE("a head tells when its connection was opened", "[edge]") {
   attempt_fixture Fixture({UnframedHead, "", server_end::Close});
   const time_ms Before = Fixture.Clock.sinceBoot();
