Test that a router without a path to endpoints serves through others, red

Routers that are cut off from all runners by proxies refuse every lookup from 3 s after the cut on, 503 no_endpoint, while the others serve all.

--- a/tests/process/scenarios.py
+++ b/tests/process/scenarios.py
@@ -28,6 +28,7 @@
 import platform_scenarios
 import pool_scenarios
 import prompt_scenarios
+import recover_scenarios
 import request_scenarios
 import shutdown_scenarios
 import statement_scenarios
@@ -665,7 +666,7 @@
      + broken_stream_scenarios.SCENARIOS
      + broken_store_answer_scenarios.SCENARIOS
      + broken_daemon_answer_scenarios.SCENARIOS
-     + drain_scenarios.SCENARIOS)
+     + drain_scenarios.SCENARIOS + recover_scenarios.SCENARIOS)
 
 
 def read_known_red():
