Forward calls to another instance while no endpoint is in reach

Cause: there was no second way. The instance knew within 1 to 3 s that it reached nothing, stayed ready, as it must, and could only refuse: 28 of 58 refusals at once, 30 after connects that failed.

Once connections to two endpoints of a service have failed and nothing has come from any of them since, calls go to another instance, which sends each to one endpoint at most and never forwards it again. Tokens, the origin of a stream, retries and the final response stay with the instance that the caller called. Probes end that state. An instance takes calls of others only while its event loop is on time, for a quarter of what it may hold, and refuses them while it stops or reaches nothing itself. Endpoints that refuse connections are blamed on no request while that holds for all of them.

--- a/packages/daemon/src/endpoint_probe.cpp
+++ b/packages/daemon/src/endpoint_probe.cpp
@@ -12,24 +12,43 @@
 // One connection attempt; lives until its handlers have run.
 struct tcp_endpoint_prober::probe_connection {
   probe_connection(edge::net::io_context &Context, edge::tcp::endpoint Address,
-                   handler Handler)
+                   connect_handler Handler)
       : Socket(Context), Timer(Context), Address(std::move(Address)),
         Handler(std::move(Handler)) {}
   edge::tcp::socket Socket;
   edge::net::steady_timer Timer; // For the delay, then for the timeout.
   edge::tcp::endpoint Address;
-  handler Handler;
+  connect_handler Handler;
 };
 
 void tcp_endpoint_prober::probe(std::string_view Address, int DelayMs,
-                                handler Handler) {
+                                quarantine::endpoint_prober::handler Handler) {
+  probe(Address, DelayMs,
+        connect_handler([this, Handler = std::move(Handler)](
+                            const edge::error_code &Error) {
+          Handler(Error == edge::net::error::connection_refused,
+                  Clock.monotonic());
+        }));
+}
+
+void tcp_endpoint_prober::probe(std::string_view Address,
+                                forwarding::path_prober::handler Handler) {
+  probe(Address, 0,
+        connect_handler([this, Handler = std::move(Handler)](
+                            const edge::error_code &Error) {
+          Handler(!Error, Clock.monotonic());
+        }));
+}
+
+void tcp_endpoint_prober::probe(std::string_view Address, int DelayMs,
+                                connect_handler Handler) {
   edge::tcp::endpoint Target;
   try {
     Target = edge::parseAddress(Address);
   } catch (const std::invalid_argument &) {
     // Nothing can be found out about an address that can't be read.
-    edge::net::post(Context, [this, Handler = std::move(Handler)] {
-      Handler(false, Clock.monotonic());
+    edge::net::post(Context, [Handler = std::move(Handler)] {
+      Handler(edge::net::error::invalid_argument);
     });
     return;
   }
@@ -48,14 +67,13 @@
     if (!Error)
       Probe->Socket.close(Ignored);
   });
-  Probe->Socket.async_connect(
-      Probe->Address, [this, Probe](const edge::error_code &Error) {
-        edge::error_code Ignored;
-        Probe->Timer.cancel();
-        Probe->Socket.close(Ignored);
-        Probe->Handler(Error == edge::net::error::connection_refused,
-                       Clock.monotonic());
-      });
+  Probe->Socket.async_connect(Probe->Address,
+                              [Probe](const edge::error_code &Error) {
+                                edge::error_code Ignored;
+                                Probe->Timer.cancel();
+                                Probe->Socket.close(Ignored);
+                                Probe->Handler(Error);
+                              });
 }
 
 std::optional<quarantine::endpoint_info>
--- a/packages/daemon/src/router.cpp
+++ b/packages/daemon/src/router.cpp
@@ -44,6 +44,15 @@
                                   static_cast<double>(MemoryLimitBytes));
 }
 
+// Of what may be held, what calls of other instances take.
+constexpr double ForwardedMemoryShare = 0.25;
+
+int maxForwardedCalls(std::size_t MemoryLimitBytes) {
+  const double Bytes =
+      ForwardedMemoryShare * static_cast<double>(heldBytesOf(MemoryLimitBytes));
+  return static_cast<int>(Bytes / static_cast<double>(edge::CallBytes));
+}
+
 // Of what may be held, what callers' connections take in any case.
 constexpr double ConnectionMemoryShare = 0.5;
 // Of the descriptors of the process. The rest is for files and for connections
@@ -229,6 +238,7 @@
     Router.Limiter.onCaughtUp(Router.Clock.monotonic());
     Router.LoadBalancer.setInstanceCount(
         static_cast<int>(Router.Grants.peers().size()) + 1);
+    Router.refreshForwardingInstances();
     Router.logPools();
     Router.writeGrants();
     Router.Frontend.onGrantsChanged();
@@ -273,15 +283,22 @@
       LimitReports(Settings.Instance, Store, Limiter),
       Quarantine(Settings.Instance, Random.next()), QuarantineLog(Log, Metrics),
       EndpointProber(Context, Clock), ListedEndpoints(LoadBalancer),
-      CrashGuard(LimitGate, Quarantine, EndpointProber, ListedEndpoints,
+      ListedPaths(LoadBalancer), ForwardingLog(Log, Metrics),
+      PathMonitor(ListedPaths, EndpointProber, Random, ForwardingLog),
+      CrashProber(Context, Clock, EndpointProber, LoadBalancer, PathMonitor),
+      CrashGuard(LimitGate, Quarantine, CrashProber, ListedEndpoints,
                  QuarantineLog),
       CrashReports(Settings.Instance, Store, Quarantine),
       VersionGate(CrashGuard, *this, Clock, Settings.LeaveNoticeMs),
-      ShutdownGate(VersionGate),
-      Codec(LoadBalancer, *this, Limiter, Random, *this),
+      ForwardingInstances(Settings.Zone, Random),
+      ForwardingGate(VersionGate, PathMonitor, ForwardingInstances,
+                     ListedPaths),
+      ShutdownGate(ForwardingGate),
+      Codec(Settings.Instance, LoadBalancer, *this, Limiter, Random, *this),
       Incarnation(Random.next() | 1),
       Grants({Settings.Instance, Settings.Zone, Incarnation,
-              Settings.PeerAddress, adapters::readBootId()},
+              Settings.PeerAddress, adapters::readBootId(),
+              Settings.ForwardAddress},
              {}, Clock),
       PoolServer(*this),
       PoolLink(Context, LoadNews,
@@ -332,12 +349,18 @@
   WatermarkWriter.Name = Settings.Instance;
   GrantWriter.Name = Settings.Instance;
   LoadBalancer.setZoneRegions(Settings.ZoneRegions);
+  ForwardingGate.setForwarding(!Settings.ForwardAddress.empty());
+  ForwardingGate.setTaking(!Settings.ForwardAddress.empty());
+  ForwardingGate.setMaxForwardedCalls(
+      maxForwardedCalls(Settings.MemoryLimitBytes));
 }
 
 router::~router() = default;
 
 void router::run() {
   Frontend.listen(edge::parseAddress(Settings.FrontendAddress));
+  if (!Settings.ForwardAddress.empty())
+    Frontend.listenForInstances(edge::parseAddress(Settings.ForwardAddress));
   ReadinessServer.listen(edge::parseAddress(Settings.ReadyAddress));
   PeerServer.listen(edge::parseAddress(Settings.PeerAddress));
   MetricsServer.listen(edge::parseAddress(Settings.MetricsAddress));
@@ -377,6 +400,7 @@
   LimitReports.tick(Now);
   writeLostRecords(Now);
   StreamOrigins.tick(Now);
+  PathMonitor.tick(Now);
   QuarantineLog.recordQuarantine(Quarantine, Now);
   ConnectionPool.closeExpired();
   if (IsStopping)
@@ -424,6 +448,29 @@
   return {Addresses.begin(), Addresses.end()};
 }
 
+// Those of this region: a call must not leave it.
+void router::refreshForwardingInstances() {
+  const auto RegionOf = [this](const std::string &Zone) {
+    const auto Found = Settings.ZoneRegions.find(Zone);
+    return Found == Settings.ZoneRegions.end() ? std::string() : Found->second;
+  };
+  std::vector<forwarding::forwarding_instance> Instances;
+  for (const grants::pool_member &Member : Grants.holders().members())
+    if (Member.Instance != Settings.Instance &&
+        !Member.ForwardAddress.empty() &&
+        RegionOf(Member.Zone) == RegionOf(Settings.Zone))
+      Instances.push_back(
+          {Member.Instance, Member.Zone, Member.ForwardAddress});
+  ForwardingInstances.setInstances(Instances);
+}
+
+void router::countForwardedCall(const relay::call &Call, int Change) {
+  if (Call.ForwardedBy.empty())
+    return;
+  ForwardedCalls += Change;
+  ForwardingGate.setForwardedCalls(ForwardedCalls);
+}
+
 std::vector<std::string> router::otherInstances() const {
   std::vector<std::string> Names;
   for (const auto &[Name, Address] : Grants.peers())
@@ -524,6 +571,7 @@
   StopRequestedAt = dispatch::earliestSignalTime(TickTimes, Now);
   Frontend.beginDrain();
   PoolServer.stop();
+  ForwardingGate.setTaking(false);
   // Settings that are read later don't move the limits of this stop.
   StopTimes = dispatch::planShutdown(StopRequestedAt, Settings.ShutdownGraceMs);
   ShutdownGate.beginShutdown(StopTimes);
--- a/packages/daemon/src/router.hpp
+++ b/packages/daemon/src/router.hpp
@@ -5,6 +5,7 @@
 #include "availability_log.hpp"
 #include "crash_report_exchange.hpp"
 #include "endpoint_probe.hpp"
+#include "forwarding_link.hpp"
 #include "limit_log.hpp"
 #include "limit_report_exchange.hpp"
 #include "load_news_link.hpp"
@@ -16,6 +17,7 @@
 #include "tamarack/dispatch.hpp"
 #include "tamarack/edge.hpp"
 #include "tamarack/follow.hpp"
+#include "tamarack/forwarding.hpp"
 #include "tamarack/grants.hpp"
 #include "tamarack/memory.hpp"
 #include "tamarack/peers.hpp"
@@ -143,6 +145,8 @@
                              time_ms DecodedAt);
   void refreshEndpoints();
   void refreshEvacuations();
+  void refreshForwardingInstances();
+  void countForwardedCall(const relay::call &Call, int Change);
   // Names of the other instances that have not left.
   std::vector<std::string> otherInstances() const;
   void tick();
@@ -209,9 +213,15 @@
   quarantine_log QuarantineLog;
   tcp_endpoint_prober EndpointProber;
   listed_endpoints ListedEndpoints;
+  listed_paths ListedPaths;
+  forwarding_log ForwardingLog;
+  forwarding::path_monitor PathMonitor;
+  path_aware_prober CrashProber;
   quarantine::crash_guard CrashGuard;
   crash_report_exchange CrashReports;
   streams::version_gate VersionGate;
+  forwarding::instance_selector ForwardingInstances;
+  forwarding::forwarding_gate ForwardingGate;
   dispatch::shutdown_gate ShutdownGate;
   platform::platform_codec Codec;
   std::uint64_t Incarnation; // Of this process, never 0.
@@ -237,6 +247,7 @@
   edge::net::signal_set SignalSet;
   edge::net::steady_timer TickTimer;
   edge::net::steady_timer PoolTimer;
+  int ForwardedCalls = 0; // Of other instances, that this one serves.
   bool IsPoolSendPosted = false;
   bool IsMemoryWakePosted = false;
   std::uint64_t LoggedPools = 0; // Version of the members, see logPools.
--- a/packages/daemon/src/router_reports.cpp
+++ b/packages/daemon/src/router_reports.cpp
@@ -140,6 +140,7 @@
 void router::recordLoopDelay(time_ms DelayMs) {
   Metrics.histogramOf("tamarack_loop_delay_ms")
       .observe(static_cast<double>(DelayMs));
+  ForwardingGate.onLoopDelay(DelayMs, Clock.monotonic());
   if (DelayMs >= LoggedLoopDelayMs)
     Log.write("loop_delayed", {{"ms", DelayMs}});
 }
@@ -167,8 +168,11 @@
         .set(static_cast<std::uint64_t>(AgeMs));
 }
 
+// A forwarded call has earned its retry at the instance that it came to.
 void router::onCallAccepted(const relay::call &Call) {
-  LoadBalancer.onRequest(Call.Service);
+  countForwardedCall(Call, 1);
+  if (Call.ForwardedBy.empty())
+    LoadBalancer.onRequest(Call.Service);
 }
 
 void router::onRequestRefused(const edge::decoded_request &Request) {
@@ -295,6 +299,11 @@
 
 void router::onCallDone(const relay::call &Call,
                         const relay::exchange_report &Report, time_ms Now) {
+  countForwardedCall(Call, -1);
+  if (!Call.ForwardedBy.empty())
+    Metrics.counterOf("tamarack_forwarded_calls_total{way=\"in\"}").add();
+  if (!Report.ForwardedTo.empty())
+    Metrics.counterOf("tamarack_forwarded_calls_total{way=\"out\"}").add();
   const std::string_view Error = Report.Error
                                      ? calls::definitionOf(*Report.Error).Name
                                      : std::string_view();
@@ -319,30 +328,33 @@
         .observe(static_cast<double>(Report.FirstByteAt - Call.ArrivedAt));
   Metrics.histogramOf("tamarack_call_ms")
       .observe(static_cast<double>(Now - Call.ArrivedAt));
-  Log.write("call", {{"id", std::string_view(Call.Id)},
-                     {"route", std::string_view(Call.RouteName)},
-                     {"account", std::string_view(Call.Account)},
-                     {"kind", relay::toString(Call.Kind)},
-                     {"status", std::int64_t(Report.Status)},
-                     {"error", Error},
-                     {"attempts", std::int64_t(Report.Attempts)},
-                     {"unreached", std::int64_t(Report.UnreachedEndpoints)},
-                     {"endpoint", std::string_view(Report.LastEndpoint)},
-                     {"last_end", relay::toString(Report.LastOutcome)},
-                     {"first_version", std::string_view(Report.FirstVersion)},
-                     {"last_version", std::string_view(Report.LastVersion)},
-                     {"version_certain", std::int64_t(Report.IsVersionCertain)},
-                     {"caller_gone", std::int64_t(Report.CallerDisconnected)},
-                     {"broken_off", std::int64_t(Report.ResponseAborted)},
-                     {"given_up_at_stop", std::int64_t(Report.GivenUpAtStop)},
-                     {"first_byte_ms", Report.FirstByteAt > 0
-                                           ? Report.FirstByteAt - Call.ArrivedAt
-                                           : std::int64_t(-1)},
-                     {"ms", Now - Call.ArrivedAt},
-                     {"left_ms", Call.Deadline - Now},
-                     {"endpoints_read_ms_ago", ageOf(EndpointFollower)},
-                     {"used", Report.TokensCharged},
-                     {"bound", Call.maxTokens()}});
+  Log.write("call",
+            {{"id", std::string_view(Call.Id)},
+             {"route", std::string_view(Call.RouteName)},
+             {"account", std::string_view(Call.Account)},
+             {"kind", relay::toString(Call.Kind)},
+             {"status", std::int64_t(Report.Status)},
+             {"error", Error},
+             {"attempts", std::int64_t(Report.Attempts)},
+             {"unreached", std::int64_t(Report.UnreachedEndpoints)},
+             {"unreached_instances", std::int64_t(Report.UnreachedInstances)},
+             {"endpoint", std::string_view(Report.LastEndpoint)},
+             {"forwarded_by", std::string_view(Call.ForwardedBy)},
+             {"last_end", relay::toString(Report.LastOutcome)},
+             {"first_version", std::string_view(Report.FirstVersion)},
+             {"last_version", std::string_view(Report.LastVersion)},
+             {"version_certain", std::int64_t(Report.IsVersionCertain)},
+             {"caller_gone", std::int64_t(Report.CallerDisconnected)},
+             {"broken_off", std::int64_t(Report.ResponseAborted)},
+             {"given_up_at_stop", std::int64_t(Report.GivenUpAtStop)},
+             {"first_byte_ms", Report.FirstByteAt > 0
+                                   ? Report.FirstByteAt - Call.ArrivedAt
+                                   : std::int64_t(-1)},
+             {"ms", Now - Call.ArrivedAt},
+             {"left_ms", Call.Deadline - Now},
+             {"endpoints_read_ms_ago", ageOf(EndpointFollower)},
+             {"used", Report.TokensCharged},
+             {"bound", Call.maxTokens()}});
 }
 
 void router::onResponseBroken(const relay::call &Call,
--- a/packages/daemon/src/router_settings.cpp
+++ b/packages/daemon/src/router_settings.cpp
@@ -17,8 +17,8 @@
 constexpr std::size_t MaxInstanceBytes = 200;
 
 constexpr const char *AddressSettings[] = {"front-address", "ready-address",
-                                           "peer-address", "metrics-address",
-                                           "store-address"};
+                                           "peer-address",  "metrics-address",
+                                           "store-address", "forward-address"};
 
 // False if Item is not ZONE=REGION.
 bool addZoneRegion(const std::string &Item, dispatch::zone_regions &Regions) {
@@ -39,6 +39,10 @@
   Set.addText("ready-address", nullptr,
               "IP:PORT to serve the readiness check on");
   Set.addText("peer-address", nullptr, "IP:PORT for other instances");
+  Set.addText(
+      "forward-address", "",
+      "IP:PORT for calls that other instances forward; empty to neither "
+      "take nor forward any");
   Set.addText("peers", "", "IP:PORT of other instances, separated by commas");
   Set.addText("metrics-address", nullptr, "IP:PORT to serve metrics on");
   Set.addText("store-address", nullptr, "IP:PORT of the platform's store");
@@ -131,6 +135,7 @@
   Settings.FrontendAddress = Set.getText("front-address");
   Settings.ReadyAddress = Set.getText("ready-address");
   Settings.PeerAddress = Set.getText("peer-address");
+  Settings.ForwardAddress = Set.getText("forward-address");
   Settings.PeerAddresses = splitList(Set.getText("peers"));
   Settings.MetricsAddress = Set.getText("metrics-address");
   Settings.StoreAddress = Set.getText("store-address");
--- a/packages/daemon/src/router_settings.hpp
+++ b/packages/daemon/src/router_settings.hpp
@@ -15,6 +15,8 @@
   std::string FrontendAddress; // host:port that serves callers.
   std::string ReadyAddress;    // host:port of the readiness check.
   std::string PeerAddress;     // host:port that serves other instances.
+  std::string ForwardAddress;  // host:port for the calls that they forward,
+                               // empty to neither take nor forward any.
   std::vector<std::string> PeerAddresses; // Other instances, may be gone.
   std::string MetricsAddress;             // host:port that serves metrics.
   std::string StoreAddress;               // host:port of the platform's store.
--- a/packages/dispatch/include/tamarack/dispatch.hpp
+++ b/packages/dispatch/include/tamarack/dispatch.hpp
@@ -123,6 +123,7 @@
   void onFirstByte(const relay::call &Call);
   void onEnded(const relay::call &Call, relay::attempt_outcome Outcome,
                time_ms Now);
+  void onReached();
 
   withheld_reason reason(time_ms Now) const;
   // False if a request that was to go there must not be sent any more.
@@ -251,6 +252,7 @@
 // Why the endpoints of a service get or don't get one call now.
 struct placement_survey {
   int Available = 0; // Might get it.
+  int Avoided = 0;   // The same, after a failure to connect.
   int Busy = 0;      // Have too many requests.
   int OtherVersions = 0;
   int OtherRegions = 0;               // Outside those that the call may reach.
@@ -320,10 +322,16 @@
   bool tryRetry(std::string_view Service, time_ms Now) override;
   relay::placement_refusal refusal(const relay::call &Call) const override;
   placement_survey survey(const relay::call &Call, time_ms Now) const;
+  // Endpoints of Service that take new work.
+  std::vector<const endpoint_entry *>
+  openEndpoints(std::string_view Service) const;
+  // A connection to the endpoint has come about, without a request.
+  void onReached(std::string_view Endpoint);
 
   std::size_t endpointCount() const { return Endpoints.size(); }
   // Nullptr if the endpoint is not known.
   const endpoint_entry *findEntry(std::string_view Endpoint) const;
+  const endpoint_entry *findEntryByAddress(std::string_view Address) const;
   // Age of the endpoint's last load report, own or told by a peer; -1 if none.
   time_ms loadAgeMs(std::string_view Endpoint, time_ms Now) const;
   // One line for logs: the state of the endpoint that choose takes into
--- a/packages/dispatch/src/load_balancer.cpp
+++ b/packages/dispatch/src/load_balancer.cpp
@@ -136,6 +136,16 @@
   return State == nullptr ? nullptr : &State->Entry;
 }
 
+const endpoint_entry *
+load_balancer::findEntryByAddress(std::string_view Address) const {
+  const auto Found = std::find_if(
+      Endpoints.begin(), Endpoints.end(), [Address](const auto &Item) {
+        return Item.second.Availability.isListed() &&
+               Item.second.Entry.Address == Address;
+      });
+  return Found == Endpoints.end() ? nullptr : &Found->second.Entry;
+}
+
 int load_balancer::spread(int MaxMs) const {
   return static_cast<int>(Random.next() % static_cast<unsigned>(MaxMs));
 }
@@ -570,6 +580,8 @@
       ++Survey.OtherRegions;
     else if (Reason != withheld_reason::None)
       ++Survey.Withheld[static_cast<std::size_t>(Reason)];
+    else if (State.Availability.isAvoided(Now))
+      ++Survey.Avoided;
     else
       ++(isBusy(State, Prior, Now) ? Survey.Busy : Survey.Available);
     if (Reason == withheld_reason::Paused && isSuitable(State, Call)) {
@@ -581,13 +593,33 @@
   return Survey;
 }
 
+std::vector<const endpoint_entry *>
+load_balancer::openEndpoints(std::string_view Service) const {
+  std::vector<const endpoint_entry *> Open;
+  const auto Members = EndpointsByService.find(Service);
+  if (Members == EndpointsByService.end())
+    return Open;
+  for (const std::string &Id : Members->second) {
+    const endpoint_state &State = Endpoints.find(Id)->second;
+    if (State.Availability.takesNewWork())
+      Open.push_back(&State.Entry);
+  }
+  return Open;
+}
+
+void load_balancer::onReached(std::string_view Endpoint) {
+  if (endpoint_state *State = findEndpoint(Endpoint))
+    State->Availability.onReached();
+}
+
 // A pause is the reason if no endpoint would get the call otherwise.
 std::optional<int>
 load_balancer::pauseRetryAfterMs(const relay::call &Call) const {
   const placement_survey Survey = survey(Call, LastChoiceAt);
   const int Paused =
       Survey.Withheld[static_cast<std::size_t>(withheld_reason::Paused)];
-  if (Paused == 0 || Survey.Available > 0 || Survey.Busy > 0)
+  if (Paused == 0 || Survey.Available > 0 || Survey.Avoided > 0 ||
+      Survey.Busy > 0)
     return std::nullopt;
   const time_ms WaitMs = Survey.FirstPauseEnd - LastChoiceAt;
   return static_cast<int>(std::max<time_ms>(MinPauseRetryAfterMs, WaitMs)) +
--- a/packages/edge/include/tamarack/edge.hpp
+++ b/packages/edge/include/tamarack/edge.hpp
@@ -88,7 +88,13 @@
   virtual ~exchange_codec() = default;
   virtual decoded_request decodeRequest(request_message Request,
                                         time_ms Now) = 0;
-  // Sets the fields of ForwardRequest that differ between attempts.
+  // The same for a request that another instance has forwarded.
+  virtual decoded_request decodeForwarded(request_message /*Request*/,
+                                          time_ms /*Now*/) {
+    return {};
+  }
+  // Sets the fields of ForwardRequest that differ between attempts, and those
+  // for another instance if Target is one.
   virtual void prepareAttempt(const relay::call &Call,
                               const relay::endpoint_choice &Target,
                               const relay::send_options &Options, time_ms Now,
@@ -100,6 +106,11 @@
                                        const response_fields &Fields) = 0;
   virtual relay::response_head
   decodeResponseHead(const response_fields &Fields) = 0;
+  // The same, of a response that another instance has passed on.
+  virtual relay::response_head
+  decodeForwardedHead(const response_fields &Fields) {
+    return decodeResponseHead(Fields);
+  }
   // Passes on what an endpoint reports about itself in the head of any
   // response, such as its load.
   virtual void recordEndpointState(const relay::endpoint_choice &Source,
@@ -109,6 +120,13 @@
   virtual response_message makeErrorResponse(relay::error_kind Kind,
                                              int RetryAfterMs,
                                              std::string_view RequestId) = 0;
+  // Adds what the instance that has forwarded a call needs to know: of an error
+  // response, and of the head of an endpoint's response.
+  virtual void addInstanceError(relay::error_kind /*Kind*/,
+                                int /*RetryAfterMs*/,
+                                response_message & /*Response*/) {}
+  virtual void addForwardedResult(const relay::forwarded_result & /*Result*/,
+                                  relay::response_head & /*Head*/) {}
 };
 
 //---------------------------------------------------------------------------
@@ -178,6 +196,9 @@
 // What a caller's connection takes in any case: its state and its buffer.
 constexpr std::size_t SessionBytes = 8 * 1024;
 
+// What a call takes beside that: its state, its attempt and their buffers.
+constexpr std::size_t CallBytes = 16 * 1024 - SessionBytes;
+
 struct frontend_settings {
   // A connection beyond closes an idle or slow one, or else is closed at once.
   std::size_t MaxSessions = 3'000;
@@ -253,6 +274,8 @@
 
   // Throws boost::system::system_error.
   void listen(const tcp::endpoint &Address);
+  // Accepts calls that other instances forward. Throws the same.
+  void listenForInstances(const tcp::endpoint &Address);
   void setLimits(const relay::caller_limits &NewLimits) { Limits = NewLimits; }
   // From now on, responses ask the caller to close the connection.
   void beginDrain();
@@ -276,11 +299,12 @@
 
 private:
   friend class frontend_session;
-  void accept();
+  struct listener;
+  void accept(listener &From);
   // Closes another connection, or else this one, if there are MaxSessions
   // sessions already.
-  void startSession(tcp::socket Socket);
-  void acceptWaiting();
+  void startSession(tcp::socket Socket, bool IsFromInstance);
+  void acceptWaiting(listener &From);
   // Gives up the unfinished request that gives way first, but not that of
   // Except. False if none does.
   bool giveUpSlowest(const frontend_session *Except);
@@ -302,8 +326,14 @@
   random_source &Random;
   frontend_settings Settings;
   relay::caller_limits Limits;
-  tcp::acceptor Acceptor;
-  net::steady_timer AcceptRetryTimer;
+  // Of callers, and of other instances.
+  struct listener {
+    tcp::acceptor Acceptor;
+    net::steady_timer RetryTimer;
+    bool IsForInstances = false;
+  };
+  listener Callers;
+  listener Instances;
   bool IsDraining = false;
   std::uint64_t CallCount = 0; // Accepted since the start.
   frontend_counts Counts;
--- a/packages/edge/src/endpoint_attempt.cpp
+++ b/packages/edge/src/endpoint_attempt.cpp
@@ -268,18 +268,32 @@
       failBroken();
     return;
   }
-  const time_ms Now = Clock.monotonic();
-  Codec.recordEndpointState(Target, Fields, Now);
   const boost::beast::string_view KeepAlive = Fields["Keep-Alive"];
   ServerKeepAliveS =
       parseKeepAliveTimeoutS({KeepAlive.data(), KeepAlive.size()});
-  relay::response_head Head = Codec.decodeResponseHead(Fields);
+  relay::response_head Head = Target.IsInstance
+                                  ? Codec.decodeForwardedHead(Fields)
+                                  : Codec.decodeResponseHead(Fields);
+  recordEndpointState(Head);
   Head.EndsWithConnection = Parser->endsWithConnection();
   Head.BodyBytes = Parser->statedLength();
   Head.ConnectedAt = Connection->ConnectedAt;
   Listener->onHead(this, std::move(Head));
 }
 
+// Of the endpoint that the response comes from.
+void endpoint_attempt::recordEndpointState(const relay::response_head &Head) {
+  const time_ms Now = Clock.monotonic();
+  if (!Target.IsInstance)
+    return Codec.recordEndpointState(Target, Parser->head(), Now);
+  if (!Head.ForwardedResult)
+    return;
+  relay::endpoint_choice Source;
+  Source.Endpoint = Head.ForwardedResult->Endpoint;
+  Source.StartedAt = Head.ForwardedResult->StartedAt;
+  Codec.recordEndpointState(Source, Parser->head(), Now);
+}
+
 void endpoint_attempt::onBody(std::string_view Bytes) {
   if (!IsDiscarding)
     return Listener->onBody(this, Bytes);
--- a/packages/edge/src/endpoint_attempt.hpp
+++ b/packages/edge/src/endpoint_attempt.hpp
@@ -116,6 +116,7 @@
   bool chargeHead(std::size_t Size);
   void onConnectionEnd(const error_code &Error);
   void onHead();
+  void recordEndpointState(const relay::response_head &Head);
   void onBody(std::string_view Bytes);
   void onResponseEnd();
   void complete();
--- a/packages/edge/src/frontend_server.cpp
+++ b/packages/edge/src/frontend_server.cpp
@@ -26,70 +26,83 @@
     frontend_settings Settings)
     : Context(Context), Clock(Clock), Codec(Codec), Placement(Placement),
       Allowance(Allowance), Origins(Origins), Observer(Observer), Pool(Pool),
-      Memory(Memory), Random(Random), Settings(Settings), Acceptor(Context),
-      AcceptRetryTimer(Context) {}
+      Memory(Memory), Random(Random),
+      Settings(Settings), Callers{tcp::acceptor(Context),
+                                  net::steady_timer(Context), false},
+      Instances{tcp::acceptor(Context), net::steady_timer(Context), true} {}
 
 frontend_server::~frontend_server() = default;
 
 void frontend_server::listen(const tcp::endpoint &Address) {
-  openAcceptor(Acceptor, Address);
+  openAcceptor(Callers.Acceptor, Address);
   // Connections begin with it. Those that wait in the kernel count too.
-  setReceiveBuffer(Acceptor.native_handle(), NewConnectionReceiveBytes);
-  accept();
+  setReceiveBuffer(Callers.Acceptor.native_handle(), NewConnectionReceiveBytes);
+  accept(Callers);
 }
 
-void frontend_server::accept() {
-  Acceptor.async_accept([this](const error_code &Error, tcp::socket Socket) {
+void frontend_server::listenForInstances(const tcp::endpoint &Address) {
+  openAcceptor(Instances.Acceptor, Address);
+  setReceiveBuffer(Instances.Acceptor.native_handle(),
+                   NewConnectionReceiveBytes);
+  accept(Instances);
+}
+
+void frontend_server::accept(listener &From) {
+  From.Acceptor.async_accept([this, &From](const error_code &Error,
+                                           tcp::socket Socket) {
     // The acceptor may have been closed since the accept succeeded.
     if (!Error)
-      startSession(std::move(Socket));
-    if (Error == net::error::operation_aborted || !Acceptor.is_open())
+      startSession(std::move(Socket), From.IsForInstances);
+    if (Error == net::error::operation_aborted || !From.Acceptor.is_open())
       return;
     if (Error) {
       closeIdle();
       // For example, the process has no free file descriptor until another
       // connection closes.
-      AcceptRetryTimer.expires_after(std::chrono::milliseconds(AcceptRetryMs));
-      AcceptRetryTimer.async_wait([this](const error_code &Waited) {
+      From.RetryTimer.expires_after(std::chrono::milliseconds(AcceptRetryMs));
+      From.RetryTimer.async_wait([this, &From](const error_code &Waited) {
         if (!Waited)
-          accept();
+          accept(From);
       });
       return;
     }
-    accept();
+    accept(From);
   });
 }
 
-void frontend_server::startSession(tcp::socket Socket) {
+void frontend_server::startSession(tcp::socket Socket, bool IsFromInstance) {
   if (Sessions.size() >= Settings.MaxSessions && !closeIdle()) {
     giveUpSlowest(nullptr); // For the connections that follow.
     ++Counts.ClosedNew;
     return;
   }
   const std::shared_ptr<frontend_session> Session =
-      std::make_shared<frontend_session>(*this, std::move(Socket));
+      std::make_shared<frontend_session>(*this, std::move(Socket),
+                                         IsFromInstance);
   Sessions.insert(Session);
   Session->start();
 }
 
 // Closing the listener resets the connections that wait in the kernel, although
 // their callers may have sent requests.
-void frontend_server::acceptWaiting() {
+void frontend_server::acceptWaiting(listener &From) {
   error_code Error;
-  Acceptor.non_blocking(true, Error);
+  From.Acceptor.non_blocking(true, Error);
   while (!Error) {
-    tcp::socket Socket = Acceptor.accept(Error);
+    tcp::socket Socket = From.Acceptor.accept(Error);
     if (!Error)
-      startSession(std::move(Socket));
+      startSession(std::move(Socket), From.IsForInstances);
   }
 }
 
 void frontend_server::beginDrain() { IsDraining = true; }
 
 void frontend_server::stopAccepting() {
-  acceptWaiting();
-  error_code Ignored;
-  Acceptor.close(Ignored);
+  for (listener *From : {&Callers, &Instances}) {
+    acceptWaiting(*From);
+    error_code Ignored;
+    From->Acceptor.close(Ignored);
+  }
   forEachSession([](frontend_session &Session) { Session.closeIfIdle(); });
 }
 
--- a/packages/edge/src/frontend_session.cpp
+++ b/packages/edge/src/frontend_session.cpp
@@ -17,18 +17,15 @@
 constexpr std::size_t MinWidenedBytes = 24 * 1024;
 constexpr std::size_t MaxReceiveBytes = 64 * 1024;
 
-// Of a call in progress: its state, its attempt and their buffers, beside what
-// its connection counts for already.
-constexpr std::size_t CallBytes = 16 * 1024 - SessionBytes;
-
 // A sound caller may pause for some seconds while it reads.
 constexpr int CallerTcpUserTimeoutMs = 10'000;
 
 } // namespace
 
-frontend_session::frontend_session(frontend_server &Server, tcp::socket Socket)
-    : Server(Server), Socket(std::move(Socket)), Timer(Server.Context),
-      Buffer(MaxUnparsedBytes),
+frontend_session::frontend_session(frontend_server &Server, tcp::socket Socket,
+                                   bool IsFromInstance)
+    : Server(Server), Socket(std::move(Socket)), IsFromInstance(IsFromInstance),
+      Timer(Server.Context), Buffer(MaxUnparsedBytes),
       Request(Server.Memory, Server.Settings.SlowRequests),
       AcceptedAt(Server.Clock.monotonic()), IdleSince(AcceptedAt),
       SessionCharge(Server.Memory, memory::holder_kind::Connection),
@@ -216,7 +213,7 @@
   KeepAlive = false;
   IsHeadRequest = false;
   Timer.cancel();
-  writeResponse(Server.Codec.makeErrorResponse(Kind, RetryAfterMs, Refused.Id));
+  writeResponse(makeErrorResponse(Kind, RetryAfterMs, Refused.Id));
 }
 
 void frontend_session::serveRequest() {
@@ -230,7 +227,8 @@
   chargeBuffer();
   readAhead();
   decoded_request Decoded =
-      Server.Codec.decodeRequest(std::move(Message), now());
+      IsFromInstance ? Server.Codec.decodeForwarded(std::move(Message), now())
+                     : Server.Codec.decodeRequest(std::move(Message), now());
   if (Server.isDraining())
     Server.Observer.onRequestWhileDraining(
         {Decoded.Id, now() - AcceptedAt, RequestCount});
@@ -258,12 +256,21 @@
   afterExchangeEvent();
 }
 
+response_message
+frontend_session::makeErrorResponse(relay::error_kind Kind, int RetryAfterMs,
+                                    std::string_view RequestId) {
+  response_message Response =
+      Server.Codec.makeErrorResponse(Kind, RetryAfterMs, RequestId);
+  if (IsFromInstance)
+    Server.Codec.addInstanceError(Kind, RetryAfterMs, Response);
+  return Response;
+}
+
 // Before the request became a call.
 void frontend_session::refuse(const decoded_request &Request,
                               int RetryAfterMs) {
   Server.Observer.onRequestRefused(Request);
-  writeResponse(Server.Codec.makeErrorResponse(Request.Refusal, RetryAfterMs,
-                                               Request.Id));
+  writeResponse(makeErrorResponse(Request.Refusal, RetryAfterMs, Request.Id));
   finishRequest();
 }
 
@@ -308,7 +315,20 @@
     // tell a truncated response from a complete one.
     KeepAlive = false;
   }
-  queueBytes(formatHead(Head, true, 0, KeepAlive));
+  queueBytes(formatHead(forwardedHead(Head), true, 0, KeepAlive));
+}
+
+// As the caller gets it, or the instance that has forwarded the call.
+relay::response_head
+frontend_session::forwardedHead(relay::response_head Head) const {
+  if (!IsFromInstance)
+    return Head;
+  const relay::exchange_report &Report = Exchange->report();
+  Server.Codec.addForwardedResult({Report.LastEndpoint, Report.LastStartedAt,
+                                   Report.LastVersion,
+                                   Exchange->isVersionCertain()},
+                                  Head);
+  return Head;
 }
 
 void frontend_session::forwardEvents(std::string_view Bytes) {
@@ -322,7 +342,7 @@
                                             std::string Body) {
   if (Server.isDraining())
     KeepAlive = false;
-  Output.append(formatHead(Head, false, Body.size(), KeepAlive));
+  Output.append(formatHead(forwardedHead(Head), false, Body.size(), KeepAlive));
   if (!IsHeadRequest)
     Output.append(std::move(Body));
   startWrite();
@@ -344,8 +364,7 @@
 }
 
 void frontend_session::refuse(relay::error_kind Kind, int RetryAfterMs) {
-  writeResponse(Server.Codec.makeErrorResponse(Kind, RetryAfterMs,
-                                               Exchange->request().Id));
+  writeResponse(makeErrorResponse(Kind, RetryAfterMs, Exchange->request().Id));
 }
 
 //---------------------------------------------------------------------------
--- a/packages/edge/src/frontend_session.hpp
+++ b/packages/edge/src/frontend_session.hpp
@@ -13,7 +13,9 @@
       public relay::exchange_host,
       public attempt_listener {
 public:
-  frontend_session(frontend_server &Server, tcp::socket Socket);
+  // IsFromInstance: another instance forwards calls on the connection.
+  frontend_session(frontend_server &Server, tcp::socket Socket,
+                   bool IsFromInstance);
 
   void start();
   void onGrantsChanged();
@@ -62,6 +64,9 @@
                         int RetryAfterMs);
   void serveRequest();
   void refuse(const decoded_request &Request, int RetryAfterMs);
+  response_message makeErrorResponse(relay::error_kind Kind, int RetryAfterMs,
+                                     std::string_view RequestId);
+  relay::response_head forwardedHead(relay::response_head Head) const;
   void startIdleTimer();
   void closeAfter(int Ms);
 
@@ -107,6 +112,7 @@
 
   frontend_server &Server;
   tcp::socket Socket;
+  bool IsFromInstance;
   net::steady_timer Timer; // For the current phase, or nextTimer() of Exchange.
   boost::beast::flat_buffer Buffer;
   request_reader Request;      // While ReadingRequest.
--- a/packages/grants/include/tamarack/grants.hpp
+++ b/packages/grants/include/tamarack/grants.hpp
@@ -111,6 +111,8 @@
   record_id Recovered; // Newest record that was lost and then charged.
   std::string Zone;    // Availability zone, empty if not known.
   std::int64_t ConfigurationVersion = -1; // In force when written, -1: none.
+  std::string ForwardAddress; // Where it takes calls that others forward, empty
+                              // if it takes none.
 };
 
 inline constexpr int EraShift = 32; // Of the era in a write number.
@@ -162,7 +164,8 @@
 struct pool_member {
   std::string Instance;
   std::string Zone;
-  std::string Address; // host:port for other instances.
+  std::string Address;             // host:port for other instances.
+  std::string ForwardAddress = {}; // See holder_record.
   bool operator==(const pool_member &) const = default;
 };
 
@@ -381,9 +384,10 @@
 struct holder_identity {
   std::string Instance;
   std::string Zone;
-  std::uint64_t Incarnation = 0; // Never 0.
-  std::string PeerAddress;       // host:port for other instances.
-  std::string BootId;            // Of the machine, empty if it is not known.
+  std::uint64_t Incarnation = 0;   // Never 0.
+  std::string PeerAddress;         // host:port for other instances.
+  std::string BootId;              // Of the machine, empty if it is not known.
+  std::string ForwardAddress = {}; // See holder_record.
 };
 
 // Rate of spending, smoothed. Corrected for its start at 0.
--- a/packages/grants/src/grant_requests.cpp
+++ b/packages/grants/src/grant_requests.cpp
@@ -252,6 +252,7 @@
   Record.Incarnation = Identity.Incarnation;
   Record.PeerAddress = Identity.PeerAddress;
   Record.Zone = Identity.Zone;
+  Record.ForwardAddress = Identity.ForwardAddress;
   Record.ConfigurationVersion = Table ? Table->Version : -1;
   Record.HasLeft = IsLeaving;
   Record.Base = Base;
--- a/packages/grants/src/holder_table.cpp
+++ b/packages/grants/src/holder_table.cpp
@@ -112,9 +112,11 @@
 void holder_table::replaceRecord(std::string_view Instance, holder &Known,
                                  holder_record Record) {
   addToTotals(Instance, Known, -1);
-  const bool IsSameMember = isActive(Known.Record) == isActive(Record) &&
-                            Known.Record.Zone == Record.Zone &&
-                            Known.Record.PeerAddress == Record.PeerAddress;
+  const bool IsSameMember =
+      isActive(Known.Record) == isActive(Record) &&
+      Known.Record.Zone == Record.Zone &&
+      Known.Record.PeerAddress == Record.PeerAddress &&
+      Known.Record.ForwardAddress == Record.ForwardAddress;
   MembersVersion += IsSameMember ? 0 : 1;
   holder_record Former = std::exchange(Known.Record, std::move(Record));
   if (Former.Incarnation != 0 &&
@@ -255,7 +257,8 @@
   std::vector<pool_member> Result;
   for (const auto &[Name, Known] : Holders)
     if (isActive(Known.Record))
-      Result.push_back({Name, Known.Record.Zone, Known.Record.PeerAddress});
+      Result.push_back({Name, Known.Record.Zone, Known.Record.PeerAddress,
+                        Known.Record.ForwardAddress});
   return Result;
 }
 
--- a/packages/grants/src/records.cpp
+++ b/packages/grants/src/records.cpp
@@ -16,9 +16,10 @@
 using holder_line_tuple =
     std::tuple<std::string, std::int64_t, std::int64_t, bool, std::int64_t>;
 using id_tuple = std::tuple<std::uint64_t, std::uint64_t>;
-using holder_tuple = std::tuple<int, std::uint64_t, std::uint64_t, std::string,
-                                bool, std::vector<holder_line_tuple>, id_tuple,
-                                id_tuple, std::string, std::int64_t>;
+using holder_tuple =
+    std::tuple<int, std::uint64_t, std::uint64_t, std::string, bool,
+               std::vector<holder_line_tuple>, id_tuple, id_tuple, std::string,
+               std::int64_t, std::string>;
 
 using watermark_tuple =
     std::tuple<int, std::uint64_t, std::uint64_t, std::string, time_ms,
@@ -79,17 +80,19 @@
   for (const account_line &Line : Record.Lines)
     Lines.emplace_back(Line.Account, Line.Ceiling, Line.Used,
                        Line.ShortOfTokens, Line.Previous);
-  return wire::pack(holder_tuple(
-      FormatVersion, Record.Incarnation, Record.WriteNumber, Record.PeerAddress,
-      Record.HasLeft, std::move(Lines), tupleOf(Record.Base),
-      tupleOf(Record.Recovered), Record.Zone, Record.ConfigurationVersion));
+  return wire::pack(
+      holder_tuple(FormatVersion, Record.Incarnation, Record.WriteNumber,
+                   Record.PeerAddress, Record.HasLeft, std::move(Lines),
+                   tupleOf(Record.Base), tupleOf(Record.Recovered), Record.Zone,
+                   Record.ConfigurationVersion, Record.ForwardAddress));
 }
 
 std::optional<holder_record> decodeHolder(std::string_view Bytes) {
   const std::optional<holder_tuple> Fields =
       wire::unpack<holder_tuple>(Bytes, FormatVersion);
   if (!Fields || std::get<3>(*Fields).size() > MaxTextBytes ||
-      std::get<8>(*Fields).size() > MaxTextBytes)
+      std::get<8>(*Fields).size() > MaxTextBytes ||
+      std::get<10>(*Fields).size() > MaxTextBytes)
     return std::nullopt;
   holder_record Record;
   Record.Incarnation = std::get<1>(*Fields);
@@ -108,8 +111,10 @@
   Record.Base = idOf(std::get<6>(*Fields));
   Record.Recovered = idOf(std::get<7>(*Fields));
   Record.Zone = std::get<8>(*Fields);
-  // A record of a former build lacks the version, which is then 0.
+  // A record of a former build lacks the version, which is then 0, and the
+  // address.
   Record.ConfigurationVersion = std::get<9>(*Fields);
+  Record.ForwardAddress = std::get<10>(*Fields);
   return Record;
 }
 
--- a/packages/relay/include/tamarack/relay.hpp
+++ b/packages/relay/include/tamarack/relay.hpp
@@ -205,6 +205,11 @@
   // Digest of account, method, host, target and body: the same for a request
   // that is sent again. 0 if not known.
   std::uint64_t Fingerprint = 0;
+  // Another instance has the call from its caller, and has forwarded it here:
+  // that one reserves and bills the tokens, keeps the origin of the stream, and
+  // repeats the call. This one sends it to one endpoint, and never to a third
+  // instance. Empty if the caller itself has sent it.
+  std::string ForwardedBy;
 
   // Upper bound of the call's cost.
   std::int64_t maxTokens() const { return PromptTokens + MaxOutputTokens; }
@@ -223,6 +228,9 @@
   std::int64_t StartedAt =
       0;                // Unix ms, 0 if unknown: which run of the endpoint.
   bool WasCold = false; // When it was chosen.
+  // Endpoint and Address are those of another instance, which chooses the
+  // endpoint. This one reaches none.
+  bool IsInstance = false;
 };
 
 // How an attempt at an endpoint ended.
@@ -380,6 +388,15 @@
   time_ms Deadline = 0;
 };
 
+// What another instance states about the response to a call that was forwarded
+// to it.
+struct forwarded_result {
+  std::string Endpoint;       // That has sent the response.
+  std::int64_t StartedAt = 0; // Of the endpoint, see endpoint_choice.
+  std::string Version;        // Of its software.
+  bool IsVersionCertain = false;
+};
+
 // Status and header of an endpoint's response.
 struct response_head {
   // Value of the first field of this name, in any case; empty if there is none.
@@ -393,6 +410,9 @@
   std::optional<std::uint64_t> BodyBytes; // Stated length of the body.
   time_ms ConnectedAt = 0; // When its connection was opened, by sinceBoot.
   std::vector<header_field> Fields; // Forwarded unchanged.
+  // From another instance only. InstanceError: it has no endpoint's response.
+  std::optional<forwarded_result> ForwardedResult;
+  std::optional<placement_refusal> InstanceError;
 };
 
 // Performs what an exchange decides: sends the call to endpoints and responds
@@ -543,6 +563,8 @@
   int Status = 0;                  // HTTP status of the final response.
   int Attempts = 0; // Sends that reached, or may have reached, an endpoint.
   int UnreachedEndpoints = 0; // Nothing was sent to them.
+  int UnreachedInstances = 0; // The same: they sent the call to no endpoint.
+  std::string ForwardedTo;    // Instance of the last attempt, empty if none.
   bool CallerDisconnected = false;
   bool ResponseAborted = false;
   bool GivenUpAtStop = false; // The process ended before the call.
@@ -551,8 +573,9 @@
   std::string LastEndpoint; // Of the last attempt.
   std::string FirstVersion; // Of the endpoint that sent the first event, empty
                             // if none was forwarded.
-  bool IsVersionCertain = true; // FirstVersion.
-  std::string LastVersion;      // Of the endpoint of the last attempt.
+  bool IsVersionCertain = true;   // FirstVersion.
+  std::string LastVersion;        // Of the endpoint of the last attempt.
+  std::int64_t LastStartedAt = 0; // The same, see endpoint_choice.
   // Of a stream that the caller takes up.
   std::optional<origin_state> Origin;
   time_ms OriginFoundAt = 0; // When the look-up ended, 0 if there was none.
@@ -597,6 +620,9 @@
   // When onTimer is due next.
   time_ms nextTimer() const;
   bool isDone() const { return Report.Done; }
+  // True if the response that is received, or was last, certainly comes from
+  // the version that the report names.
+  bool isVersionCertain() const;
   const call &request() const { return Call; }
   const exchange_report &report() const { return Report; }
 
@@ -617,6 +643,8 @@
   void startNextAttempt(time_ms Now);
   bool tryRetry(time_ms Now);
   void replaceUnsent(attempt_outcome Outcome, time_ms Now);
+  bool mayReplaceUnsent();
+  void adoptForwardedResult();
   void beginStream();
   bool isRefusal() const;
   void onRefusalBody(std::size_t Size, time_ms Now);
--- a/packages/relay/src/exchange.cpp
+++ b/packages/relay/src/exchange.cpp
@@ -12,12 +12,20 @@
 constexpr int MaxReservationWaitMs = 250;      // For a grant of tokens.
 constexpr int MaxOriginWaitMs = 500;           // For a look-up in the store.
 constexpr int StoreOutageRetryAfterMs = 6'000; // Store outages last seconds.
-constexpr int MaxUnreachedEndpoints = 3; // Each is replaced by another one.
-constexpr int MinAttemptMs = 20;         // A shorter attempt is not worthwhile.
+// Each is replaced by another one.
+constexpr int MaxUnreachedEndpoints = 3;
+constexpr int MaxUnreachedInstances = 3;
+constexpr int MinAttemptMs = 20; // A shorter attempt is not worthwhile.
 constexpr std::size_t MaxCompleteBodyBytes = 8u << 20;
 constexpr std::size_t MaxEventBytes = 1u << 20;
 constexpr std::size_t MaxRefusalBytes = 64 * 1024; // That are read for its end.
 
+// True if another instance may have an endpoint for the call.
+bool isMatterOfInstance(error_kind Kind) {
+  return Kind == error_kind::NotReady || Kind == error_kind::InstanceFull ||
+         Kind == error_kind::NoEndpoint;
+}
+
 bool isSuccess(int Status) { return Status >= 200 && Status < 300; }
 
 } // namespace
@@ -34,6 +42,8 @@
   if (const std::optional<placement_refusal> Refusal =
           Placement.admit(Call, Now))
     return refuseNotRun(Refusal->Kind, Refusal->RetryAfterMs);
+  if (!Call.ForwardedBy.empty())
+    return startNextAttempt(Now);
   if (Call.ResumeAfter.empty())
     return awaitTokens(Now);
   WaitDeadline = std::min(Now + MaxOriginWaitMs, Call.Deadline);
@@ -131,6 +141,8 @@
   Target = *Choice;
   Report.LastEndpoint = Choice->Endpoint;
   Report.LastVersion = Choice->Version;
+  Report.LastStartedAt = Choice->StartedAt;
+  Report.ForwardedTo = Choice->IsInstance ? Choice->Endpoint : std::string();
   ++Report.Attempts;
   Placement.onSent(Call, Choice->Endpoint, Now);
   send_options Options;
@@ -187,13 +199,31 @@
 void exchange::replaceUnsent(attempt_outcome Outcome, time_ms Now) {
   endAttempt(Outcome, Now);
   --Report.Attempts;
-  if (++Report.UnreachedEndpoints <= MaxUnreachedEndpoints)
+  if (mayReplaceUnsent())
     return startNextAttempt(Now);
   if (MayHaveRun)
     return failAfterSend(false);
   refuseUnplaced();
 }
 
+bool exchange::mayReplaceUnsent() {
+  if (Target.IsInstance)
+    return ++Report.UnreachedInstances <= MaxUnreachedInstances;
+  return ++Report.UnreachedEndpoints <= MaxUnreachedEndpoints;
+}
+
+// The endpoint and version of a forwarded call are known from its response.
+void exchange::adoptForwardedResult() {
+  if (Head.ForwardedResult)
+    Report.LastVersion = Head.ForwardedResult->Version;
+}
+
+bool exchange::isVersionCertain() const {
+  if (Target.IsInstance)
+    return Head.ForwardedResult && Head.ForwardedResult->IsVersionCertain;
+  return Placement.isVersionCertain(Target, Head.ConnectedAt);
+}
+
 void exchange::onHead(response_head NewHead, time_ms Now) {
   if (State != state::AwaitingHead)
     return;
@@ -206,6 +236,9 @@
     return;
   }
   MayHaveRun = true;
+  if (Head.InstanceError)
+    return onBroken(Now);
+  adoptForwardedResult();
   const bool Failed = Head.Status >= 500;
   if (Failed && isRepeatable(Call.Kind) && tryRetry(Now)) {
     Host.cancelAttempt();
@@ -234,6 +267,8 @@
 }
 
 void exchange::finishRefusal(time_ms Now) {
+  if (Head.InstanceError && isMatterOfInstance(Head.InstanceError->Kind))
+    return replaceUnsent(attempt_outcome::Withdrawn, Now);
   endAttempt(Head.Misplaced ? attempt_outcome::Misplaced
                             : attempt_outcome::Refused,
              Now);
@@ -241,6 +276,9 @@
     return startNextAttempt(Now);
   if (MayHaveRun)
     return failAfterSend(false);
+  if (Head.InstanceError)
+    return refuseNotRun(Head.InstanceError->Kind,
+                        Head.InstanceError->RetryAfterMs);
   refuseNotRun(error_kind::Overloaded, Placement.refusal(Call).RetryAfterMs);
 }
 
@@ -326,13 +364,11 @@
   StreamBegun = true;
   // The version of a stream that is taken up was certain when the call was
   // sent.
-  Report.IsVersionCertain =
-      !Call.RequiredVersion.empty() ||
-      Placement.isVersionCertain(Target, Head.ConnectedAt);
+  Report.IsVersionCertain = !Call.RequiredVersion.empty() || isVersionCertain();
   Report.FirstVersion = Report.LastVersion;
   // What two versions write does not fit together.
   Call.RequiredVersion = Report.FirstVersion;
-  if (Call.StreamKey != 0)
+  if (Call.StreamKey != 0 && Call.ForwardedBy.empty())
     Origins.onBegun(Call, Report.IsVersionCertain ? Report.FirstVersion
                                                   : std::string_view());
   Host.beginResponse(Head);
@@ -393,7 +429,7 @@
   if (!FinalEvent.empty())
     Host.forwardEvents(FinalEvent);
   Host.endResponse();
-  if (Call.StreamKey != 0)
+  if (Call.StreamKey != 0 && Call.ForwardedBy.empty())
     Origins.onDelivered(Call);
   finish(delivery::Complete);
 }
--- a/tests/process/broken_answer_scenarios.py
+++ b/tests/process/broken_answer_scenarios.py
@@ -547,7 +547,7 @@
     with PlatformFleet(routers=1, engines=0, desks=0) as fleet:
         with BrokenEndpoint(fleet, "desk-0", "desk") as desk:
             wait_for_endpoints(fleet, 1)
-            front, _, peer, _ = fleet.routers["router-0"]
+            front, _, peer, _, _ = fleet.routers["router-0"]
             for port, path in ((front, "/lookup/a"), (peer, "/store")):
                 with socket.create_connection(("127.0.0.1", port),
                                               timeout=30) as connection:
--- a/tests/process/platform_fleet.py
+++ b/tests/process/platform_fleet.py
@@ -54,7 +54,7 @@
         self.slots = slots
         self.router_settings = router_settings or {}
         self.router_descriptors = router_descriptors
-        ports = free_ports(2 + engines + desks + 4 * routers)
+        ports = free_ports(2 + engines + desks + 5 * routers)
         self.store_port = ports.pop()
         self.closed_port = ports.pop()  # Nobody listens on it.
         self.store = f"http://127.0.0.1:{self.store_port}"
@@ -65,7 +65,7 @@
                 name = f"{service}-{number}"
                 self.runners[name] = (service, ports.pop())
                 self.zones[name] = f"zone-{chr(97 + number % zones)}"
-        self.routers = {f"router-{n}": [ports.pop() for _ in range(4)]
+        self.routers = {f"router-{n}": [ports.pop() for _ in range(5)]
                         for n in range(routers)}
         self.software = {}  # Of runners by name; v1 if absent.
         self.router_store_port = self.store_port  # Where routers look for it.
@@ -130,7 +130,7 @@
 
     def start_router(self, name):
         """Starts a router with the settings that it had before, if any."""
-        front, ready, peer, metrics = self.routers[name]
+        front, ready, peer, metrics, forward = self.routers[name]
         peers = ",".join(f"127.0.0.1:{ports[2]}"
                          for ports in self.routers.values())
         store_port = (self.closed_port if name in self.cut_off
@@ -142,6 +142,7 @@
             f"ready-address = 127.0.0.1:{ready}\n"
             f"peer-address = 127.0.0.1:{peer}\npeers = {peers}\n"
             f"metrics-address = 127.0.0.1:{metrics}\n"
+            f"forward-address = 127.0.0.1:{forward}\n"
             f"store-address = 127.0.0.1:{store_port}\n"
             f"repeat-ratio = 0.2\nrepeat-slack = {self.repeat_slack}\n"
             f"repeat-window-s = 10\n"
--- a/tests/unit/platform_test.cpp
+++ b/tests/unit/platform_test.cpp
@@ -98,7 +98,8 @@
   codec_fixture()
       : Random(1),
         LoadBalancer("z", {}, Restriction, Random, AvailabilityListener),
-        Codec(LoadBalancer, Statements, LimitListener, Random, Freshness) {
+        Codec("i1", LoadBalancer, Statements, LimitListener, Random,
+              Freshness) {
     Codec.setRouteTable(decodeConfiguration(Configuration));
     Request.method(edge::http::verb::post);
     Request.target("/a/x?q=1");
