--- a/tests/unit/relay_test.cpp
+++ b/tests/unit/relay_test.cpp
@@ -1005,3 +1005,138 @@
     RC_ASSERT(Table.findRoute("other", Path) == nullptr);
   }));
 }
+
+namespace {
+
+// Offers other instances in place of endpoints.
+class instance_placement final : public placement {
+public:
+  std::optional<endpoint_choice>
+  choose(const call &, const std::set<std::string> &Tried, time_ms) override {
+    for (const char *Name : {"i1", "i2", "i3", "i4", "i5"}) {
+      endpoint_choice Choice{Name, std::string(Name) + ":1"};
+      Choice.IsInstance = true;
+      if (!Tried.contains(Name))
+        return Choice;
+    }
+    return std::nullopt;
+  }
+  void onSent(const call &, std::string_view, time_ms) override {}
+  void onFirstByte(const call &, std::string_view, time_ms) override {}
+  void onEnded(const call &, std::string_view, attempt_outcome,
+               time_ms) override {}
+  bool tryRetry(std::string_view, time_ms) override { return ++Retries > 0; }
+  placement_refusal refusal(const call &) const override {
+    return {error_kind::NoEndpoint, 250};
+  }
+
+  int Retries = 0;
+};
+
+struct forwarding_exchange_fixture {
+  explicit forwarding_exchange_fixture(call Call)
+      : Exchange(std::move(Call), Placement, Budget, Origins, Reader, Host,
+                 Memory) {
+    Exchange.start(Start);
+  }
+
+  // The instance answers with an error of its own.
+  void receiveError(error_kind Kind, int RetryAfterMs = 0) {
+    response_head Head = headOf(calls::definitionOf(Kind).Status);
+    Head.InstanceError = placement_refusal{Kind, RetryAfterMs};
+    Head.NotRun =
+        calls::definitionOf(Kind).RanAtEndpoint == calls::ran_at_endpoint::No;
+    Exchange.onHead(Head, Start + 10);
+    Exchange.onEnd(Start + 10);
+  }
+
+  memory::memory_budget Memory{64u << 20};
+  instance_placement Placement;
+  fake_token_budget Budget;
+  fake_origins Origins;
+  numbered_event_reader Reader;
+  fake_host Host;
+  exchange Exchange;
+};
+
+} // namespace
+
+// Guards against a call that an instance without a path ends, though others
+// have one, and against one that goes round among many.
+TEST_CASE("a call that another instance did not send goes to the next one",
+          "[relay][forwarding]") {
+  const error_kind Kind = GENERATE(error_kind::NoEndpoint, error_kind::NotReady,
+                                   error_kind::InstanceFull);
+  forwarding_exchange_fixture Fixture(callOf(call_kind::NotRepeatable, 1));
+  for (int Count = 0; Count < 3; ++Count) {
+    CHECK_FALSE(Fixture.Host.RefusedWith);
+    Fixture.receiveError(Kind);
+  }
+  CHECK(Fixture.Host.AttemptedEndpoints.size() == 4);
+  Fixture.receiveError(Kind);
+  CHECK(Fixture.Host.RefusedWith == error_kind::NoEndpoint);
+  CHECK(Fixture.Placement.Retries == 0);
+  CHECK(Fixture.Budget.Billed == 0);
+  CHECK(Fixture.Budget.Reserved == 0);
+}
+
+TEST_CASE("the caller gets what another instance says of its endpoints",
+          "[relay][forwarding]") {
+  forwarding_exchange_fixture Fixture(callOf(call_kind::NotRepeatable, 1));
+  SECTION("they are busy") {
+    Fixture.receiveError(error_kind::Overloaded, 77);
+    CHECK(Fixture.Host.RefusedWith == error_kind::Overloaded);
+    CHECK(Fixture.Host.AdvisedRetryMs == 77);
+  }
+  SECTION("nobody knows whether it has run") {
+    Fixture.receiveError(error_kind::OutcomeUnknown);
+    CHECK(Fixture.Host.RefusedWith == error_kind::EndpointFailed);
+    CHECK(Fixture.Host.AttemptedEndpoints.size() == 1);
+  }
+  SECTION("the way to it breaks") {
+    Fixture.Exchange.onBroken(Start + 10);
+    CHECK(Fixture.Host.RefusedWith == error_kind::EndpointFailed);
+    CHECK(Fixture.Host.AttemptedEndpoints.size() == 1);
+  }
+}
+
+// Guards against a stream that goes on at another version than that of the
+// endpoint that another instance has chosen.
+TEST_CASE("a forwarded stream is bound to the version that began it",
+          "[relay][forwarding]") {
+  call Call = callOf(call_kind::ResumableStream);
+  Call.StreamKey = 7;
+  forwarding_exchange_fixture Fixture(Call);
+  const bool IsCertain = GENERATE(true, false);
+  response_head Head = headOf(200);
+  Head.ForwardedResult = forwarded_result{"e", 1, "v2", IsCertain};
+  Fixture.Exchange.onHead(Head, Start + 10);
+  Fixture.Exchange.onBody("id: 0\n\n", Start + 11);
+  CHECK(Fixture.Exchange.request().RequiredVersion == "v2");
+  CHECK(Fixture.Origins.BegunVersions ==
+        std::vector<std::string>{IsCertain ? "v2" : ""});
+  Fixture.Exchange.onBroken(Start + 12);
+  CHECK(Fixture.Host.AttemptedEndpoints.size() == (IsCertain ? 2 : 1));
+}
+
+// Guards against tokens that two instances reserve and bill.
+TEST_CASE("a call that was forwarded here costs and records nothing",
+          "[relay][forwarding]") {
+  call Call = takenUpCall();
+  Call.ForwardedBy = "i9";
+  Call.RequiredVersion = "v1";
+  Call.MaxAttempts = 1;
+  exchange_fixture Fixture(Call);
+  Fixture.Placement.Versions = {{"e1", "v1"}, {"e2", "v1"}};
+  Fixture.Budget.Result = reserve_result::Exhausted;
+  Fixture.Exchange.start(Start);
+  CHECK(Fixture.Host.AttemptedEndpoints == std::vector<std::string>{"e1"});
+  Fixture.Exchange.onHead(headOf(200), Start + 10);
+  Fixture.Exchange.onBody("id: 5\n\n", Start + 11);
+  CHECK(Fixture.Host.Body == "id: 5\n\n");
+  CHECK(Fixture.Origins.BegunVersions.empty());
+  Fixture.Exchange.onBroken(Start + 12);
+  CHECK(Fixture.Host.AttemptedEndpoints.size() == 1);
+  CHECK(Fixture.Host.AbortedResponses == 1);
+  CHECK(Fixture.Budget.Billed == 0);
+}
