--- a/tests/process/broken_answer_scenarios.py
+++ b/tests/process/broken_answer_scenarios.py
@@ -203,7 +203,8 @@
         FOREIGN, "200 OK", line)) for line in lines}
 
 
-def assert_no_answers(answers, sizes=(SMALL_BYTES, LARGE_BYTES)):
+def assert_no_answers(answers, sizes=(SMALL_BYTES, LARGE_BYTES),
+                      start=broken_endpoints):
     """None of the answers reaches a caller.
 
     Each is sent on new and on kept connections, to calls of each kind. Where
@@ -211,7 +212,7 @@
     the kind of the route allows that.
     """
     failures = []
-    with broken_endpoints() as (fleet, endpoints):
+    with start() as (fleet, endpoints):
         for (name, answer), kind, kept, size in itertools.product(
                 answers.items(), KINDS, (False, True), sizes):
             case = (name, kind, "kept" if kept else "new", size)
--- a/tests/process/path_proxy.py
+++ b/tests/process/path_proxy.py
@@ -88,6 +88,7 @@
         if how == "hang":
             return self.fall_silent()
         self.close_listener()
+        time.sleep(2 * POLL_S)  # An accept in progress keeps it open.
         if how == "refuse":
             return
         with self.lock:
@@ -128,8 +129,9 @@
 
     def __init__(self, store_port, ports):
         self.store_port = store_port
-        self.ports = {str(runner).encode(): str(path).encode()
-                      for runner, path in ports.items()}
+        self.ports = {}
+        for runner, path in ports.items():
+            self.hide(runner, path)
         proxy = self
 
         class Handler(BaseHTTPRequestHandler):
@@ -149,6 +151,10 @@
         threading.Thread(target=self.server.serve_forever,
                          daemon=True).start()
 
+    def hide(self, port, instead):
+        """Shows another port in place of that of a runner."""
+        self.ports[str(port).encode()] = str(instead).encode()
+
     def serve(self, handler):
         size = int(handler.headers.get("Content-Length", "0"))
         body = handler.rfile.read(size)
