--- a/tests/process/raw_endpoint.py
+++ b/tests/process/raw_endpoint.py
@@ -147,8 +147,10 @@
 class RawEndpoint(RawServer):
     """A RawServer that registers itself as an endpoint of `service`."""
 
-    def __init__(self, fleet, name, service, respond, receive_bytes=None):
+    def __init__(self, fleet, name, service, respond, receive_bytes=None,
+                 slots=64):
         super().__init__(respond, receive_bytes)
+        self.slots = slots
         self.fleet = fleet
         self.name = name
         self.service = service
@@ -160,7 +162,8 @@
         sequence = 0
         while not self.ended:
             sequence += 1
-            entry = {"service": self.service, "zone": "zone-a", "slots": 64,
+            entry = {"service": self.service, "zone": "zone-a",
+                     "slots": self.slots,
                      "address": f"127.0.0.1:{self.port}", "state": "ready",
                      "version": "v1", "coldLeftMs": 0, "sequence": sequence,
                      "born": self.born}
--- a/tests/process/scenarios.py
+++ b/tests/process/scenarios.py
@@ -13,6 +13,7 @@
 from http.client import HTTPConnection
 
 import answer_scenarios
+import brittle_scenarios
 import broken_answer_scenarios
 import broken_daemon_answer_scenarios
 import broken_store_answer_scenarios
@@ -666,7 +667,8 @@
      + broken_stream_scenarios.SCENARIOS
      + broken_store_answer_scenarios.SCENARIOS
      + broken_daemon_answer_scenarios.SCENARIOS
-     + drain_scenarios.SCENARIOS + recover_scenarios.SCENARIOS)
+     + drain_scenarios.SCENARIOS + recover_scenarios.SCENARIOS
+     + brittle_scenarios.SCENARIOS)
 
 
 def read_known_red():
