Test that probes start on demand and agree with TCP_USER_TIMEOUT

Connections to endpoints are probed only once a request is delivered; what the probes wait for is no longer than the user timeout.

--- a/tests/unit/endpoint_attempt_test.cpp
+++ b/tests/unit/endpoint_attempt_test.cpp
@@ -7,6 +7,8 @@
 #include <catch2/catch.hpp>
 
 #include <ctime>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
 #include <thread>
 
 using namespace tamarack;
@@ -347,6 +349,36 @@
   CHECK(Attempt->dropped()->Error.empty());
 }
 
+// Guards against probes that end a connection on which a request is on its way:
+// TCP_USER_TIMEOUT decides when they give up, whatever their count.
+TEST_CASE("a connection to an endpoint is probed only on demand", "[edge]") {
+  net::io_context Context;
+  adapters::system_clock Clock;
+  connection_pool Pool(Context, Clock, {});
+  tcp::acceptor Acceptor(Context);
+  openAcceptor(Acceptor, {net::ip::make_address("127.0.0.1"), 0});
+  const std::shared_ptr<endpoint_connection> Connection =
+      Pool.createConnection("127.0.0.1:1");
+  Connection->Socket.connect(Acceptor.local_endpoint());
+  Connection->onConnected(0);
+  const auto OptionOf = [&Connection](int Level, int Name) {
+    int Value = -1;
+    socklen_t Size = sizeof Value;
+    ::getsockopt(Connection->Socket.native_handle(), Level, Name, &Value,
+                 &Size);
+    return Value;
+  };
+  CHECK(OptionOf(IPPROTO_TCP, TCP_USER_TIMEOUT) ==
+        Pool.settings().TcpUserTimeoutMs);
+  CHECK(OptionOf(SOL_SOCKET, SO_KEEPALIVE) == 0);
+  Connection->startProbing();
+  CHECK(OptionOf(SOL_SOCKET, SO_KEEPALIVE) == 1);
+  // What the probes wait for must not outlast the user timeout.
+  CHECK(1'000 * OptionOf(IPPROTO_TCP, TCP_KEEPIDLE) +
+            1'000 * OptionOf(IPPROTO_TCP, TCP_KEEPINTVL) <=
+        Pool.settings().TcpUserTimeoutMs);
+}
+
 TEST_CASE("a head tells when its connection was opened", "[edge]") {
   attempt_fixture Fixture({UnframedHead, "", server_end::Close});
   const time_ms Before = Fixture.Clock.sinceBoot();
