Send endpoints that tolerate few rejections only what they have room for

Cause: all instances queue requests there, up to four a slot, and send on while they are turned away. "an endpoint that tolerates few rejections gets few" is new.

--- a/packages/dispatch/include/tamarack/dispatch.hpp
+++ b/packages/dispatch/include/tamarack/dispatch.hpp
@@ -301,6 +301,10 @@
   std::string composeNews(std::string_view Peer, time_ms Now);
   // News that Peer has sent. False if they can't be read.
   bool readNews(std::string_view Peer, std::string_view Bytes, time_ms Now);
+  // The endpoint fails if it has to turn away more requests in a second, of all
+  // instances together; nothing: it states no such limit any more.
+  void onRejectionLimitStated(std::string_view Endpoint,
+                              std::optional<double> PerSecond);
   // The endpoint has asked this instance for a pause of so long.
   void onPauseStated(std::string_view Endpoint, int DurationMs, time_ms Now);
   void onRequest(std::string_view Service); // Once for each caller's request.
@@ -347,6 +351,7 @@
     double Penalty = 0; // 0 if healthy, up to 1 for repeated failures.
     time_ms PenaltyUpdatedAt = 0;
     time_ms WarmUpUntil = 0;
+    std::optional<double> RejectionsPerSecond; // See onRejectionLimitStated.
   };
 
   // What one choice takes into account of the service.
@@ -399,6 +404,8 @@
   int spread(int MaxMs) const;
   // From the end of a pause until this instance sends again.
   int resumeDelayMs() const;
+  // Pause after a rejection by an endpoint with such a limit.
+  int rejectionPauseMs(double RejectionsPerSecond) const;
   void updateEvacuation(endpoint_state &State, time_ms Now);
   // True if no endpoint of the version that the call needs takes new work.
   bool isVersionGone(const relay::call &Call) const;
--- a/packages/dispatch/src/load_balancer.cpp
+++ b/packages/dispatch/src/load_balancer.cpp
@@ -26,6 +26,11 @@
 constexpr int PauseSpreadPerInstanceMs = 10;
 constexpr int MaxPauseSpreadMs = 2'000;
 constexpr int MinPauseRetryAfterMs = 50;
+// Of the rejections that an endpoint tolerates, what the instances use: several
+// requests may be on their way when the first one is rejected.
+constexpr double RejectionShare = 0.25;
+constexpr double MinRejectionPauseMs = 200;
+constexpr double MaxRejectionPauseMs = 10'000;
 constexpr double MinNewsReadMs = 8; // Of a prompt that others are told of.
 // Callers that were refused because of a pause come back spread over this time.
 constexpr int CallerSpreadMs = 300;
@@ -156,6 +161,22 @@
   return spread(SpreadMs);
 }
 
+void load_balancer::onRejectionLimitStated(std::string_view Endpoint,
+                                           std::optional<double> PerSecond) {
+  if (endpoint_state *State = findEndpoint(Endpoint))
+    State->RejectionsPerSecond = PerSecond;
+}
+
+// All instances together may be rejected so often; each takes an equal part.
+int load_balancer::rejectionPauseMs(double RejectionsPerSecond) const {
+  const double OwnPerSecond =
+      RejectionShare * RejectionsPerSecond / InstanceCount.value_or(1);
+  const double PauseMs =
+      OwnPerSecond > 0 ? 1'000 / OwnPerSecond : MaxRejectionPauseMs;
+  return static_cast<int>(
+      std::clamp(PauseMs, MinRejectionPauseMs, MaxRejectionPauseMs));
+}
+
 void load_balancer::onPauseStated(std::string_view Endpoint, int DurationMs,
                                   time_ms Now) {
   endpoint_state *State = findEndpoint(Endpoint);
@@ -296,8 +317,10 @@
 
 bool load_balancer::isBusy(const endpoint_state &State,
                            const load::load_prior &Prior, time_ms Now) const {
-  const double RequestsPerSlot =
+  double RequestsPerSlot =
       isEngine(State.Entry.Service) ? 2.0 : 1.0 + MaxQueuedPerSlot;
+  if (State.RejectionsPerSecond)
+    RequestsPerSlot = 1.0; // It may let nothing wait.
   return State.Load.requests(Prior, Now) >= RequestsPerSlot * State.Entry.Slots;
 }
 
@@ -505,6 +528,8 @@
     return;
   const withheld_reason Before = State->Availability.reason(Now);
   State->Availability.onEnded(Call, End, Now);
+  if (End == relay::attempt_outcome::Refused && State->RejectionsPerSecond)
+    onPauseStated(Endpoint, rejectionPauseMs(*State->RejectionsPerSecond), Now);
   const withheld_reason Reason = State->Availability.reason(Now);
   if (Reason != Before && (Reason == withheld_reason::Misplaced ||
                            Reason == withheld_reason::Unreachable))
--- a/tests/unit/dispatch_test.cpp
+++ b/tests/unit/dispatch_test.cpp
@@ -347,6 +347,43 @@
   }
 }
 
+// Guards against endpoints that fail because all instances send them what they
+// have to turn away.
+TEST_CASE("an endpoint that tolerates few rejections gets few", "[dispatch]") {
+  dispatch_fixture Fixture(1);
+  constexpr int Instances = 10;
+  constexpr double PerSecond = 4;
+  Fixture.Balancer.setInstanceCount(Instances);
+  const std::vector<endpoint_entry> List = {entryOf("e0", "z", 2)};
+  Fixture.Balancer.setEndpoints(List, 0);
+  const auto IsChosen = [&Fixture](time_ms Now) {
+    return Fixture.Balancer.choose(callOf(1, 1), {}, Now).has_value();
+  };
+  const relay::call First = callOf(1, 2);
+  Fixture.Balancer.onRejectionLimitStated("e0", PerSecond);
+  SECTION("nothing waits there") {
+    Fixture.Balancer.onSent(First, "e0", 0);
+    CHECK(IsChosen(1));
+    const relay::call Second = callOf(1, 3);
+    Fixture.Balancer.onSent(Second, "e0", 1);
+    CHECK_FALSE(IsChosen(2));
+    Fixture.Balancer.onRejectionLimitStated("e0", std::nullopt);
+    CHECK(IsChosen(2));
+  }
+  SECTION("after a rejection it is left alone for the part of an instance") {
+    Fixture.Balancer.onSent(First, "e0", 0);
+    Fixture.Balancer.onEnded(First, "e0", relay::attempt_outcome::Refused, 10);
+    CHECK_FALSE(IsChosen(10 + 1'000 * Instances / static_cast<int>(PerSecond)));
+    CHECK(IsChosen(12'000));
+  }
+  SECTION("without the statement a rejection is no pause") {
+    Fixture.Balancer.onRejectionLimitStated("e0", std::nullopt);
+    Fixture.Balancer.onSent(First, "e0", 0);
+    Fixture.Balancer.onEnded(First, "e0", relay::attempt_outcome::Refused, 10);
+    CHECK(IsChosen(20));
+  }
+}
+
 // Guards against requests that were chosen before a statement arrived, and go
 // out after it because their connection took time or the process stood still.
 TEST_CASE("a request that waited for its connection may be withdrawn",
