--- a/packages/edge/include/tamarack/edge.hpp
+++ b/packages/edge/include/tamarack/edge.hpp
@@ -89,9 +89,9 @@
   virtual decoded_request decodeRequest(request_message Request,
                                         time_ms Now) = 0;
   // The same for a request that another instance has forwarded.
-  virtual decoded_request decodeForwarded(request_message /*Request*/,
-                                          time_ms /*Now*/) {
-    return {};
+  virtual decoded_request decodeForwarded(request_message Request,
+                                          time_ms Now) {
+    return decodeRequest(std::move(Request), Now);
   }
   // Sets the fields of ForwardRequest that differ between attempts, and those
   // for another instance if Target is one.
--- a/packages/forwarding/src/forwarding_gate.cpp
+++ b/packages/forwarding/src/forwarding_gate.cpp
@@ -64,7 +64,7 @@
     if (Instance)
       return Instance;
   }
-  const std::optional<relay::endpoint_choice> Endpoint =
+  std::optional<relay::endpoint_choice> Endpoint =
       placement_decorator::choose(Call, Tried, Now);
   if (Endpoint || IsCutOff || !Reason.isOutOfReach(Call, Now))
     return Endpoint;
