Do not put off the verdict that an endpoint has crashed

Cause: confirmed each refused connection 250 ms later, so that a lost path blames no request. Until then the retries went on that a crash forbids, into the gap between a restart and its entry in the list.

Fix: the verdict waits only while the service seems cut off. A probe no longer clears what is known of an endpoint, and a call that is bound to a version is forwarded only after 2 s of a cut: restarts are listed by then.

--- a/packages/daemon/src/forwarding_link.cpp
+++ b/packages/daemon/src/forwarding_link.cpp
@@ -5,7 +5,8 @@
 
 namespace {
 
-// From a refused connection until it is known whether others are refused, too.
+// From a refused connection, while others are refused too, until it is known
+// whether all are.
 constexpr int ConfirmMs = 250;
 
 } // namespace
@@ -19,10 +20,6 @@
   return Paths;
 }
 
-void listed_paths::onReached(std::string_view Endpoint) {
-  LoadBalancer.onReached(Endpoint);
-}
-
 bool listed_paths::isOutOfReach(const relay::call &Call, time_ms Now) const {
   const dispatch::placement_survey Survey = LoadBalancer.survey(Call, Now);
   const int Unreachable = Survey.Withheld[static_cast<std::size_t>(
@@ -55,6 +52,8 @@
                 if (!IsDead)
                   return Handler(false, Now);
                 Paths.onUnreached(Endpoint.Service, Endpoint.Id, Now);
+                if (!Paths.isCutOff(Endpoint.Service))
+                  return Handler(true, Now);
                 confirm(Endpoint, Handler);
               });
 }
--- a/packages/daemon/src/forwarding_link.hpp
+++ b/packages/daemon/src/forwarding_link.hpp
@@ -14,16 +14,15 @@
 class listed_paths final : public forwarding::endpoint_paths,
                            public forwarding::unplaced_reason {
 public:
-  explicit listed_paths(dispatch::load_balancer &LoadBalancer)
+  explicit listed_paths(const dispatch::load_balancer &LoadBalancer)
       : LoadBalancer(LoadBalancer) {}
 
   std::vector<forwarding::endpoint_path>
   pathsOf(std::string_view Service) const override;
-  void onReached(std::string_view Endpoint) override;
   bool isOutOfReach(const relay::call &Call, time_ms Now) const override;
 
 private:
-  dispatch::load_balancer &LoadBalancer;
+  const dispatch::load_balancer &LoadBalancer;
 };
 
 class forwarding_log final : public forwarding::path_monitor_listener {
@@ -39,8 +38,9 @@
   report::metrics_registry &Metrics;
 };
 
-// Decorates a prober: an endpoint that refuses connections is dead only if this
-// instance is not cut off from all endpoints of its service a moment later.
+// Decorates a prober: while this instance seems to be cut off from a service,
+// an endpoint that refuses connections is dead only if that has ended a moment
+// later.
 class path_aware_prober final : public quarantine::endpoint_prober {
 public:
   path_aware_prober(edge::net::io_context &Context, const clock &Clock,
--- a/packages/dispatch/include/tamarack/dispatch.hpp
+++ b/packages/dispatch/include/tamarack/dispatch.hpp
@@ -123,7 +123,6 @@
   void onFirstByte(const relay::call &Call);
   void onEnded(const relay::call &Call, relay::attempt_outcome Outcome,
                time_ms Now);
-  void onReached();
 
   withheld_reason reason(time_ms Now) const;
   // False if a request that was to go there must not be sent any more.
@@ -329,8 +328,6 @@
   // Endpoints of Service that take new work.
   std::vector<const endpoint_entry *>
   openEndpoints(std::string_view Service) const;
-  // A connection to the endpoint has come about, without a request.
-  void onReached(std::string_view Endpoint);
 
   std::size_t endpointCount() const { return Endpoints.size(); }
   // Nullptr if the endpoint is not known.
--- a/packages/dispatch/src/endpoint_availability.cpp
+++ b/packages/dispatch/src/endpoint_availability.cpp
@@ -98,11 +98,6 @@
   Unanswered.erase(&Call);
 }
 
-void endpoint_availability::onReached() {
-  ConnectFailuresInRow = 0;
-  AvoidUntil = 0;
-}
-
 bool endpoint_availability::isAvoided(time_ms Now) const {
   if (AvoidUntil > Now)
     return true;
--- a/packages/dispatch/src/load_balancer.cpp
+++ b/packages/dispatch/src/load_balancer.cpp
@@ -632,11 +632,6 @@
   return Open;
 }
 
-void load_balancer::onReached(std::string_view Endpoint) {
-  if (endpoint_state *State = findEndpoint(Endpoint))
-    State->Availability.onReached();
-}
-
 // A pause is the reason if no endpoint would get the call otherwise.
 std::optional<int>
 load_balancer::pauseRetryAfterMs(const relay::call &Call) const {
--- a/packages/forwarding/include/tamarack/forwarding.hpp
+++ b/packages/forwarding/include/tamarack/forwarding.hpp
@@ -83,8 +83,6 @@
   // Those of Service that take new work.
   virtual std::vector<endpoint_path>
   pathsOf(std::string_view Service) const = 0;
-  // A connection to the endpoint has come about.
-  virtual void onReached(std::string_view Endpoint) = 0;
 };
 
 // Finds out whether an address can be connected to.
@@ -117,6 +115,8 @@
                    time_ms Now);
   void onReached(std::string_view Service, time_ms Now);
   bool isCutOff(std::string_view Service) const;
+  // For how long, 0 if it is not cut off.
+  time_ms cutOffMs(std::string_view Service, time_ms Now) const;
   // Endpoints among Tried that could not be connected to lately.
   std::size_t unreachedAmong(std::string_view Service,
                              const std::set<std::string> &Tried,
@@ -219,6 +219,10 @@
   static constexpr int BusyForMs = 500;
   // After this many endpoints that one call did not reach, it is forwarded.
   static constexpr std::size_t MaxUnreachedByCall = 2;
+  // A call that is bound to a version is forwarded only after so long a cut.
+  // What looks like one may be endpoints that start again in another version,
+  // and other instances learn of that only then.
+  static constexpr int MinCutForBoundMs = 2'000;
 
   forwarding_gate(relay::placement &Inner, path_monitor &Paths,
                   instance_selector &Instances, const unplaced_reason &Reason)
@@ -250,6 +254,7 @@
                relay::attempt_outcome Outcome, time_ms Now) override;
 
 private:
+  bool mayForward(const relay::call &Call, time_ms Now) const;
   std::optional<relay::endpoint_choice>
   chooseInstance(const relay::call &Call, const std::set<std::string> &Tried,
                  time_ms Now);
--- a/packages/forwarding/src/forwarding_gate.cpp
+++ b/packages/forwarding/src/forwarding_gate.cpp
@@ -50,10 +50,17 @@
   return placement_decorator::admit(Call, Now);
 }
 
+bool forwarding_gate::mayForward(const relay::call &Call, time_ms Now) const {
+  if (!IsForwarding || isForwarded(Call))
+    return false;
+  return Call.RequiredVersion.empty() ||
+         Paths.cutOffMs(Call.Service, Now) >= MinCutForBoundMs;
+}
+
 std::optional<relay::endpoint_choice>
 forwarding_gate::choose(const relay::call &Call,
                         const std::set<std::string> &Tried, time_ms Now) {
-  if (!IsForwarding || isForwarded(Call))
+  if (!mayForward(Call, Now))
     return placement_decorator::choose(Call, Tried, Now);
   const bool IsCutOff =
       Paths.isCutOff(Call.Service) ||
--- a/packages/forwarding/src/path_monitor.cpp
+++ b/packages/forwarding/src/path_monitor.cpp
@@ -42,6 +42,12 @@
   return Found != Services.end() && Found->second.CutOffAt >= 0;
 }
 
+time_ms path_monitor::cutOffMs(std::string_view Service, time_ms Now) const {
+  const auto Found = Services.find(Service);
+  const bool IsOff = Found != Services.end() && Found->second.CutOffAt >= 0;
+  return IsOff ? Now - Found->second.CutOffAt : 0;
+}
+
 std::size_t path_monitor::unreachedAmong(std::string_view Service,
                                          const std::set<std::string> &Tried,
                                          time_ms Now) const {
@@ -69,12 +75,9 @@
   for (std::size_t Count = 0; Count < std::min(ProbesAtOnce, Known.size());
        ++Count) {
     const endpoint_path &Path = Known[Random.next() % Known.size()];
-    Prober.probe(Path.Address, [this, Service, Endpoint = Path.Endpoint](
-                                   bool IsReached, time_ms At) {
-      if (!IsReached)
-        return;
-      Paths.onReached(Endpoint);
-      onReached(Service, At);
+    Prober.probe(Path.Address, [this, Service](bool IsReached, time_ms At) {
+      if (IsReached)
+        onReached(Service, At);
     });
   }
 }
