Log what keeps an instance behind, and by how old a list calls are sent

Nothing in logs or metrics told apart whether reads of the store get no answer for want of processor time, for a full link or on the way over another instance.

No logic is changed.

--- a/packages/adapters/include/tamarack/adapters.hpp
+++ b/packages/adapters/include/tamarack/adapters.hpp
@@ -209,6 +209,9 @@
 // machine, or an empty string if the id cannot be read.
 std::string readBootId();
 
+// Processor time that this process has used, in ms.
+time_ms processorTime();
+
 // Seeded from std::random_device. Thread-safe.
 class system_random final : public random_source {
 public:
--- a/packages/adapters/src/system.cpp
+++ b/packages/adapters/src/system.cpp
@@ -15,6 +15,13 @@
       .count();
 }
 
+time_ms readMilliseconds(clockid_t Clock) {
+  timespec Elapsed{};
+  clock_gettime(Clock, &Elapsed);
+  return static_cast<time_ms>(Elapsed.tv_sec) * 1'000 +
+         Elapsed.tv_nsec / 1'000'000;
+}
+
 Poco::Net::Context::Ptr makeContext(Poco::Net::Context::Usage Usage,
                                     const tls_files &Files) {
   Poco::Net::Context::Params Params;
@@ -39,12 +46,11 @@
 }
 
 time_ms system_clock::sinceBoot() const {
-  timespec Elapsed{};
-  clock_gettime(CLOCK_BOOTTIME, &Elapsed);
-  return static_cast<time_ms>(Elapsed.tv_sec) * 1'000 +
-         Elapsed.tv_nsec / 1'000'000;
+  return readMilliseconds(CLOCK_BOOTTIME);
 }
 
+time_ms processorTime() { return readMilliseconds(CLOCK_PROCESS_CPUTIME_ID); }
+
 std::string readBootId() {
   std::ifstream In("/proc/sys/kernel/random/boot_id");
   std::string Id;
--- a/packages/daemon/src/router.cpp
+++ b/packages/daemon/src/router.cpp
@@ -261,6 +261,7 @@
 router::router(const router_settings &Settings)
     : Settings(Settings), Memory(heldBytesOf(Settings.MemoryLimitBytes), this),
       Log(Settings.Instance, Clock, Settings.MaxLogLinesPerSecond),
+      LagLog(Context, Clock, Log, Metrics),
       DirectStore(Context,
                   {.Address = Settings.StoreAddress, .CallsFor = "own"},
                   StoreEra, *this),
@@ -365,14 +366,16 @@
   PeerServer.listen(edge::parseAddress(Settings.PeerAddress));
   MetricsServer.listen(edge::parseAddress(Settings.MetricsAddress));
   waitForSignals();
-  Log.write("start",
-            {{"zone", std::string_view(Settings.Zone)},
-             {"front", std::string_view(Settings.FrontendAddress)},
-             {"store", std::string_view(Settings.StoreAddress)},
-             {"held_bytes_limit", static_cast<std::int64_t>(Memory.limit())},
-             {"connections_limit", static_cast<std::int64_t>(
-                                       frontendSettings(Settings).MaxSessions)},
-             {"since_boot_ms", Clock.sinceBoot()}});
+  Log.write(
+      "start",
+      {{"zone", std::string_view(Settings.Zone)},
+       {"front", std::string_view(Settings.FrontendAddress)},
+       {"store", std::string_view(Settings.StoreAddress)},
+       {"held_bytes_limit", static_cast<std::int64_t>(Memory.limit())},
+       {"connections_limit",
+        static_cast<std::int64_t>(frontendSettings(Settings).MaxSessions)},
+       {"link_bytes_per_s", static_cast<std::int64_t>(Settings.LinkBytesPerS)},
+       {"since_boot_ms", Clock.sinceBoot()}});
   tick();
   Context.run();
   Log.write("stop", {{"open_connections",
@@ -385,6 +388,10 @@
   TickTimes.LastDueAt = TickTimes.NextDueAt;
   if (TickTimes.LastDueAt >= 0)
     recordLoopDelay(Now - TickTimes.LastDueAt);
+  LagLog.tick(Now,
+              {ageOf(ConfigurationFollower), ageOf(EndpointFollower),
+               ageOf(GrantFollower)},
+              Frontend.counts().Traffic, ConnectionPool.traffic());
   ConfigurationFollower.tick(Now);
   EndpointFollower.tick(Now);
   GrantFollower.tick(Now);
--- a/packages/daemon/src/router.hpp
+++ b/packages/daemon/src/router.hpp
@@ -6,6 +6,7 @@
 #include "crash_report_exchange.hpp"
 #include "endpoint_probe.hpp"
 #include "forwarding_link.hpp"
+#include "lag_log.hpp"
 #include "limit_log.hpp"
 #include "limit_report_exchange.hpp"
 #include "load_news_link.hpp"
@@ -27,6 +28,7 @@
 #include "tamarack/streams.hpp"
 
 #include <memory>
+#include <unordered_map>
 
 namespace tamarack::daemon {
 
@@ -71,6 +73,8 @@
   void onAttemptDropped(const relay::call &Call,
                         const relay::endpoint_choice &Target,
                         const edge::dropped_attempt &Attempt) override;
+  void onAttemptSent(const relay::call &Call,
+                     const relay::endpoint_choice &Target) override;
 
   // pools::token_source: the grants of this instance. If those are short, the
   // watermark and the grant record are written without waiting for the next
@@ -194,6 +198,7 @@
   edge::net::io_context Context{1};
   adapters::event_log Log;
   report::metrics_registry Metrics;
+  lag_log LagLog;
   store_era StoreEra{*this};
   platform::platform_store DirectStore;
   peers::failover_store Store; // DirectStore, or a peer if unavailable.
@@ -250,6 +255,9 @@
   int ForwardedCalls = 0; // Of other instances, that this one serves.
   bool IsPoolSendPosted = false;
   bool IsMemoryWakePosted = false;
+  // Age of the list of endpoints when a call in progress was last sent, by
+  // relay::call::Number.
+  std::unordered_map<std::uint64_t, time_ms> ListAgeAtSend;
   std::uint64_t LoggedPools = 0; // Version of the members, see logPools.
   dispatch::task_times TickTimes;
   time_ms TickStartedAt = 0; // Monotonic, of the last tick.
--- a/packages/daemon/src/router_reports.cpp
+++ b/packages/daemon/src/router_reports.cpp
@@ -64,6 +64,7 @@
   if (Timing.QueuedMs + Timing.ActiveMs < LoggedStoreCallMs &&
       Timing.Attempts < 2 && Report.HttpStatus != 0)
     return;
+  const edge::channel_rest Rest = Timing.Rest.value_or(edge::channel_rest());
   Log.write("store_call_slow",
             {{"calls_for", Report.CallsFor},
              {"topic", nameOf(Report.Topic)},
@@ -72,7 +73,10 @@
              {"queued_ms", std::int64_t(Timing.QueuedMs)},
              {"ms", std::int64_t(Timing.ActiveMs)},
              {"attempts", std::int64_t(Timing.Attempts)},
-             {"bytes", static_cast<std::int64_t>(Report.Bytes)}});
+             {"bytes", static_cast<std::int64_t>(Report.Bytes)},
+             {"stage", Timing.Rest ? edge::toString(Rest.Stage) : ""},
+             {"was_ready", std::int64_t(Rest.WasReady)},
+             {"unacknowledged_bytes", std::int64_t(Rest.UnacknowledgedBytes)}});
 }
 
 // Logs what is not the rule: a snapshot of one page that was read to its end.
@@ -140,6 +144,7 @@
 void router::recordLoopDelay(time_ms DelayMs) {
   Metrics.histogramOf("tamarack_loop_delay_ms")
       .observe(static_cast<double>(DelayMs));
+  LagLog.onLoopDelay(DelayMs);
   ForwardingGate.onLoopDelay(DelayMs, Clock.monotonic());
   if (DelayMs >= LoggedLoopDelayMs)
     Log.write("loop_delayed", {{"ms", DelayMs}});
@@ -170,6 +175,7 @@
 
 // A forwarded call has earned its retry at the instance that it came to.
 void router::onCallAccepted(const relay::call &Call) {
+  LagLog.onCall();
   countForwardedCall(Call, 1);
   if (Call.ForwardedBy.empty())
     LoadBalancer.onRequest(Call.Service);
@@ -297,9 +303,20 @@
              {"endpoint_version", std::string_view(Report.LastVersion)}});
 }
 
+void router::onAttemptSent(const relay::call &Call,
+                           const relay::endpoint_choice &Target) {
+  if (Target.IsInstance)
+    return;
+  const time_ms AgeMs = ageOf(EndpointFollower);
+  Metrics.histogramOf("tamarack_list_age_at_send_ms")
+      .observe(static_cast<double>(AgeMs));
+  ListAgeAtSend.insert_or_assign(Call.Number, AgeMs);
+}
+
 void router::onCallDone(const relay::call &Call,
                         const relay::exchange_report &Report, time_ms Now) {
   countForwardedCall(Call, -1);
+  const auto SentWith = ListAgeAtSend.extract(Call.Number);
   if (!Call.ForwardedBy.empty())
     Metrics.counterOf("tamarack_forwarded_calls_total{way=\"in\"}").add();
   if (!Report.ForwardedTo.empty())
@@ -353,6 +370,8 @@
              {"ms", Now - Call.ArrivedAt},
              {"left_ms", Call.Deadline - Now},
              {"endpoints_read_ms_ago", ageOf(EndpointFollower)},
+             {"sent_by_list_of_ms",
+              SentWith.empty() ? std::int64_t(-1) : SentWith.mapped()},
              {"used", Report.TokensCharged},
              {"bound", Call.maxTokens()}});
 }
--- a/packages/daemon/src/router_settings.cpp
+++ b/packages/daemon/src/router_settings.cpp
@@ -13,6 +13,7 @@
 
 constexpr double MsPerSecond = 1'000;
 constexpr double BytesPerMb = 1'048'576;
+constexpr double BytesPerMbit = 125'000;
 // Names are parts of keys in the store, which take 255 bytes.
 constexpr std::size_t MaxInstanceBytes = 200;
 
@@ -61,6 +62,9 @@
   Set.addNumber("max-fds", "0", 0, 10000000,
                 "descriptors that this process may open, 0 for the limit of "
                 "the system");
+  Set.addDecimal("link-mbps", "0", 0, 1e6,
+                 "rate of this machine's link in each direction, Mbit/s; 0 if "
+                 "it is not known");
   Set.addDecimal("slow-request-bytes-per-s", "16384", 0, 1e9,
                  "requests that arrive slower are refused first when the "
                  "memory is full, bytes/s");
@@ -150,6 +154,7 @@
   Settings.MemoryLimitBytes =
       static_cast<std::size_t>(Set.getDecimal("memory-mb") * BytesPerMb);
   Settings.MaxDescriptors = maxDescriptors(Set.getNumber("max-fds"));
+  Settings.LinkBytesPerS = Set.getDecimal("link-mbps") * BytesPerMbit;
   Settings.SlowRequestBytesPerS = Set.getDecimal("slow-request-bytes-per-s");
   Settings.MaxLogLinesPerSecond = static_cast<int>(Set.getNumber("log-lines"));
   return true;
--- a/packages/daemon/src/router_settings.hpp
+++ b/packages/daemon/src/router_settings.hpp
@@ -30,6 +30,8 @@
   // The process is ended if it uses more.
   std::size_t MemoryLimitBytes = 110u << 20;
   std::size_t MaxDescriptors = 4'096; // Open at a time.
+  // Of this machine's link in each direction, 0 if it is not known.
+  double LinkBytesPerS = 0;
   // Unfinished requests that are slower give way once the memory is full.
   double SlowRequestBytesPerS = 16'384;
 };
--- a/packages/edge/include/tamarack/edge.hpp
+++ b/packages/edge/include/tamarack/edge.hpp
@@ -3,11 +3,13 @@
 // Contents:
 //   messages            request_message, response_message, decoded_request
 //   codec               response_match, exchange_codec
-//   endpoint side       connection_pool_settings, connection_pool
+//   endpoint side       traffic_counts, connection_pool_settings,
+//                       connection_pool
 //   caller side         slow_request_rule, frontend_settings,
 //                       frontend_counts, dropped_attempt, frontend_observer,
 //                       frontend_server
-//   internal HTTP       http_channel, simple_http_server
+//   internal HTTP       channel_timing, http_channel, simple_http_server
+//   event loop          readiness_probe
 //
 // Everything runs on the one thread of the daemon's io_context. All decisions
 // about a call are made in packages/relay; this package does the I/O for them.
@@ -133,6 +135,12 @@
 // Endpoint side
 //---------------------------------------------------------------------------
 
+// Bytes of messages that went over connections, since the start.
+struct traffic_counts {
+  std::uint64_t Received = 0;
+  std::uint64_t Sent = 0; // Passed to the kernel.
+};
+
 class endpoint_connection;
 class endpoint_attempt;
 
@@ -168,15 +176,19 @@
   // Connections created since the start.
   std::uint64_t openedCount() const { return CreatedConnections; }
   const connection_pool_settings &settings() const { return Settings; }
+  // Of attempts at endpoints and other instances.
+  const traffic_counts &traffic() const { return Traffic; }
 
 private:
   friend class endpoint_connection;
+  friend class endpoint_attempt;
   void removeIdle(const endpoint_connection *Connection);
 
   net::io_context &Context;
   const clock &Clock;
   connection_pool_settings Settings;
   std::uint64_t CreatedConnections = 0;
+  traffic_counts Traffic;
   // By address; the most recently used connection is the last one.
   std::map<std::string, std::vector<std::shared_ptr<endpoint_connection>>>
       IdleConnections;
@@ -217,6 +229,7 @@
   std::uint64_t SlowRequests = 0; // Gave way to others.
   std::uint64_t ClosedIdle = 0;   // Idle connections closed for new ones.
   std::uint64_t ClosedNew = 0;    // New connections closed.
+  traffic_counts Traffic;         // With callers and instances that forward.
 };
 
 // A request that was read after beginDrain(), for logs.
@@ -253,6 +266,9 @@
   virtual void onResponseBroken(const relay::call & /*Call*/,
                                 const relay::endpoint_choice & /*Source*/,
                                 responses::defect /*Why*/) {}
+  // The request is sent to Target from now on.
+  virtual void onAttemptSent(const relay::call & /*Call*/,
+                             const relay::endpoint_choice & /*Target*/) {}
   // The request had been sent, at least in part.
   virtual void onAttemptDropped(const relay::call & /*Call*/,
                                 const relay::endpoint_choice & /*Target*/,
@@ -345,11 +361,28 @@
 // Internal HTTP
 //---------------------------------------------------------------------------
 
+// How far a request on an http_channel has come.
+enum class channel_stage { Queued, Connecting, Sent, Receiving };
+
+std::string_view toString(channel_stage Stage);
+
+// What was left of a request on an http_channel that got no response.
+struct channel_rest {
+  channel_stage Stage = channel_stage::Queued;
+  // The kernel had what the request waited for, an open connection or bytes,
+  // and this process had not got to it.
+  bool WasReady = false;
+  // Of the request, that the server's host had not acknowledged; -1 if the
+  // kernel does not tell.
+  int UnacknowledgedBytes = -1;
+};
+
 // How long a request on an http_channel took.
 struct channel_timing {
   int QueuedMs = 0; // Until the first attempt, behind earlier requests.
   int ActiveMs = 0; // From the start of the first attempt to the result.
   int Attempts = 0; // 2 if the request was sent once more, 0 if it never was.
+  std::optional<channel_rest> Rest; // Of a request without a response.
 };
 
 using response_handler = std::function<void(std::optional<response_message>,
@@ -403,14 +436,17 @@
 
   void startNextRequest();
   void startAttempt();
+  channel_rest rest() const; // Of the active request.
   void startTimer(int TimeoutMs);
   void connect();
   void send();
   void readSome();
   void onReceived();
   void finishRequest(std::optional<response_message> Response);
-  // Removes the first request from the queue and passes on its result.
-  void completeFront(std::optional<response_message> Response);
+  // Removes the first request from the queue and passes on its result. Rest: of
+  // one without a response.
+  void completeFront(std::optional<response_message> Response,
+                     const channel_rest &Rest);
   static bool isOverdue(const queued_request &Request);
   void onTimer();
   void onTimeout();
@@ -457,4 +493,31 @@
   std::set<std::shared_ptr<simple_http_session>> Sessions;
 };
 
+//---------------------------------------------------------------------------
+// Event loop
+//---------------------------------------------------------------------------
+
+// Measures how long a socket that is ready to be read waits until the event
+// loop gets to it. Timers don't show this: they are looked at in each turn of
+// the loop, while a socket may have to wait for several turns.
+class readiness_probe {
+public:
+  readiness_probe(net::io_context &Context, const clock &Clock);
+  // Begins the next measurement unless one is in progress. Called at least
+  // every 100 ms.
+  void tick();
+  // The longest wait since the last call, ms, a wait in progress included.
+  time_ms takeLongestWait();
+
+private:
+  void startRead();
+
+  const clock &Clock;
+  net::posix::stream_descriptor Receiver; // Of a pipe of this process.
+  net::posix::stream_descriptor Sender;
+  char Byte = 0;
+  time_ms SentAt = -1; // Monotonic, -1 if no measurement is in progress.
+  time_ms LongestWaitMs = 0;
+};
+
 } // namespace tamarack::edge
--- a/packages/edge/src/endpoint_attempt.cpp
+++ b/packages/edge/src/endpoint_attempt.cpp
@@ -116,7 +116,8 @@
   Connection->addRequest(Call.Id);
   const std::shared_ptr<endpoint_attempt> Self = shared_from_this();
   http::async_write(Connection->Socket, Request,
-                    [Self](const error_code &Error, std::size_t) {
+                    [Self](const error_code &Error, std::size_t Size) {
+                      Self->Pool.Traffic.Sent += Size;
                       Self->IsWriting = false;
                       Self->HasWriteFailed = Error.failed();
                       Self->Body.reset();
@@ -223,6 +224,7 @@
   const std::shared_ptr<endpoint_attempt> Self = shared_from_this();
   Connection->Socket.async_read_some(
       Buffer.prepare(Size), [Self](const error_code &Error, std::size_t Count) {
+        Self->Pool.Traffic.Received += Count;
         if (Self->Listener == nullptr)
           return;
         // The handler of a write that failed before may still be waiting.
--- a/packages/edge/src/frontend_session.cpp
+++ b/packages/edge/src/frontend_session.cpp
@@ -78,6 +78,7 @@
   Socket.async_read_some(Buffer.prepare(MaxBytes),
                          [Self](const error_code &Error, std::size_t Size) {
                            Self->IsReadingAhead = false;
+                           Self->Server.Counts.Traffic.Received += Size;
                            Self->onReadAhead(Error, Size);
                          });
 }
@@ -381,9 +382,14 @@
 
 bool frontend_session::maySend(const endpoint_attempt *Source,
                                time_ms ConnectedAt) {
-  return Exchange && Source == Attempt.get() &&
-         Server.Placement.mayStillSend(Exchange->request(), Source->target(),
-                                       ConnectedAt, now());
+  if (!Exchange || Source != Attempt.get())
+    return false;
+  const relay::call &Call = Exchange->request();
+  const bool MaySend =
+      Server.Placement.mayStillSend(Call, Source->target(), ConnectedAt, now());
+  if (MaySend)
+    Server.Observer.onAttemptSent(Call, Source->target());
+  return MaySend;
 }
 
 void frontend_session::onWithdrawn(const endpoint_attempt *Source) {
@@ -454,9 +460,12 @@
 }
 
 void frontend_session::startWrite() {
-  if (Phase != phase::Closed)
-    Output.startWrite(shared_from_this(),
-                      [this](const error_code &Error) { onWritten(Error); });
+  if (Phase == phase::Closed)
+    return;
+  const std::size_t UnsentBytes = Output.unsentSize();
+  Output.startWrite(shared_from_this(),
+                    [this](const error_code &Error) { onWritten(Error); });
+  Server.Counts.Traffic.Sent += UnsentBytes - Output.unsentSize();
 }
 
 void frontend_session::onWritten(const error_code &Error) {
--- a/packages/edge/src/http_channel.cpp
+++ b/packages/edge/src/http_channel.cpp
@@ -1,8 +1,24 @@
 // Requests to one server, one at a time over one persistent connection.
 #include "sockets.hpp"
 
+#include <poll.h>
+
 namespace tamarack::edge {
 
+std::string_view toString(channel_stage Stage) {
+  switch (Stage) {
+  case channel_stage::Queued:
+    return "queued";
+  case channel_stage::Connecting:
+    return "connecting";
+  case channel_stage::Sent:
+    return "sent";
+  case channel_stage::Receiving:
+    return "receiving";
+  }
+  return "";
+}
+
 namespace {
 
 // A page of the store has up to 1 MB, and more in JSON or as a message.
@@ -95,7 +111,7 @@
 void http_channel::startNextRequest() {
   // The handler of an overdue request may queue and start another request.
   while (!HasActive && !Queue.empty() && isOverdue(Queue.front()))
-    completeFront(std::nullopt);
+    completeFront(std::nullopt, {});
   if (HasActive || Queue.empty())
     return;
   HasActive = true;
@@ -248,23 +264,42 @@
   ++AttemptNumber;
   const bool CanReuse = Response && Connection->Parser->keepsConnection() &&
                         Connection->Buffer.size() == 0;
+  const channel_rest Rest = Response ? channel_rest() : rest();
   if (!CanReuse)
     close();
   const std::shared_ptr<http_channel> Self = shared_from_this();
-  completeFront(std::move(Response));
+  completeFront(std::move(Response), Rest);
   if (!HasActive)
     startNextRequest();
 }
 
-void http_channel::completeFront(std::optional<response_message> Response) {
+channel_rest http_channel::rest() const {
+  channel_rest Rest;
+  if (!Connection)
+    return Rest;
+  const bool IsOpen = Connection->Socket.is_open();
+  Rest.Stage = !Connection->IsConnected         ? channel_stage::Connecting
+               : Connection->Parser->hasBegun() ? channel_stage::Receiving
+                                                : channel_stage::Sent;
+  const short Event = Connection->IsConnected ? POLLIN : POLLOUT;
+  Rest.WasReady = IsOpen && isReady(Connection->Socket, Event);
+  Rest.UnacknowledgedBytes =
+      IsOpen ? unacknowledgedBytes(Connection->Socket) : -1;
+  return Rest;
+}
+
+void http_channel::completeFront(std::optional<response_message> Response,
+                                 const channel_rest &Rest) {
   const queued_request Finished = std::move(Queue.front());
   Queue.pop_front();
   const steady_time Now = std::chrono::steady_clock::now();
   const steady_time StartedAt =
       Finished.Attempts > 0 ? Finished.StartedAt : Now;
-  const channel_timing Timing{millisecondsBetween(Finished.QueuedAt, StartedAt),
-                              millisecondsBetween(StartedAt, Now),
-                              Finished.Attempts};
+  channel_timing Timing{millisecondsBetween(Finished.QueuedAt, StartedAt),
+                        millisecondsBetween(StartedAt, Now), Finished.Attempts,
+                        std::nullopt};
+  if (!Response)
+    Timing.Rest = Rest;
   Finished.Handler(std::move(Response), Timing);
 }
 
--- a/packages/edge/src/sockets.cpp
+++ b/packages/edge/src/sockets.cpp
@@ -4,6 +4,7 @@
 #include <charconv>
 #include <linux/sockios.h>
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <stdexcept>
 #include <sys/ioctl.h>
 #include <sys/socket.h>
@@ -55,6 +56,11 @@
   return IsKnown ? Count : -1;
 }
 
+bool isReady(tcp::socket &Socket, short Events) {
+  pollfd Descriptor{Socket.native_handle(), Events, 0};
+  return ::poll(&Descriptor, 1, 0) == 1 && (Descriptor.revents & Events) != 0;
+}
+
 void openAcceptor(tcp::acceptor &Acceptor, const tcp::endpoint &Address) {
   Acceptor.open(Address.protocol());
   Acceptor.set_option(net::socket_base::reuse_address(true));
--- a/packages/edge/src/sockets.hpp
+++ b/packages/edge/src/sockets.hpp
@@ -40,6 +40,9 @@
 // the kernel does not tell.
 int unacknowledgedBytes(tcp::socket &Socket);
 
+// True if poll() reports one of Events (POLLIN, POLLOUT) now.
+bool isReady(tcp::socket &Socket, short Events);
+
 // Opens Acceptor and listens on Address. Throws boost::system::system_error.
 void openAcceptor(tcp::acceptor &Acceptor, const tcp::endpoint &Address);
 
--- a/tests/unit/http_channel_test.cpp
+++ b/tests/unit/http_channel_test.cpp
@@ -1,7 +1,9 @@
 // Broken responses of the store and of peers, over loopback.
+#include "tamarack/adapters.hpp"
 #include "tamarack/edge.hpp"
 
 #include <catch2/catch.hpp>
+#include <thread>
 
 using namespace tamarack;
 using namespace tamarack::edge;
@@ -96,6 +98,7 @@
                          const channel_timing &Timing) {
                        IsDone = true;
                        ActiveMs = Timing.ActiveMs;
+                       Rest = Timing.Rest;
                        if (Response)
                          Body = Response->body();
                      });
@@ -108,6 +111,7 @@
   scripted_server Server;
   std::shared_ptr<http_channel> Channel;
   int ActiveMs = 0; // Of the last request.
+  std::optional<channel_rest> Rest;
 };
 
 std::string whole(const std::string &Body, const std::string &Line = "X: y") {
@@ -172,3 +176,45 @@
   CHECK(Fixture.request() == "second");
   CHECK(Fixture.Server.connectionCount() == 2);
 }
+
+TEST_CASE("a request without a response tells how far it had come", "[edge]") {
+  SECTION("it was sent, and nothing came") {
+    channel_fixture Fixture({});
+    CHECK_FALSE(Fixture.request());
+    REQUIRE(Fixture.Rest);
+    CHECK(Fixture.Rest->Stage == channel_stage::Sent);
+    CHECK_FALSE(Fixture.Rest->WasReady);
+    CHECK(Fixture.Rest->UnacknowledgedBytes == 0);
+  }
+  SECTION("a part of the response came") {
+    channel_fixture Fixture(
+        {{"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nx"}});
+    CHECK_FALSE(Fixture.request());
+    REQUIRE(Fixture.Rest);
+    CHECK(Fixture.Rest->Stage == channel_stage::Receiving);
+  }
+  SECTION("there was a response") {
+    channel_fixture Fixture({{whole("a")}});
+    CHECK(Fixture.request() == "a");
+    CHECK_FALSE(Fixture.Rest);
+  }
+}
+
+// Guards against a measure that looks at timers: these are served in each turn
+// of the event loop, so they hide that sockets wait.
+TEST_CASE("the wait of a ready socket for the event loop is measured",
+          "[edge]") {
+  constexpr std::chrono::milliseconds StandstillMs(40);
+  adapters::system_clock Clock;
+  net::io_context Context;
+  readiness_probe Probe(Context, Clock);
+  Probe.tick();
+  std::this_thread::sleep_for(StandstillMs);
+  CHECK(Probe.takeLongestWait() >= StandstillMs.count());
+  Context.poll();
+  CHECK(Probe.takeLongestWait() >= StandstillMs.count());
+  CHECK(Probe.takeLongestWait() == 0);
+  Probe.tick();
+  Context.poll();
+  CHECK(Probe.takeLongestWait() < StandstillMs.count());
+}
