Test what routers and daemons send by old lists, red

Red, listed: a router whose link is full (90 requests late by 2.1 to 10.5 s), one that stood still (6 of 12 late by 4 s), its second attempts (4), one that stopped after that (6 of 12), and a request that waits at a daemon while its endpoint is drained (4 executions after the version was in force). Held, kept as guards: calls that another instance places, an address that another endpoint uses now, a router with a twentieth of the processor time, a daemon that stood still, a router cut off from the store (it serves on), and service once the link is idle again.

--- a/tests/process/scenarios.py
+++ b/tests/process/scenarios.py
@@ -26,6 +26,7 @@
 import entry_scenarios
 import evacuation_scenarios
 import limit_scenarios
+import old_list_scenarios
 import platform_scenarios
 import pool_scenarios
 import prompt_scenarios
@@ -668,7 +669,7 @@
      + broken_store_answer_scenarios.SCENARIOS
      + broken_daemon_answer_scenarios.SCENARIOS
      + drain_scenarios.SCENARIOS + recover_scenarios.SCENARIOS
-     + brittle_scenarios.SCENARIOS)
+     + brittle_scenarios.SCENARIOS + old_list_scenarios.SCENARIOS)
 
 
 def read_known_red():
