Give up a request that makes no progress once its endpoint may not get it

Cause: what is sent was kept for 2 s without any acknowledgement, whatever became known meanwhile, so that over a path that is silent for a moment it may arrive that much later than the list allows. Change: a request of which nothing is acknowledged is looked at again each 500 ms, like a choice before its send, and reset if its endpoint leaves by then.

"a request that is not taken is given up as its endpoint leaves": with the answer of mayDeliver ignored it takes the 2 s of every silent path and fails its bound of less; with it, it passes.

--- a/packages/edge/src/endpoint_attempt.cpp
+++ b/packages/edge/src/endpoint_attempt.cpp
@@ -129,6 +129,7 @@
                       if (Error && Self->IsResponseComplete)
                         Self->Connection->close();
                     });
+  UndeliveredBytes = unacknowledgedBytes(Connection->Socket);
   watchDelivery();
   beginResponse();
   parseReceived();
@@ -147,10 +148,14 @@
   const int Bytes = unacknowledgedBytes(Connection->Socket);
   const bool IsDelivered = Bytes <= 0 && !IsWriting;
   const bool IsStuck = Bytes == UndeliveredBytes || UndeliveredChecks == 0;
+  const bool HasProgress = Bytes < UndeliveredBytes;
   UndeliveredChecks = IsDelivered ? 0 : IsStuck ? UndeliveredChecks + 1 : 1;
   UndeliveredBytes = Bytes;
   if (UndeliveredChecks >= MaxUndeliveredChecks)
     return failBroken();
+  if (!IsDelivered && !HasProgress &&
+      !Listener->mayDeliver(this, Connection->ConnectedAt))
+    return failBroken();
   if (IsDelivered && Clock.monotonic() - LastProgressAt >= ProbeAfterMs)
     return Connection->startProbing();
   watchDelivery();
--- a/packages/edge/src/endpoint_attempt.hpp
+++ b/packages/edge/src/endpoint_attempt.hpp
@@ -62,6 +62,10 @@
   // if the request must not be sent any more; onWithdrawn follows.
   virtual bool maySend(const endpoint_attempt *Source, time_ms ConnectedAt) = 0;
   virtual void onWithdrawn(const endpoint_attempt *Source) = 0;
+  // Nothing of the request was acknowledged for a while. False if it must not
+  // be delivered any more; onBroken follows.
+  virtual bool mayDeliver(const endpoint_attempt *Source,
+                          time_ms ConnectedAt) = 0;
   virtual void onHead(const endpoint_attempt *Source,
                       relay::response_head Head) = 0;
   virtual void onBody(const endpoint_attempt *Source,
--- a/packages/edge/src/frontend_session.cpp
+++ b/packages/edge/src/frontend_session.cpp
@@ -382,16 +382,19 @@
 
 bool frontend_session::maySend(const endpoint_attempt *Source,
                                time_ms ConnectedAt) {
-  if (!Exchange || Source != Attempt.get())
-    return false;
-  const relay::call &Call = Exchange->request();
-  const bool MaySend =
-      Server.Placement.mayStillSend(Call, Source->target(), ConnectedAt, now());
+  const bool MaySend = mayDeliver(Source, ConnectedAt);
   if (MaySend)
-    Server.Observer.onAttemptSent(Call, Source->target());
+    Server.Observer.onAttemptSent(Exchange->request(), Source->target());
   return MaySend;
 }
 
+bool frontend_session::mayDeliver(const endpoint_attempt *Source,
+                                  time_ms ConnectedAt) {
+  return Exchange && Source == Attempt.get() &&
+         Server.Placement.mayStillSend(Exchange->request(), Source->target(),
+                                       ConnectedAt, now());
+}
+
 void frontend_session::onWithdrawn(const endpoint_attempt *Source) {
   if (!Exchange || Source != Attempt.get())
     return;
--- a/packages/edge/src/frontend_session.hpp
+++ b/packages/edge/src/frontend_session.hpp
@@ -85,6 +85,7 @@
   // attempt_listener
   void onUnreached(const endpoint_attempt *Source) override;
   bool maySend(const endpoint_attempt *Source, time_ms ConnectedAt) override;
+  bool mayDeliver(const endpoint_attempt *Source, time_ms ConnectedAt) override;
   void onWithdrawn(const endpoint_attempt *Source) override;
   void onHead(const endpoint_attempt *Source,
               relay::response_head Head) override;
--- a/tests/unit/endpoint_attempt_test.cpp
+++ b/tests/unit/endpoint_attempt_test.cpp
@@ -123,6 +123,9 @@
   void onWithdrawn(const endpoint_attempt *) override {
     End = attempt_end::Withdrawn;
   }
+  bool mayDeliver(const endpoint_attempt *, time_ms) override {
+    return MayDeliver;
+  }
   void onHead(const endpoint_attempt *, relay::response_head Head) override {
     Status = Head.Status;
     HeadConnectedAt = Head.ConnectedAt;
@@ -137,6 +140,7 @@
   bool canAcceptBody() override { return true; }
 
   bool MaySend = true;
+  bool MayDeliver = true;
   attempt_end End = attempt_end::None;
   int Status = 0;
   time_ms ConnectedAt = 0;     // As of maySend.
@@ -312,41 +316,71 @@
   CHECK(IdleAfter("Keep-Alive: timeout=-3\r\n") == 0);
 }
 
-// Guards against a request that its endpoint gets long after another one has
-// answered it: the kernel ends a connection over a path that has gone silent,
-// but what it has sent may still be on its way.
-TEST_CASE("a request that is not taken is given up before the kernel does",
-          "[edge]") {
+namespace {
+
+// An attempt at an endpoint that takes nothing of its request.
+struct untaken_fixture {
+  untaken_fixture() : Pool(Context, Clock, {}), Acceptor(Context) {
+    openAcceptor(Acceptor, {net::ip::make_address("127.0.0.1"), 0});
+    setReceiveBuffer(Acceptor.native_handle(), 4'096);
+    request_message Request(http::verb::post, "/x", 11);
+    Request.body().assign(8u << 20,
+                          'x'); // More than the buffers of sockets hold.
+    Request.prepare_payload();
+    relay::call Call;
+    Call.Id = "a";
+    Attempt = std::make_shared<endpoint_attempt>(
+        Context, Clock, Pool, Codec, Listener, Memory, Call,
+        relay::endpoint_choice{
+            "e",
+            "127.0.0.1:" + std::to_string(Acceptor.local_endpoint().port())},
+        std::move(Request));
+  }
+
+  // Runs the attempt to its end; returns how long that took, in ms.
+  time_ms run() {
+    const time_ms Begin = Clock.monotonic();
+    Attempt->start(false);
+    while (Listener.End == attempt_end::None &&
+           Clock.monotonic() < Begin + 10'000)
+      Context.run_one_for(std::chrono::milliseconds(50));
+    return Clock.monotonic() - Begin;
+  }
+
   net::io_context Context;
   adapters::system_clock Clock;
   memory::memory_budget Memory{16u << 20};
-  connection_pool Pool(Context, Clock, {});
+  connection_pool Pool;
   attempt_id_codec Codec;
   recording_listener Listener;
-  tcp::acceptor Acceptor(Context);
-  openAcceptor(Acceptor, {net::ip::make_address("127.0.0.1"), 0});
-  setReceiveBuffer(Acceptor.native_handle(), 4'096);
-  request_message Request(http::verb::post, "/x", 11);
-  Request.body().assign(8u << 20,
-                        'x'); // More than the buffers of sockets hold.
-  Request.prepare_payload();
-  relay::call Call;
-  Call.Id = "a";
-  const std::shared_ptr<endpoint_attempt> Attempt =
-      std::make_shared<endpoint_attempt>(
-          Context, Clock, Pool, Codec, Listener, Memory, Call,
-          relay::endpoint_choice{
-              "e",
-              "127.0.0.1:" + std::to_string(Acceptor.local_endpoint().port())},
-          std::move(Request));
-  Attempt->start(false);
-  const time_ms End = Clock.monotonic() + 10'000;
-  while (Listener.End == attempt_end::None && Clock.monotonic() < End)
-    Context.run_one_for(std::chrono::milliseconds(50));
-  REQUIRE(Listener.End == attempt_end::Broken);
-  REQUIRE(Attempt->dropped());
-  CHECK(Attempt->dropped()->UnacknowledgedBytes > 0);
-  CHECK(Attempt->dropped()->Error.empty());
+  tcp::acceptor Acceptor;
+  std::shared_ptr<endpoint_attempt> Attempt;
+};
+
+} // namespace
+
+// Guards against a request that its endpoint gets long after another one has
+// answered it: the kernel ends a connection over a path that has gone silent,
+// but what it has sent may still be on its way.
+TEST_CASE("a request that is not taken is given up before the kernel does",
+          "[edge]") {
+  untaken_fixture Fixture;
+  Fixture.run();
+  REQUIRE(Fixture.Listener.End == attempt_end::Broken);
+  REQUIRE(Fixture.Attempt->dropped());
+  CHECK(Fixture.Attempt->dropped()->UnacknowledgedBytes > 0);
+  CHECK(Fixture.Attempt->dropped()->Error.empty());
+}
+
+// Guards against a request that is on its way for seconds to an endpoint that
+// has begun to leave.
+TEST_CASE("a request that is not taken is given up as its endpoint leaves",
+          "[edge]") {
+  constexpr time_ms UsualMs = 2'000; // For which it is kept otherwise.
+  untaken_fixture Fixture;
+  Fixture.Listener.MayDeliver = false;
+  CHECK(Fixture.run() < UsualMs);
+  CHECK(Fixture.Listener.End == attempt_end::Broken);
 }
 
 // Guards against probes that end a connection on which a request is on its way:
