Choose endpoints of a waiting request by the configuration in force

Seen: requests that waited at a daemon for capacity ran at an endpoint that had been drained seconds before. Cause: each carried the configuration of its arrival, and the scheduler went by that one, up to 10 s later. Change: the scheduler asks for the configuration in force at each choice (lock order: its own lock first).

--- a/packages/daemon/src/exchange_driver.cpp
+++ b/packages/daemon/src/exchange_driver.cpp
@@ -156,7 +156,6 @@
     return relay::endpoint_choice{AttemptEndpoint.Name, AttemptEndpoint.Url};
   if (!AcquiredEndpoint) {
     scheduling_request Scheduling;
-    Scheduling.Configuration = Context.Configuration.get();
     Scheduling.Account = Context.Account;
     Scheduling.Pool = Context.findPool(Request.Subject);
     Scheduling.Subject = Request.Subject;
--- a/packages/daemon/src/request_scheduler.cpp
+++ b/packages/daemon/src/request_scheduler.cpp
@@ -24,11 +24,12 @@
 
 request_scheduler::request_scheduler(std::string Zone,
                                      routing::balancing_policy &ChoicePolicy,
-                                     std::size_t MaxQueueLength, clock &Clock,
+                                     std::size_t MaxQueueLength,
+                                     config_service &Config, clock &Clock,
                                      random_source &Random)
     : Zone(std::move(Zone)), ChoicePolicy(ChoicePolicy),
-      MaxQueueLength(MaxQueueLength), Clock(Clock), Random(Random),
-      EndpointTracker(this->Zone) {}
+      MaxQueueLength(MaxQueueLength), Config(Config), Clock(Clock),
+      Random(Random), EndpointTracker(this->Zone) {}
 
 void request_scheduler::admit(const config::account &Account, double Tokens) {
   const std::lock_guard Guard(Lock);
@@ -48,12 +49,13 @@
 std::optional<config::endpoint>
 request_scheduler::tryChooseEndpoint(const scheduling_request &Request,
                                      const std::set<std::string> &Tried) {
-  const config::configuration &Configuration = *Request.Configuration;
+  const std::shared_ptr<const config::configuration> Configuration =
+      Config.activeConfiguration();
   const std::span<const config::endpoint *const> PoolMembers =
-      Configuration.members(Request.Pool);
+      Configuration->members(Request.Pool);
   const time_ms Now = Clock.monotonic();
   const std::span<const config::endpoint *const> SameZoneMembers =
-      Configuration.membersInZone(Request.Pool, Zone);
+      Configuration->membersInZone(Request.Pool, Zone);
   const std::vector<const config::endpoint *> SampledMembers =
       routing::sampleMembers(SameZoneMembers, PoolMembers, Random);
   const std::vector<routing::candidate> Candidates =
--- a/packages/daemon/src/request_scheduler.hpp
+++ b/packages/daemon/src/request_scheduler.hpp
@@ -1,10 +1,11 @@
 // Schedules requests on endpoints: account limits, choice of an endpoint,
 // queueing for capacity, retry budgets.
 //
-// Lock order: no other lock is taken and no call to an endpoint or a peer is
-// made while request_scheduler::Lock is held.
+// Lock order: request_scheduler::Lock before that of config_service. No other
+// lock is taken and no call to an endpoint or a peer is made while it is held.
 #pragma once
 
+#include "config_service.hpp"
 #include "member_service.hpp"
 
 #include "tamarack/calls.hpp"
@@ -19,7 +20,6 @@
 
 // One request that needs an endpoint.
 struct scheduling_request {
-  const config::configuration *Configuration = nullptr; // Outlives the call.
   const config::account *Account = nullptr;
   std::string Pool;
   std::string Subject;                // Model or service.
@@ -30,12 +30,14 @@
 };
 
 // Admits requests by account limits, places them on endpoints, and queues them
-// while all endpoints of a pool are full. Thread-safe.
+// while all endpoints of a pool are full. The configuration that is in force
+// when an endpoint is chosen decides which ones a pool has, not the one in
+// force when the request came. Thread-safe.
 class request_scheduler final : public endpoint_gossip {
 public:
   request_scheduler(std::string Zone, routing::balancing_policy &ChoicePolicy,
-                    std::size_t MaxQueueLength, clock &Clock,
-                    random_source &Random);
+                    std::size_t MaxQueueLength, config_service &Config,
+                    clock &Clock, random_source &Random);
 
   // Admits a request of at most Tokens within the limits of the account. Throws
   // RateLimited.
@@ -94,6 +96,7 @@
   std::string Zone;
   routing::balancing_policy &ChoicePolicy;
   std::size_t MaxQueueLength;
+  config_service &Config;
   clock &Clock;
   random_source &Random;
   std::mutex Lock; // Guards all members below.
