Place calls only by a list of endpoints that may decide

Callers saw: requests that ran at endpoints seconds after these had left, some after the caller's deadline. Cause: nothing asked how old the list was when a call was placed or sent. An instance whose link was full of what callers send got no answer of the store for seconds and went on by what it had known; so did one that had stood still, with its second attempts and during a stop.

Change: packages/freshness. A list older than an endpoint's notice, less 500 ms, decides only for an instance that is certainly cut off: a read that began after its last backlog has failed or is silent for 400 ms. With a full link (bytes by direction against link-mbps, and no connection opened within 100 ms) calls are refused at once as not run; with a late event loop, or a read just begun, they wait for the list, 400 ms at most. The same before each send, for second attempts, and for calls that another instance places.

--- a/packages/daemon/src/lag_log.cpp
+++ b/packages/daemon/src/lag_log.cpp
@@ -15,47 +15,51 @@
   LongestDelayMs = std::max(LongestDelayMs, DelayMs);
 }
 
-void lag_log::tick(time_ms Now, const belief_ages &Ages,
-                   const edge::traffic_counts &Callers,
-                   const edge::traffic_counts &Endpoints) {
-  const time_ms WaitMs = Probe.takeLongestWait();
+void lag_log::tick(time_ms Now, const lag_sample &Sample) {
   Metrics.histogramOf("tamarack_ready_wait_ms")
-      .observe(static_cast<double>(WaitMs));
-  LongestWaitMs = std::max(LongestWaitMs, WaitMs);
-  Probe.tick();
+      .observe(static_cast<double>(Sample.ReadyWaitMs));
+  LongestWaitMs = std::max(LongestWaitMs, Sample.ReadyWaitMs);
+  WasLinkFull = WasLinkFull || Sample.IsLinkFull;
+  WasLoopLate = WasLoopLate || Sample.IsLoopLate;
   if (SecondBeganAt < 0 || Now - SecondBeganAt >= SecondMs)
-    endSecond(Now, Ages, {adapters::processorTime(), Callers, Endpoints});
+    endSecond(Now, Sample);
 }
 
-void lag_log::endSecond(time_ms Now, const belief_ages &Ages,
-                        const totals &Totals) {
+void lag_log::endSecond(time_ms Now, const lag_sample &Sample) {
   const auto Since = [](std::uint64_t Total, std::uint64_t Earlier) {
     return static_cast<std::int64_t>(Total - Earlier);
   };
-  const bool IsBehind =
-      LongestWaitMs >= LoggedWaitMs || Ages.Endpoints >= LoggedListAgeMs;
+  const time_ms ProcessorMs = adapters::processorTime();
+  const bool IsBehind = WasLinkFull || WasLoopLate ||
+                        LongestWaitMs >= LoggedWaitMs ||
+                        Sample.EndpointsAgeMs >= LoggedListAgeMs;
   if (SecondBeganAt >= 0 && IsBehind)
     Log.write(
         "instance_behind",
         {{"during_ms", Now - SecondBeganAt},
+         {"link_full", std::int64_t(WasLinkFull)},
+         {"loop_late", std::int64_t(WasLoopLate)},
          {"ready_wait_ms", LongestWaitMs},
          {"loop_delay_ms", LongestDelayMs},
-         {"processor_ms", Totals.ProcessorMs - Before.ProcessorMs},
+         {"processor_ms", ProcessorMs - ProcessorMsBefore},
          {"calls", Calls},
          {"from_callers_bytes",
-          Since(Totals.Callers.Received, Before.Callers.Received)},
-         {"to_callers_bytes", Since(Totals.Callers.Sent, Before.Callers.Sent)},
+          Since(Sample.Callers.Received, Before.Callers.Received)},
+         {"to_callers_bytes", Since(Sample.Callers.Sent, Before.Callers.Sent)},
          {"from_endpoints_bytes",
-          Since(Totals.Endpoints.Received, Before.Endpoints.Received)},
+          Since(Sample.Endpoints.Received, Before.Endpoints.Received)},
          {"to_endpoints_bytes",
-          Since(Totals.Endpoints.Sent, Before.Endpoints.Sent)},
-         {"endpoints_read_ms_ago", Ages.Endpoints},
-         {"configuration_read_ms_ago", Ages.Configuration},
-         {"grants_read_ms_ago", Ages.Grants}});
+          Since(Sample.Endpoints.Sent, Before.Endpoints.Sent)},
+         {"endpoints_read_ms_ago", Sample.EndpointsAgeMs},
+         {"configuration_read_ms_ago", Sample.ConfigurationAgeMs},
+         {"grants_read_ms_ago", Sample.GrantsAgeMs}});
   SecondBeganAt = Now;
-  Before = Totals;
+  Before = Sample;
+  ProcessorMsBefore = ProcessorMs;
   LongestWaitMs = 0;
   LongestDelayMs = 0;
+  WasLinkFull = false;
+  WasLoopLate = false;
   Calls = 0;
 }
 
--- a/packages/daemon/src/lag_log.hpp
+++ b/packages/daemon/src/lag_log.hpp
@@ -5,58 +5,51 @@
 #include "tamarack/edge.hpp"
 #include "tamarack/report.hpp"
 
-#include <string_view>
-
 namespace tamarack::daemon {
 
-// How old what the instance knows of each topic may be, ms; -1 if it knows
-// nothing.
-struct belief_ages {
-  time_ms Configuration = -1;
-  time_ms Endpoints = -1;
-  time_ms Grants = -1;
+// State of the instance at one tick.
+struct lag_sample {
+  time_ms ReadyWaitMs = 0; // Longest wait of a ready socket since the last one.
+  edge::traffic_counts Callers;   // Up to now, with callers.
+  edge::traffic_counts Endpoints; // The same, with endpoints.
+  bool IsLinkFull = false;
+  bool IsLoopLate = false;
+  // How old what is known of each topic may be; -1 if nothing is.
+  time_ms ConfigurationAgeMs = -1;
+  time_ms EndpointsAgeMs = -1;
+  time_ms GrantsAgeMs = -1;
 };
 
-// Writes one line for each second in which sockets had to wait for the event
-// loop, or in which what is known of the endpoints was old.
+// Writes one line for each second in which the instance had a backlog, or in
+// which what is known of the endpoints was old.
 class lag_log {
 public:
-  // Sockets that wait longer are logged.
-  static constexpr int LoggedWaitMs = 100;
-  // Older lists of endpoints are logged.
-  static constexpr int LoggedListAgeMs = 1'500;
+  static constexpr int LoggedWaitMs = 100;      // Of a ready socket.
+  static constexpr int LoggedListAgeMs = 1'500; // Of the list of endpoints.
 
-  lag_log(edge::net::io_context &Context, const clock &Clock,
-          adapters::event_log &Log, report::metrics_registry &Metrics)
-      : Log(Log), Metrics(Metrics), Probe(Context, Clock) {}
+  lag_log(adapters::event_log &Log, report::metrics_registry &Metrics)
+      : Log(Log), Metrics(Metrics) {}
 
   void onCall() { ++Calls; }
   // The event loop did nothing else for DelayMs.
   void onLoopDelay(time_ms DelayMs);
-  // Called at least every 100 ms. Callers, Endpoints: bytes up to now, of
-  // connections with callers and with endpoints.
-  void tick(time_ms Now, const belief_ages &Ages,
-            const edge::traffic_counts &Callers,
-            const edge::traffic_counts &Endpoints);
+  // Called at least every 100 ms.
+  void tick(time_ms Now, const lag_sample &Sample);
 
 private:
-  // Up to the beginning of a second.
-  struct totals {
-    time_ms ProcessorMs = 0;
-    edge::traffic_counts Callers;
-    edge::traffic_counts Endpoints;
-  };
-
-  void endSecond(time_ms Now, const belief_ages &Ages, const totals &Totals);
+  void endSecond(time_ms Now, const lag_sample &Sample);
 
   adapters::event_log &Log;
   report::metrics_registry &Metrics;
-  edge::readiness_probe Probe;
-  std::int64_t Calls = 0;     // Accepted in the current second.
-  time_ms LongestWaitMs = 0;  // Of a ready socket, the same.
-  time_ms LongestDelayMs = 0; // Of the event loop, the same.
+  // Of the current second.
+  std::int64_t Calls = 0;
+  time_ms LongestWaitMs = 0;  // Of a ready socket.
+  time_ms LongestDelayMs = 0; // Of the event loop.
+  bool WasLinkFull = false;
+  bool WasLoopLate = false;
   time_ms SecondBeganAt = -1; // Monotonic, -1 before the first one.
-  totals Before;              // At that time.
+  lag_sample Before;          // At its beginning.
+  time_ms ProcessorMsBefore = 0;
 };
 
 } // namespace tamarack::daemon
--- a/packages/daemon/src/router.cpp
+++ b/packages/daemon/src/router.cpp
@@ -35,6 +35,17 @@
 constexpr follow::follower_settings EndpointReads{
     .PollIntervalMs = 600, .RetryDelayMs = 150, .AcceptStuckSnapshot = true};
 
+// For a request to reach its endpoint after the list was looked at.
+constexpr int SendMarginMs = 500;
+
+// Of the list of endpoints, to decide where calls go. Reads that go well never
+// let it get older than their interval, so no notice can be shorter.
+int maxListAgeMs(int LeaveNoticeMs) {
+  return std::max(LeaveNoticeMs,
+                  EndpointReads.PollIntervalMs + 2 * SendMarginMs) -
+         SendMarginMs;
+}
+
 // Of the memory of the process, what it may hold for others. The rest is for
 // the program itself and for what such bytes take beyond their number.
 constexpr double HeldMemoryShare = 0.375;
@@ -193,6 +204,8 @@
     if (!Router.Directory.isReregistering(Router.Clock.monotonic()))
       Router.EndpointsKnownAsOf = Router.EndpointFollower.knownAsOf();
     Router.refreshEndpoints();
+    if (Router.FreshnessGate.takeWaiting())
+      Router.Frontend.onListRead();
   }
   void onStoreResponse() override {
     const time_ms Now = Router.Clock.monotonic();
@@ -261,7 +274,8 @@
 router::router(const router_settings &Settings)
     : Settings(Settings), Memory(heldBytesOf(Settings.MemoryLimitBytes), this),
       Log(Settings.Instance, Clock, Settings.MaxLogLinesPerSecond),
-      LagLog(Context, Clock, Log, Metrics),
+      ReadinessProbe(Context, Clock), LagLog(Log, Metrics),
+      Backlog(Clock, {.LinkBytesPerS = Settings.LinkBytesPerS}),
       DirectStore(Context,
                   {.Address = Settings.StoreAddress, .CallsFor = "own"},
                   StoreEra, *this),
@@ -291,8 +305,11 @@
                  QuarantineLog),
       CrashReports(Settings.Instance, Store, Quarantine),
       VersionGate(CrashGuard, *this, Clock, Settings.LeaveNoticeMs),
+      ListFreshness(*this, Backlog, Clock,
+                    {.MaxListAgeMs = maxListAgeMs(Settings.LeaveNoticeMs)}),
+      FreshnessGate(VersionGate, ListFreshness),
       ForwardingInstances(Settings.Zone, Random),
-      ForwardingGate(VersionGate, PathMonitor, ForwardingInstances,
+      ForwardingGate(FreshnessGate, PathMonitor, ForwardingInstances,
                      ListedPaths),
       ShutdownGate(ForwardingGate),
       Codec(Settings.Instance, LoadBalancer, *this, Limiter, Random, *this),
@@ -388,10 +405,8 @@
   TickTimes.LastDueAt = TickTimes.NextDueAt;
   if (TickTimes.LastDueAt >= 0)
     recordLoopDelay(Now - TickTimes.LastDueAt);
-  LagLog.tick(Now,
-              {ageOf(ConfigurationFollower), ageOf(EndpointFollower),
-               ageOf(GrantFollower)},
-              Frontend.counts().Traffic, ConnectionPool.traffic());
+  recordBacklog(Now);
+  probeFullLink(Now);
   ConfigurationFollower.tick(Now);
   EndpointFollower.tick(Now);
   GrantFollower.tick(Now);
--- a/packages/daemon/src/router.hpp
+++ b/packages/daemon/src/router.hpp
@@ -19,6 +19,7 @@
 #include "tamarack/edge.hpp"
 #include "tamarack/follow.hpp"
 #include "tamarack/forwarding.hpp"
+#include "tamarack/freshness.hpp"
 #include "tamarack/grants.hpp"
 #include "tamarack/memory.hpp"
 #include "tamarack/peers.hpp"
@@ -42,6 +43,7 @@
                      private platform::configuration_freshness,
                      private dispatch::endpoint_statement_listener,
                      private streams::listed_versions,
+                     private freshness::list_reads,
                      private store_era_listener,
                      private memory::memory_listener,
                      private streams::origin_listener {
@@ -125,6 +127,11 @@
   find(std::string_view Endpoint) const override;
   time_ms knownAsOf() const override;
 
+  // freshness::list_reads
+  time_ms listKnownAsOf() const override;
+  time_ms readUnansweredSince() const override;
+  time_ms failedReadStartedAt() const override;
+
   // store_era_listener
   void onEraChanged(std::uint64_t Before, std::uint64_t Era) override;
   void onFormerEra(std::uint64_t Stated, std::uint64_t Era) override;
@@ -157,6 +164,10 @@
   void scheduleTick();
   // The event loop did nothing else for DelayMs.
   void recordLoopDelay(time_ms DelayMs);
+  void recordBacklog(time_ms Now);
+  // While calls are refused because the link is full, nothing else shows that
+  // it no longer is.
+  void probeFullLink(time_ms Now);
   // How old what is known of a topic may be, -1 if nothing is.
   time_ms ageOf(const follow::topic_follower &Follower) const;
   void recordConfigurationRead();
@@ -198,7 +209,9 @@
   edge::net::io_context Context{1};
   adapters::event_log Log;
   report::metrics_registry Metrics;
+  edge::readiness_probe ReadinessProbe;
   lag_log LagLog;
+  freshness::backlog_monitor Backlog;
   store_era StoreEra{*this};
   platform::platform_store DirectStore;
   peers::failover_store Store; // DirectStore, or a peer if unavailable.
@@ -225,6 +238,8 @@
   quarantine::crash_guard CrashGuard;
   crash_report_exchange CrashReports;
   streams::version_gate VersionGate;
+  freshness::list_freshness ListFreshness;
+  freshness::freshness_gate FreshnessGate;
   forwarding::instance_selector ForwardingInstances;
   forwarding::forwarding_gate ForwardingGate;
   dispatch::shutdown_gate ShutdownGate;
@@ -258,7 +273,10 @@
   // Age of the list of endpoints when a call in progress was last sent, by
   // relay::call::Number.
   std::unordered_map<std::uint64_t, time_ms> ListAgeAtSend;
-  std::uint64_t LoggedPools = 0; // Version of the members, see logPools.
+  time_ms NextLinkProbeAt = 0;          // Monotonic.
+  time_ms LastQuickLinkProbeAt = -1;    // By sinceBoot, -1 if never.
+  std::uint64_t StoreReceivedBytes = 0; // Bodies of responses of the store.
+  std::uint64_t LoggedPools = 0;        // Version of the members, see logPools.
   dispatch::task_times TickTimes;
   time_ms TickStartedAt = 0; // Monotonic, of the last tick.
   std::shared_ptr<const relay::route_table> RouteTable;
--- a/packages/daemon/src/router_endpoints.cpp
+++ b/packages/daemon/src/router_endpoints.cpp
@@ -7,6 +7,7 @@
 namespace {
 
 constexpr std::size_t MaxLoggedTextBytes = 64; // Of what others have sent.
+constexpr int LinkProbeIntervalMs = 200;
 
 } // namespace
 
@@ -66,6 +67,37 @@
 
 time_ms router::knownAsOf() const { return EndpointsKnownAsOf; }
 
+void router::probeFullLink(time_ms Now) {
+  const bool IsDue = Now >= NextLinkProbeAt &&
+                     ListFreshness.state() == relay::list_state::Outdated;
+  if (!IsDue)
+    return;
+  // The own zone is out of reach least often.
+  std::vector<dispatch::endpoint_entry> Entries = Directory.entries();
+  std::erase_if(Entries, [this](const dispatch::endpoint_entry &Entry) {
+    return Entry.Zone != Settings.Zone;
+  });
+  if (Entries.empty())
+    return;
+  NextLinkProbeAt = Now + LinkProbeIntervalMs;
+  const std::string &Address = Entries[Random.next() % Entries.size()].Address;
+  EndpointProber.probe(Address, [this, Now](bool IsReached, time_ms At) {
+    const int QuickMs = ConnectionPool.settings().QuickConnectMs;
+    if (IsReached && At - Now <= QuickMs)
+      LastQuickLinkProbeAt = Clock.sinceBoot();
+  });
+}
+
+time_ms router::listKnownAsOf() const { return EndpointFollower.knownAsOf(); }
+
+time_ms router::readUnansweredSince() const {
+  return EndpointFollower.unansweredSince();
+}
+
+time_ms router::failedReadStartedAt() const {
+  return EndpointFollower.failedReadStartedAt();
+}
+
 void router::onStatementUnreadable(const relay::endpoint_choice &Source,
                                    std::string_view Field,
                                    std::string_view Text) {
--- a/packages/daemon/src/router_reports.cpp
+++ b/packages/daemon/src/router_reports.cpp
@@ -45,6 +45,7 @@
 void router::onStoreCall(const platform::store_call_report &Report) {
   const std::string Label = topicLabel(Report.Topic);
   const edge::channel_timing &Timing = Report.Timing;
+  StoreReceivedBytes += Report.Bytes;
   Metrics.counterOf("tamarack_store_received_bytes_total" + Label)
       .add(Report.Bytes);
   if (Report.HttpStatus == 0)
@@ -150,6 +151,24 @@
     Log.write("loop_delayed", {{"ms", DelayMs}});
 }
 
+void router::recordBacklog(time_ms Now) {
+  lag_sample Sample;
+  Sample.ReadyWaitMs = ReadinessProbe.takeLongestWait();
+  ReadinessProbe.tick();
+  Sample.Callers = Frontend.counts().Traffic;
+  Sample.Endpoints = ConnectionPool.traffic();
+  Backlog.onTick(
+      {Sample.Callers.Received + Sample.Endpoints.Received + StoreReceivedBytes,
+       Sample.Callers.Sent + Sample.Endpoints.Sent, Sample.ReadyWaitMs,
+       std::max(ConnectionPool.lastQuickConnectAt(), LastQuickLinkProbeAt)});
+  Sample.IsLinkFull = Backlog.isLinkFull();
+  Sample.IsLoopLate = Backlog.isLoopLate();
+  Sample.ConfigurationAgeMs = ageOf(ConfigurationFollower);
+  Sample.EndpointsAgeMs = ageOf(EndpointFollower);
+  Sample.GrantsAgeMs = ageOf(GrantFollower);
+  LagLog.tick(Now, Sample);
+}
+
 time_ms router::ageOf(const follow::topic_follower &Follower) const {
   const time_ms KnownAsOf = Follower.knownAsOf();
   return KnownAsOf < 0 ? -1 : Clock.sinceBoot() - KnownAsOf;
@@ -370,6 +389,7 @@
              {"ms", Now - Call.ArrivedAt},
              {"left_ms", Call.Deadline - Now},
              {"endpoints_read_ms_ago", ageOf(EndpointFollower)},
+             {"waited_for_list_ms", Report.ListWaitMs},
              {"sent_by_list_of_ms",
               SentWith.empty() ? std::int64_t(-1) : SentWith.mapped()},
              {"used", Report.TokensCharged},
--- a/packages/edge/include/tamarack/edge.hpp
+++ b/packages/edge/include/tamarack/edge.hpp
@@ -150,6 +150,7 @@
   int MaxIdleMs = 4'000;               // Longest time in the pool.
   std::size_t MaxIdlePerEndpoint = 32; // Idle connections.
   int TcpUserTimeoutMs = 2'500; // Unacknowledged bytes break a connection.
+  int QuickConnectMs = 100;     // See connection_pool::lastQuickConnectAt.
 };
 
 // Idle connections to endpoints, for reuse by later attempts.
@@ -178,17 +179,23 @@
   const connection_pool_settings &settings() const { return Settings; }
   // Of attempts at endpoints and other instances.
   const traffic_counts &traffic() const { return Traffic; }
+  // When a connection was last opened within QuickConnectMs, by
+  // clock::sinceBoot; -1 if never.
+  time_ms lastQuickConnectAt() const { return LastQuickConnectAt; }
 
 private:
   friend class endpoint_connection;
   friend class endpoint_attempt;
   void removeIdle(const endpoint_connection *Connection);
+  // A connection was opened, which took so long.
+  void onConnected(time_ms ElapsedMs);
 
   net::io_context &Context;
   const clock &Clock;
   connection_pool_settings Settings;
   std::uint64_t CreatedConnections = 0;
   traffic_counts Traffic;
+  time_ms LastQuickConnectAt = -1;
   // By address; the most recently used connection is the last one.
   std::map<std::string, std::vector<std::shared_ptr<endpoint_connection>>>
       IdleConnections;
@@ -305,6 +312,8 @@
   void onGrantsChanged();
   // Calls that wait for the origin of a stream look again.
   void onOriginsRead();
+  // Calls that wait for the list of endpoints look again.
+  void onListRead();
   // Responses that wait for memory are read on as far as they fit.
   void onMemoryFreed();
 
--- a/packages/edge/src/connection_pool.cpp
+++ b/packages/edge/src/connection_pool.cpp
@@ -102,6 +102,11 @@
   return std::make_shared<endpoint_connection>(Context, *this, Address);
 }
 
+void connection_pool::onConnected(time_ms ElapsedMs) {
+  if (ElapsedMs <= Settings.QuickConnectMs)
+    LastQuickConnectAt = Clock.sinceBoot();
+}
+
 void connection_pool::release(std::shared_ptr<endpoint_connection> Connection,
                               time_ms ExpiresAt) {
   std::vector<std::shared_ptr<endpoint_connection>> &Connections =
--- a/packages/edge/src/endpoint_attempt.cpp
+++ b/packages/edge/src/endpoint_attempt.cpp
@@ -86,24 +86,28 @@
     return;
   }
   Connection = Pool.createConnection(Target.Address);
+  const time_ms BeginAt = Clock.monotonic();
   Timer.expires_after(
       std::chrono::milliseconds(Pool.settings().ConnectTimeoutMs));
   Timer.async_wait([Self](const error_code &Error) {
     if (!Error && Self->Connection)
       Self->Connection->close();
   });
-  Connection->Socket.async_connect(Address, [Self](const error_code &Error) {
-    Self->Timer.cancel();
-    if (Self->Listener == nullptr)
-      return;
-    if (Error || !Self->Connection->Socket.is_open()) {
-      Self->Connection->close();
-      std::exchange(Self->Listener, nullptr)->onUnreached(Self.get());
-      return;
-    }
-    Self->Connection->onConnected(Self->Clock.sinceBoot());
-    Self->send();
-  });
+  Connection->Socket.async_connect(
+      Address, [Self, BeginAt](const error_code &Error) {
+        Self->Timer.cancel();
+        if (!Error)
+          Self->Pool.onConnected(Self->Clock.monotonic() - BeginAt);
+        if (Self->Listener == nullptr)
+          return;
+        if (Error || !Self->Connection->Socket.is_open()) {
+          Self->Connection->close();
+          std::exchange(Self->Listener, nullptr)->onUnreached(Self.get());
+          return;
+        }
+        Self->Connection->onConnected(Self->Clock.sinceBoot());
+        Self->send();
+      });
 }
 
 void endpoint_attempt::send() {
--- a/packages/edge/src/frontend_server.cpp
+++ b/packages/edge/src/frontend_server.cpp
@@ -127,6 +127,10 @@
   forEachSession([](frontend_session &Session) { Session.onOriginsRead(); });
 }
 
+void frontend_server::onListRead() {
+  forEachSession([](frontend_session &Session) { Session.onListRead(); });
+}
+
 void frontend_server::onMemoryFreed() {
   forEachSession([](frontend_session &Session) { Session.onMemoryFreed(); });
 }
--- a/packages/edge/src/frontend_session.cpp
+++ b/packages/edge/src/frontend_session.cpp
@@ -608,6 +608,13 @@
   afterExchangeEvent();
 }
 
+void frontend_session::onListRead() {
+  if (!Exchange)
+    return;
+  Exchange->onListRead(now());
+  afterExchangeEvent();
+}
+
 // True until a new connection had time to send its first request.
 bool frontend_session::isNew() const {
   return RequestCount == 0 &&
--- a/packages/edge/src/frontend_session.hpp
+++ b/packages/edge/src/frontend_session.hpp
@@ -20,6 +20,7 @@
   void start();
   void onGrantsChanged();
   void onOriginsRead();
+  void onListRead();
   void onMemoryFreed();
   // A new connection is left to its idle timeout.
   void closeIfIdle();
--- a/packages/follow/include/tamarack/follow.hpp
+++ b/packages/follow/include/tamarack/follow.hpp
@@ -107,6 +107,14 @@
   // proves nothing: it may have been on its way for seconds.
   time_ms knownAsOf() const { return KnownAsOf; }
   int lastReadMs() const { return LastReadMs; } // Duration, with a long poll.
+  // When the last read was started, by clock::sinceBoot, if it has failed; -1
+  // if it was answered.
+  time_ms failedReadStartedAt() const { return FailedReadStartedAt; }
+  // Since when the read in progress has no answer, by clock::sinceBoot; -1 if
+  // none is in progress.
+  time_ms unansweredSince() const {
+    return ReadInProgress ? ReadStartedAt : -1;
+  }
 
 private:
   void startSnapshot();
@@ -132,9 +140,10 @@
   bool StoreUnavailable = false;
   std::uint64_t NextOffset = 0; // Of the next read.
   time_ms NextReadAt = 0;
-  time_ms ReadStartedAt = -1;  // Of the last read, by sinceBoot.
-  time_ms LastResponseAt = -1; // -1 if never.
-  time_ms KnownAsOf = -1;      // By sinceBoot, -1 if never.
+  time_ms ReadStartedAt = -1;       // Of the last read, by sinceBoot.
+  time_ms LastResponseAt = -1;      // -1 if never.
+  time_ms KnownAsOf = -1;           // By sinceBoot, -1 if never.
+  time_ms FailedReadStartedAt = -1; // The same.
   int LastReadMs = 0;
   time_ms LastRecordsAt = -1; // When a read last returned records.
 };
--- a/packages/follow/src/topic_follower.cpp
+++ b/packages/follow/src/topic_follower.cpp
@@ -98,6 +98,7 @@
 
 void topic_follower::onReadFailed(time_ms Now) {
   StoreUnavailable = true;
+  FailedReadStartedAt = ReadStartedAt;
   if (Settings.SkipSuperseded) {
     HasSnapshot = false;
     CaughtUp = false;
@@ -108,6 +109,7 @@
 
 void topic_follower::recordResponse(time_ms Now) {
   StoreUnavailable = false;
+  FailedReadStartedAt = -1;
   LastResponseAt = Now;
   LastReadMs = static_cast<int>(Clock.sinceBoot() - ReadStartedAt);
   Listener.onStoreResponse();
--- a/packages/forwarding/include/tamarack/forwarding.hpp
+++ b/packages/forwarding/include/tamarack/forwarding.hpp
@@ -240,6 +240,8 @@
 
   std::optional<relay::placement_refusal> admit(const relay::call &Call,
                                                 time_ms Now) override;
+  relay::list_state listState(const relay::call &Call,
+                              time_ms Now) const override;
   std::optional<relay::endpoint_choice>
   choose(const relay::call &Call, const std::set<std::string> &Tried,
          time_ms Now) override;
--- a/packages/forwarding/src/forwarding_gate.cpp
+++ b/packages/forwarding/src/forwarding_gate.cpp
@@ -57,6 +57,14 @@
          Paths.cutOffMs(Call.Service, Now) >= MinCutForBoundMs;
 }
 
+// The instance that places a call goes by its own list.
+relay::list_state forwarding_gate::listState(const relay::call &Call,
+                                             time_ms Now) const {
+  if (mayForward(Call, Now) && Paths.isCutOff(Call.Service))
+    return relay::list_state::Current;
+  return placement_decorator::listState(Call, Now);
+}
+
 std::optional<relay::endpoint_choice>
 forwarding_gate::choose(const relay::call &Call,
                         const std::set<std::string> &Tried, time_ms Now) {
--- a/packages/relay/include/tamarack/relay.hpp
+++ b/packages/relay/include/tamarack/relay.hpp
@@ -258,6 +258,13 @@
   int RetryAfterMs = 0; // When the caller should try again.
 };
 
+// Whether what is known of the endpoints is recent enough to choose one.
+enum class list_state {
+  Current,
+  Pending,  // It is being read, and may be recent enough in a moment.
+  Outdated, // It can't be read soon.
+};
+
 // Load balancing: chooses endpoints and observes the outcome of each attempt.
 class placement {
 public:
@@ -267,6 +274,10 @@
   virtual std::optional<placement_refusal> admit(const call &, time_ms) {
     return std::nullopt;
   }
+  // Asked before choose: nothing is chosen for the call unless it is Current.
+  virtual list_state listState(const call &, time_ms /*Now*/) const {
+    return list_state::Current;
+  }
   // Returns nothing if no endpoint outside Tried, and of the call's
   // RequiredVersion, can take the call now.
   virtual std::optional<endpoint_choice>
@@ -305,6 +316,7 @@
 
   std::optional<placement_refusal> admit(const call &Call,
                                          time_ms Now) override;
+  list_state listState(const call &Call, time_ms Now) const override;
   std::optional<endpoint_choice> choose(const call &Call,
                                         const std::set<std::string> &Tried,
                                         time_ms Now) override;
@@ -567,6 +579,7 @@
   std::string ForwardedTo;    // Instance of the last attempt, empty if none.
   bool CallerDisconnected = false;
   bool ResponseAborted = false;
+  time_ms ListWaitMs = 0;     // Spent on waiting for the list of endpoints.
   bool GivenUpAtStop = false; // The process ended before the call.
   std::int64_t TokensCharged = 0;
   time_ms FirstByteAt = 0;  // Of the endpoint's response, 0 if none.
@@ -598,6 +611,9 @@
   // Origins of streams have been read. Has an effect only while the call waits
   // for one.
   void onOriginsRead(time_ms Now);
+  // The list of endpoints has been read. Has an effect only while the call
+  // waits for it.
+  void onListRead(time_ms Now);
   // The current attempt could not connect; nothing was sent.
   void onUnreached(time_ms Now);
   // placement::mayStillSend was false for the current attempt; nothing was
@@ -631,6 +647,7 @@
     New,
     WaitingForOrigin,
     WaitingForTokens,
+    WaitingForList,
     AwaitingHead,
     Receiving,
     Done
@@ -641,6 +658,9 @@
   void awaitTokens(time_ms Now);
   void reserveTokens(time_ms Now);
   void startNextAttempt(time_ms Now);
+  void awaitList(time_ms Now);
+  void onListWaitOver(time_ms Now);
+  void refuseWithoutList();
   bool tryRetry(time_ms Now);
   void replaceUnsent(attempt_outcome Outcome, time_ms Now);
   bool mayReplaceUnsent();
@@ -689,7 +709,8 @@
   bool MayHaveRun = false;   // At least one attempt may have run the call.
   bool StreamBegun = false;  // The caller has the head of a stream.
   bool SawFirstByte = false; // Of the current attempt.
-  time_ms WaitDeadline = 0;  // Of the wait for an origin or for tokens.
+  time_ms WaitDeadline = 0;  // Of the wait for an origin, tokens or the list.
+  time_ms ListWaitSince = 0; // While it waits for the list.
 };
 
 } // namespace tamarack::relay
--- a/packages/relay/src/exchange.cpp
+++ b/packages/relay/src/exchange.cpp
@@ -11,6 +11,7 @@
 
 constexpr int MaxReservationWaitMs = 250;      // For a grant of tokens.
 constexpr int MaxOriginWaitMs = 500;           // For a look-up in the store.
+constexpr int MaxListWaitMs = 400;             // For a read of the store.
 constexpr int StoreOutageRetryAfterMs = 6'000; // Store outages last seconds.
 // Each is replaced by another one.
 constexpr int MaxUnreachedEndpoints = 3;
@@ -121,6 +122,14 @@
     return refuseNotRun(error_kind::DeadlineTooShort,
                         Placement.refusal(Call).RetryAfterMs);
   }
+  switch (Placement.listState(Call, Now)) {
+  case list_state::Pending:
+    return awaitList(Now);
+  case list_state::Outdated:
+    return refuseWithoutList();
+  case list_state::Current:
+    break;
+  }
   const std::optional<endpoint_choice> Choice =
       Placement.choose(Call, TriedEndpoints, Now);
   if (!Choice) {
@@ -153,6 +162,39 @@
   Host.startAttempt(*Choice, Options);
 }
 
+void exchange::awaitList(time_ms Now) {
+  if (State == state::WaitingForList)
+    return;
+  State = state::WaitingForList;
+  ListWaitSince = Now;
+  WaitDeadline = std::min(Now + MaxListWaitMs, Call.Deadline);
+}
+
+void exchange::onListRead(time_ms Now) {
+  const bool MayGoOn = State == state::WaitingForList &&
+                       Placement.listState(Call, Now) != list_state::Pending;
+  if (!MayGoOn)
+    return;
+  Report.ListWaitMs += Now - ListWaitSince;
+  startNextAttempt(Now);
+}
+
+// The list has not come. It may decide nevertheless, if the wait has shown that
+// this instance is cut off from the store.
+void exchange::onListWaitOver(time_ms Now) {
+  Report.ListWaitMs += Now - ListWaitSince;
+  if (Placement.listState(Call, Now) == list_state::Pending)
+    return refuseWithoutList();
+  startNextAttempt(Now);
+}
+
+// Another instance may know the endpoints.
+void exchange::refuseWithoutList() {
+  if (MayHaveRun)
+    return failAfterSend(false);
+  refuseNotRun(error_kind::NotReady, OtherInstanceRetryAfterMs);
+}
+
 void exchange::cancelAttempt(time_ms Now) {
   if (!AttemptInFlight)
     return;
@@ -180,7 +222,11 @@
   if (StreamBegun && !Report.IsVersionCertain)
     return false;
   TriedEndpoints.insert(Report.LastEndpoint);
-  if (!Placement.choose(Call, TriedEndpoints, Now))
+  const list_state ListState = Placement.listState(Call, Now);
+  if (ListState == list_state::Outdated)
+    return false;
+  if (ListState == list_state::Current &&
+      !Placement.choose(Call, TriedEndpoints, Now))
     return false;
   return Placement.tryRetry(Call.Service, Now);
 }
@@ -456,8 +502,9 @@
 }
 
 time_ms exchange::nextTimer() const {
-  const bool IsWaiting =
-      State == state::WaitingForOrigin || State == state::WaitingForTokens;
+  const bool IsWaiting = State == state::WaitingForOrigin ||
+                         State == state::WaitingForTokens ||
+                         State == state::WaitingForList;
   return IsWaiting ? WaitDeadline : Call.Deadline;
 }
 
@@ -468,6 +515,8 @@
     return refuseNotRun(error_kind::StreamUnknown, 0);
   if (State == state::WaitingForTokens)
     return refuseNotRun(error_kind::BudgetUnavailable, 0);
+  if (State == state::WaitingForList)
+    return onListWaitOver(Now);
   cancelAttempt(Now);
   failAfterSend(true);
 }
--- a/packages/relay/src/placement_decorator.cpp
+++ b/packages/relay/src/placement_decorator.cpp
@@ -8,6 +8,10 @@
   return Inner.admit(Call, Now);
 }
 
+list_state placement_decorator::listState(const call &Call, time_ms Now) const {
+  return Inner.listState(Call, Now);
+}
+
 std::optional<endpoint_choice>
 placement_decorator::choose(const call &Call,
                             const std::set<std::string> &Tried, time_ms Now) {
--- a/tests/process/link_proxy.py
+++ b/tests/process/link_proxy.py
@@ -1,8 +1,10 @@
 """A slow link of one router: what comes in over it waits in one queue.
 
-Callers and the store reach the router only through Link.port_to(): all bytes
-towards the router, of all connections, leave the queue in their order at the
-rate of the link. Bytes that the router sends are not slowed.
+The router and all others reach each other only through Link.port_to(): all
+bytes towards the router, of all connections, leave the queue in their order at
+the rate of the link. Bytes that the router sends are not slowed. While the queue
+is long, the router opens no connection: the answer to its opening packet would
+wait in the queue too.
 """
 import collections
 import contextlib
@@ -12,6 +14,10 @@
 
 READ_BYTES = 4_096
 BACKLOG = 1_024
+POLL_S = 0.05
+LONG_DELAY_S = 0.3  # Of the queue, for which nobody waits for a connection.
+# Connections that fill the queue of a listener that accepts none.
+QUEUE_FILLERS = 3
 
 
 class Link:
@@ -22,7 +28,10 @@
         self.queue = collections.deque()  # Sockets and what is sent on them.
         self.has_more = threading.Condition()
         self.queued_bytes = 0
+        self.router_listeners = []  # To which the router connects.
+        self.fillers = []  # While the queue is long.
         threading.Thread(target=self.send_all, daemon=True).start()
+        threading.Thread(target=self.watch_queue, daemon=True).start()
 
     def delay_s(self):
         """Time that bytes which come now wait in the queue."""
@@ -42,6 +51,33 @@
                 else:
                     target.shutdown(socket.SHUT_WR)
 
+    def is_long(self):
+        return self.delay_s() > LONG_DELAY_S
+
+    def watch_queue(self):
+        while True:
+            time.sleep(POLL_S)
+            if self.is_long() and not self.fillers:
+                self.refuse_connections()
+            elif not self.is_long() and self.fillers:
+                self.take_connections()
+
+    def refuse_connections(self):
+        for listener in self.router_listeners:
+            listener.listen(0)
+            for _ in range(QUEUE_FILLERS):
+                filler = socket.socket()
+                filler.setblocking(False)
+                filler.connect_ex(listener.getsockname())
+                self.fillers.append(filler)
+
+    def take_connections(self):
+        fillers, self.fillers = self.fillers, []
+        for filler in fillers:
+            filler.close()
+        for listener in self.router_listeners:
+            listener.listen(BACKLOG)
+
     def enqueue(self, target, data):
         with self.has_more:
             self.queue.append((target, data))
@@ -57,6 +93,8 @@
         listener = socket.socket()
         listener.bind(("127.0.0.1", 0))
         listener.listen(BACKLOG)
+        if router_connects:
+            self.router_listeners.append(listener)
         threading.Thread(target=self.accept,
                          args=(listener, port, router_connects),
                          daemon=True).start()
@@ -64,6 +102,8 @@
 
     def accept(self, listener, port, router_connects):
         while True:
+            while router_connects and self.is_long():
+                time.sleep(POLL_S)
             near, _ = listener.accept()
             try:
                 far = socket.create_connection(("127.0.0.1", port))
--- a/tests/process/old_list_scenarios.py
+++ b/tests/process/old_list_scenarios.py
@@ -17,7 +17,7 @@
 
 from harness import Fleet, http as send, wait_until
 from link_proxy import Link
-from path_proxy import CuttableFleet
+from path_proxy import CuttableFleet, StoreProxy
 from platform_fleet import DESK_HOST, PlatformFleet
 from shutdown_scenarios import KeptConnection
 
@@ -28,6 +28,7 @@
 CALLERS = 48
 BODY_BYTES = 12_000
 QUEUED_S = 1.2  # Delay of the link from which on reads of the store time out.
+OPENING_WORK_MS = 500  # Duration of a run while connections are opened.
 LOADED_S = 8  # Time under load after an endpoint has left.
 STANDSTILL_S = 4
 KEPT_CALLERS = 12
@@ -67,14 +68,17 @@
 
 
 class LinkedFleet(PlatformFleet):
-    """A fleet whose only router has one slow link to callers and the store."""
+    """A fleet whose only router has one slow link to all others."""
 
     def __init__(self, **options):
         super().__init__(routers=1, router_settings={
             "leave-notice-ms": NOTICE_S * 1000, "link-mbps": LINK_MBPS},
             **options)
         self.link = Link(LINK_BYTES_PER_S)
-        self.router_store_port = self.link.port_to(self.store_port, True)
+        runners = {port: self.link.port_to(port, True)
+                   for _, port in self.runners.values()}
+        store = StoreProxy(self.store_port, runners)
+        self.router_store_port = self.link.port_to(store.port, True)
         self.front_port = self.link.port_to(self.routers["router-0"][0], False)
 
 
@@ -117,6 +121,17 @@
                 connection.close()
 
 
+def open_connections(fleet):
+    """Lets the router open connections to all runners, which it keeps."""
+    for name in fleet.runners:
+        fleet.control(fleet.runner_url(name), delay_ms=OPENING_WORK_MS)
+    with concurrent.futures.ThreadPoolExecutor(CALLERS) as pool:
+        list(pool.map(lambda number: fleet.call(
+            "router-0", "/lookup/x", f"opening-{number}"), range(CALLERS)))
+    for name in fleet.runners:
+        fleet.control(fleet.runner_url(name), delay_ms=0)
+
+
 def a_router_whose_link_is_full_sends_nothing_by_an_old_list():
     """Callers fill the link over which the router also reads the store.
 
@@ -125,6 +140,7 @@
     longer than the router waited for them, and it went on by an old list.
     """
     with LinkedFleet(engines=0, desks=2) as fleet:
+        open_connections(fleet)
         with Uploads(fleet.front_port) as uploads:
             wait_until(lambda: fleet.link.delay_s() > QUEUED_S, "a full link")
             left_at = leave(fleet, "desk-0")
--- a/tests/unit/relay_test.cpp
+++ b/tests/unit/relay_test.cpp
@@ -43,6 +43,9 @@
     }
     return std::nullopt;
   }
+  list_state listState(const call &, time_ms) const override {
+    return ListState;
+  }
   bool isVersionCertain(const endpoint_choice &Source, time_ms) const override {
     return !Uncertain.contains(Source.Endpoint);
   }
@@ -68,6 +71,7 @@
     return {error_kind::NoEndpoint, 250};
   }
 
+  list_state ListState = list_state::Current;
   std::vector<std::string> Endpoints = {"e1", "e2", "e3"};
   std::map<std::string, std::string> Versions; // By endpoint, as listed.
   std::set<std::string> Uncertain; // Endpoints that may run another version.
@@ -1140,3 +1144,87 @@
   CHECK(Fixture.Host.AbortedResponses == 1);
   CHECK(Fixture.Budget.Billed == 0);
 }
+
+// Guards against calls that are placed by what an instance knew before it stood
+// still, and against refusals of calls that it can place a moment later.
+TEST_CASE("a call waits a moment for a list of endpoints that may decide",
+          "[relay]") {
+  exchange_fixture Fixture(callOf(call_kind::NotRepeatable));
+  Fixture.Placement.ListState = list_state::Pending;
+  Fixture.Exchange.start(Start);
+  CHECK(Fixture.Host.AttemptedEndpoints.empty());
+  CHECK(Fixture.Budget.Reserved > 0);
+  SECTION("it comes") {
+    Fixture.Exchange.onListRead(Start + 10);
+    CHECK(Fixture.Host.AttemptedEndpoints.empty());
+    Fixture.Placement.ListState = list_state::Current;
+    Fixture.Exchange.onListRead(Start + 20);
+    CHECK(Fixture.Host.AttemptedEndpoints == std::vector<std::string>{"e1"});
+    CHECK(Fixture.Exchange.report().ListWaitMs == 20);
+  }
+  SECTION("it comes, and no endpoint is left") {
+    Fixture.Placement.Endpoints.clear();
+    Fixture.Placement.ListState = list_state::Current;
+    Fixture.Exchange.onListRead(Start + 20);
+    CHECK(Fixture.Host.RefusedWith == error_kind::NoEndpoint);
+  }
+  SECTION("it does not come") {
+    const time_ms Due = Fixture.Exchange.nextTimer();
+    CHECK(Due <= Start + 400);
+    Fixture.Exchange.onTimer(Due);
+    CHECK(Fixture.Host.RefusedWith == error_kind::NotReady);
+    CHECK(Fixture.Budget.Reserved == 0);
+    CHECK(Fixture.Budget.Billed == 0);
+  }
+  SECTION("the wait shows that the instance is cut off") {
+    Fixture.Placement.ListState = list_state::Current;
+    Fixture.Exchange.onTimer(Fixture.Exchange.nextTimer());
+    CHECK(Fixture.Host.AttemptedEndpoints == std::vector<std::string>{"e1"});
+  }
+  SECTION("the caller leaves") {
+    Fixture.Exchange.onCallerDisconnected(Start + 10);
+    CHECK(Fixture.Exchange.isDone());
+    CHECK(Fixture.Budget.Reserved == 0);
+  }
+}
+
+TEST_CASE("a call is refused at once if the list can't be read soon",
+          "[relay]") {
+  exchange_fixture Fixture(callOf(call_kind::Idempotent));
+  Fixture.Placement.ListState = list_state::Outdated;
+  Fixture.Exchange.start(Start);
+  CHECK(Fixture.Host.RefusedWith == error_kind::NotReady);
+  CHECK(Fixture.Host.AdvisedRetryMs == OtherInstanceRetryAfterMs);
+  CHECK(Fixture.Host.AttemptedEndpoints.empty());
+}
+
+TEST_CASE("a second attempt is not sent by an old list either", "[relay]") {
+  exchange_fixture Fixture(callOf(call_kind::Idempotent));
+  Fixture.Exchange.start(Start);
+  SECTION("it waits for the list") {
+    Fixture.Placement.ListState = list_state::Pending;
+    Fixture.Exchange.onBroken(Start + 10);
+    CHECK(Fixture.Host.AttemptedEndpoints.size() == 1);
+    Fixture.Placement.ListState = list_state::Current;
+    Fixture.Placement.Endpoints = {"e3"};
+    Fixture.Exchange.onListRead(Start + 20);
+    CHECK(Fixture.Host.AttemptedEndpoints.back() == "e3");
+  }
+  SECTION("it waits in vain: the first attempt may have run") {
+    Fixture.Placement.ListState = list_state::Pending;
+    Fixture.Exchange.onBroken(Start + 10);
+    Fixture.Exchange.onTimer(Fixture.Exchange.nextTimer());
+    CHECK(Fixture.Host.RefusedWith == error_kind::EndpointFailed);
+  }
+  SECTION("there is none by a list that can't be read soon") {
+    Fixture.Placement.ListState = list_state::Outdated;
+    Fixture.Exchange.onBroken(Start + 10);
+    CHECK(Fixture.Host.RefusedWith == error_kind::EndpointFailed);
+    CHECK(Fixture.Host.AttemptedEndpoints.size() == 1);
+  }
+  SECTION("nothing was sent yet, and the list got old") {
+    Fixture.Placement.ListState = list_state::Outdated;
+    Fixture.Exchange.onWithdrawn(Start + 10);
+    CHECK(Fixture.Host.RefusedWith == error_kind::NotReady);
+  }
+}
