Wait for answers of the store that a full link of this instance holds up

Cause: each read was given up after 400 to 900 ms, its connection closed and another one opened, while an answer took 1.1 to 2.4 s over the full link; so none ever counted. Change: while the link is full, timeouts of reads and appends to the store and of calls to it through other instances are extended by 250 ms at a time, 2.5 s at most.

--- a/packages/edge/include/tamarack/edge.hpp
+++ b/packages/edge/include/tamarack/edge.hpp
@@ -8,7 +8,8 @@
 //   caller side         slow_request_rule, frontend_settings,
 //                       frontend_counts, dropped_attempt, frontend_observer,
 //                       frontend_server
-//   internal HTTP       channel_timing, http_channel, simple_http_server
+//   internal HTTP       channel_timing, response_patience, http_channel,
+//                       simple_http_server
 //   event loop          readiness_probe
 //
 // Everything runs on the one thread of the daemon's io_context. All decisions
@@ -397,6 +398,13 @@
 using response_handler = std::function<void(std::optional<response_message>,
                                             const channel_timing &)>;
 
+// Whether this instance itself holds up what others send to it.
+class response_patience {
+public:
+  virtual ~response_patience() = default;
+  virtual bool isHeldUp() const = 0;
+};
+
 struct channel_request {
   request_message Message;
   // Longest time from the start of an attempt to the first bytes of the
@@ -409,6 +417,10 @@
   int RetrySilenceMs = 400;
   // A request that has waited longer behind others is not sent. 0: no limit.
   int MaxQueuedMs = 0;
+  // While it holds responses up, a timeout is extended, by MaxPatienceMs at
+  // most. Must outlive the request; null: never.
+  const response_patience *Patience = nullptr;
+  static constexpr int MaxPatienceMs = 2'500;
 };
 
 // Sends requests to one server, one at a time over one persistent connection.
@@ -434,6 +446,7 @@
     bool Repeatable = false;
     int RetrySilenceMs = 0;
     int MaxQueuedMs = 0;
+    const response_patience *Patience = nullptr;
     response_handler Handler;
     steady_time QueuedAt;
     steady_time StartedAt; // Of the first attempt.
@@ -469,6 +482,7 @@
   // The timeout was extended because the process had stood still. Reset with
   // every part of the response.
   bool HasCaughtUp = false;
+  int PatienceMs = 0; // The same, by response_patience: for how long.
   // Changes at the start of every attempt and at the end of every request.
   // Handlers of operations with an older number do nothing.
   std::uint64_t AttemptNumber = 0;
--- a/packages/edge/src/http_channel.cpp
+++ b/packages/edge/src/http_channel.cpp
@@ -29,6 +29,8 @@
 constexpr int MaxTimerDelayMs = 50;
 // Time to read what has arrived while the process stood still.
 constexpr int CatchUpMs = 100;
+// A timeout is extended by this much at a time while responses are held up.
+constexpr int PatienceStepMs = 250;
 
 int millisecondsBetween(std::chrono::steady_clock::time_point Begin,
                         std::chrono::steady_clock::time_point End) {
@@ -94,6 +96,7 @@
   Queued.Repeatable = Request.Repeatable;
   Queued.RetrySilenceMs = Request.RetrySilenceMs;
   Queued.MaxQueuedMs = Request.MaxQueuedMs;
+  Queued.Patience = Request.Patience;
   Queued.Handler = std::move(Handler);
   Queued.QueuedAt = std::chrono::steady_clock::now();
   Queue.push_back(std::move(Queued));
@@ -124,6 +127,7 @@
   queued_request &Active = Queue.front();
   ++Active.Attempts;
   HasCaughtUp = false;
+  PatienceMs = 0;
   if (Connection && Connection->hasUnaskedBytes())
     close();
   // A reused connection may have died unnoticed, so a repeatable request gets a
@@ -157,6 +161,12 @@
     HasCaughtUp = true;
     return startTimer(CatchUpMs);
   }
+  const response_patience *Patience = Queue.front().Patience;
+  const bool IsHeldUp = Patience != nullptr && Patience->isHeldUp();
+  if (IsHeldUp && PatienceMs < channel_request::MaxPatienceMs) {
+    PatienceMs += PatienceStepMs;
+    return startTimer(PatienceStepMs);
+  }
   onTimeout();
 }
 
@@ -234,6 +244,7 @@
     return finishRequest(std::nullopt);
   default:
     HasCaughtUp = false;
+    PatienceMs = 0;
     startTimer(Queue.front().InactivityTimeoutMs);
     readSome();
   }
--- a/packages/freshness/include/tamarack/freshness.hpp
+++ b/packages/freshness/include/tamarack/freshness.hpp
@@ -16,7 +16,7 @@
 // clock::sinceBoot, which counts while the machine is suspended.
 #pragma once
 
-#include "tamarack/ports.hpp"
+#include "tamarack/edge.hpp"
 #include "tamarack/relay.hpp"
 
 #include <algorithm>
@@ -59,7 +59,7 @@
 // event loop is late. Either delays what the store sends. A link that carries
 // much is not full as long as endpoints respond over it quickly: the store
 // would too.
-class backlog_monitor {
+class backlog_monitor final : public edge::response_patience {
 public:
   backlog_monitor(const clock &Clock, backlog_settings Settings)
       : Clock(Clock), Settings(Settings) {}
@@ -73,6 +73,10 @@
   // When the last sign of either was seen, since boot; -1 if never.
   time_ms lastSignAt() const { return std::max(LastFullAt, LastLateAt); }
 
+  // edge::response_patience: what the store sends waits in the same queue as
+  // the bytes that fill the link.
+  bool isHeldUp() const override { return isLinkFull(); }
+
 private:
   struct timed_sample {
     time_ms At = 0; // Since boot.
--- a/packages/peers/include/tamarack/peers.hpp
+++ b/packages/peers/include/tamarack/peers.hpp
@@ -68,6 +68,8 @@
   int PreferPeersMs = 1'000;
   int PeerTimeoutMs = 500;         // Longest wait for a peer's response.
   std::size_t MaxPeersPerCall = 2; // Peers that one call may be sent to.
+  // See edge::channel_request.
+  const edge::response_patience *Patience = nullptr;
 };
 
 // Notified when the store is reached by another path than before.
--- a/packages/peers/src/failover_store.cpp
+++ b/packages/peers/src/failover_store.cpp
@@ -143,8 +143,11 @@
     Channel = std::make_shared<edge::http_channel>(Context, Address);
   edge::request_message Message(edge::http::verb::post, StorePath, 11);
   Message.body() = encode(Request);
+  edge::channel_request ChannelRequest{
+      std::move(Message), Settings.PeerTimeoutMs, isRead(Request.Call)};
+  ChannelRequest.Patience = Settings.Patience;
   Channel->request(
-      {std::move(Message), Settings.PeerTimeoutMs, isRead(Request.Call)},
+      std::move(ChannelRequest),
       [this, Request, Addresses, Address, MayBeStored,
        Handler](const std::optional<edge::response_message> &Response,
                 const edge::channel_timing &) {
--- a/tests/unit/freshness_test.cpp
+++ b/tests/unit/freshness_test.cpp
@@ -95,12 +95,14 @@
   Fixture.Reads.FailedAt = Start;
   Fixture.Reads.UnansweredSince = Start + 100;
   CHECK(Fixture.List.state() == list_state::Outdated);
+  CHECK(Fixture.Backlog.isHeldUp());
   SECTION("a recent list decides all the same") {
     Fixture.Reads.KnownAsOf = Fixture.Clock.Time;
     CHECK(Fixture.List.state() == list_state::Current);
   }
   SECTION("a read that began on the full link proves nothing later either") {
     Fixture.run(3'000);
+    CHECK_FALSE(Fixture.Backlog.isHeldUp());
     CHECK(Fixture.List.state() == list_state::Pending);
     Fixture.Reads.UnansweredSince = Fixture.Clock.Time;
     Fixture.run(400);
--- a/tests/unit/http_channel_test.cpp
+++ b/tests/unit/http_channel_test.cpp
@@ -91,6 +91,7 @@
     channel_request Request;
     Request.Message = request_message(http::verb::get, "/x", 11);
     Request.InactivityTimeoutMs = TimeoutMs;
+    Request.Patience = Patience;
     bool IsDone = false;
     std::optional<std::string> Body;
     Channel->request(std::move(Request),
@@ -112,6 +113,7 @@
   std::shared_ptr<http_channel> Channel;
   int ActiveMs = 0; // Of the last request.
   std::optional<channel_rest> Rest;
+  const response_patience *Patience = nullptr;
 };
 
 std::string whole(const std::string &Body, const std::string &Line = "X: y") {
@@ -218,3 +220,21 @@
   Context.poll();
   CHECK(Probe.takeLongestWait() < StandstillMs.count());
 }
+
+// Guards against an instance that gives up each answer which is late for its
+// own fault, and asks again over the same full link.
+TEST_CASE("a response is waited for while this instance holds it up",
+          "[edge]") {
+  class timed_patience final : public response_patience {
+  public:
+    bool isHeldUp() const override { return Clock.monotonic() < Until; }
+    adapters::system_clock Clock;
+    time_ms Until = Clock.monotonic() + 1'400;
+  };
+  timed_patience Patience;
+  channel_fixture Fixture({});
+  Fixture.Patience = &Patience;
+  CHECK_FALSE(Fixture.request());
+  CHECK(Fixture.ActiveMs >= 1'400);
+  CHECK(Fixture.ActiveMs < 1'000 + channel_request::MaxPatienceMs);
+}
