Test routers of two builds in one fleet

Routers of, built from the history outside of the tree, and of this code serve one fleet: replaced one by one under load and back, with a new configuration and an endpoint that leaves while both serve; the end of a budget; calls that each forwards to the other.

--- a/tests/process/scenarios.py
+++ b/tests/process/scenarios.py
@@ -31,6 +31,7 @@
 import pool_scenarios
 import prompt_scenarios
 import recover_scenarios
+import release_scenarios
 import request_scenarios
 import shutdown_scenarios
 import statement_scenarios
@@ -669,7 +670,8 @@
      + broken_store_answer_scenarios.SCENARIOS
      + broken_daemon_answer_scenarios.SCENARIOS
      + drain_scenarios.SCENARIOS + recover_scenarios.SCENARIOS
-     + brittle_scenarios.SCENARIOS + old_list_scenarios.SCENARIOS)
+     + brittle_scenarios.SCENARIOS + old_list_scenarios.SCENARIOS
+     + release_scenarios.SCENARIOS)
 
 
 def read_known_red():
--- a/tests/process/traffic.py
+++ b/tests/process/traffic.py
@@ -53,6 +53,7 @@
 class Traffic(contextlib.AbstractContextManager):
     """Sends requests of all kinds while it is entered.
 
+    A fleet may name in `rotation` the only routers that get new requests.
     results: lists of Results by name of the kind, complete after the exit.
     """
 
@@ -84,6 +85,6 @@
             sleep_until(started_at + (number + 1) / kind.rate)
 
     def send_one(self, kind, number):
-        routers = list(self.fleet.routers)
+        routers = getattr(self.fleet, "rotation", list(self.fleet.routers))
         self.results[kind.name].append(
             kind.send(self.fleet, routers[number % len(routers)], number))
