Send callers elsewhere while calls can't be placed here

Cause: it went on saying that it is ready, and kept the connections of those whom it refused. Change: a refusal for want of a list (not_ready) closes the connection, and the instance is not ready while its list is outdated.

Evidence: "a caller whose call can't be placed here is sent elsewhere" and a_router_whose_link_is_full_is_not_ready_until_it_no_longer_is fail without the change.

--- a/packages/daemon/src/router.cpp
+++ b/packages/daemon/src/router.cpp
@@ -552,7 +552,8 @@
   if (MayWait && (isBehindOthers() || !Evacuations.isKnown()))
     return false;
   WasReady = true;
-  return true;
+  // Calls that come are refused: others may serve them.
+  return ListFreshness.state() != relay::list_state::Outdated;
 }
 
 //---------------------------------------------------------------------------
--- a/packages/edge/src/frontend_session.cpp
+++ b/packages/edge/src/frontend_session.cpp
@@ -364,7 +364,11 @@
   afterExchangeEvent();
 }
 
+// What an instance that is not ready refuses, another one may serve: a new
+// connection leads there.
 void frontend_session::refuse(relay::error_kind Kind, int RetryAfterMs) {
+  if (Kind == relay::error_kind::NotReady)
+    KeepAlive = false;
   writeResponse(makeErrorResponse(Kind, RetryAfterMs, Exchange->request().Id));
 }
 
--- a/tests/process/old_list_scenarios.py
+++ b/tests/process/old_list_scenarios.py
@@ -151,12 +151,18 @@
         assert not late, late
 
 
-def a_router_whose_link_is_full_no_longer_serves_on():
-    """Once callers send less, the router serves each of them at once."""
+def a_router_whose_link_is_full_is_not_ready_until_it_no_longer_is():
+    """It refuses calls, so that new ones had better come to other routers.
+
+    Guards against callers who are refused and come back to the same router,
+    and against one that stays out of use.
+    """
     with LinkedFleet(engines=0, desks=2) as fleet:
+        ready = fleet.ready_url("router-0")
         with Uploads(fleet.front_port):
-            wait_until(lambda: fleet.link.delay_s() > QUEUED_S, "a full link")
+            wait_until(lambda: fleet.responds(ready, 503), "not ready")
         wait_until(lambda: fleet.link.queued_bytes == 0, "an idle link")
+        wait_until(lambda: fleet.responds(ready, 200), "ready")
         wait_until(lambda: fleet.call("router-0", "/lookup/x", "after"
                                       ).status == 200, "service")
 
@@ -389,7 +395,7 @@
 
 SCENARIOS = [
     a_router_whose_link_is_full_sends_nothing_by_an_old_list,
-    a_router_whose_link_is_full_no_longer_serves_on,
+    a_router_whose_link_is_full_is_not_ready_until_it_no_longer_is,
     a_router_that_stood_still_sends_nothing_by_its_old_list,
     a_router_that_is_cut_off_from_the_store_serves_by_its_list,
     a_forwarded_call_reaches_no_endpoint_by_an_old_list,
--- a/tests/unit/fakes.hpp
+++ b/tests/unit/fakes.hpp
@@ -31,6 +31,9 @@
 // Without endpoints; leaves everything else as it is.
 class empty_placement final : public relay::placement {
 public:
+  relay::list_state listState(const relay::call &, time_ms) const override {
+    return ListState;
+  }
   std::optional<relay::endpoint_choice>
   choose(const relay::call &, const std::set<std::string> &, time_ms) override {
     return std::nullopt;
@@ -43,6 +46,8 @@
   relay::placement_refusal refusal(const relay::call &) const override {
     return {};
   }
+
+  relay::list_state ListState = relay::list_state::Current;
 };
 
 // Withholds requests from the endpoints that the test names.
--- a/tests/unit/frontend_test.cpp
+++ b/tests/unit/frontend_test.cpp
@@ -26,12 +26,12 @@
 // call for which there is no endpoint.
 class refusing_codec final : public exchange_codec {
 public:
-  decoded_request decodeRequest(request_message Request, time_ms) override {
+  decoded_request decodeRequest(request_message Request, time_ms Now) override {
     Targets.emplace_back(Request.target());
     BodyBytes += Request.body().size();
     decoded_request Decoded;
     if (AcceptsCalls)
-      Decoded.Call.emplace();
+      Decoded.Call.emplace().Deadline = Now + CallMs;
     return Decoded;
   }
   void prepareAttempt(const relay::call &, const relay::endpoint_choice &,
@@ -56,6 +56,7 @@
   }
 
   bool AcceptsCalls = false;
+  time_ms CallMs = 0; // Until the deadline of a call.
   std::size_t ResponseBytes = 0;
   std::vector<relay::error_kind> Refusals; // In order.
   std::vector<int> RetriesAfterMs;         // Of the refusals.
@@ -515,3 +516,29 @@
   CHECK(Frontend.Server.sessionCount() == MaxSessions);
   CHECK(Frontend.Server.counts().ClosedIdle == 1);
 }
+
+// Guards against callers who stay with an instance that refuses each of their
+// calls, and fill its link with them.
+TEST_CASE("a caller whose call can't be placed here is sent elsewhere",
+          "[edge]") {
+  frontend_fixture Frontend;
+  Frontend.Codec.AcceptsCalls = true;
+  Frontend.Codec.CallMs = 10'000;
+  test_caller Caller(Frontend);
+  SECTION("the list of endpoints is outdated") {
+    Frontend.Placement.ListState = relay::list_state::Outdated;
+    Caller.send(formatRequest("/x"));
+    CHECK(Frontend.runUntil([&] {
+      Caller.receive();
+      return Caller.IsClosed;
+    }));
+    CHECK(Frontend.Codec.Refusals ==
+          std::vector<relay::error_kind>{relay::error_kind::NotReady});
+    CHECK(Caller.Received.find("Connection: close") != std::string::npos);
+  }
+  SECTION("there is no endpoint, here as elsewhere") {
+    Caller.send(formatRequest("/x"));
+    CHECK(Frontend.runUntil([&] { return Caller.responseCount() == 1; }));
+    CHECK_FALSE(Caller.IsClosed);
+  }
+}
