--- a/tests/process/drain_scenarios.py
+++ b/tests/process/drain_scenarios.py
@@ -8,6 +8,7 @@
 
 from broken_daemon_answer_scenarios import Services
 from harness import wait_until
+from path_proxy import CuttableFleet, KeepingPath
 from platform_fleet import DESK_HOST, PlatformFleet
 from raw_endpoint import RawEndpoint, wait_for_endpoints
 
@@ -109,7 +110,31 @@
     assert not reader.whole(), reader.received
 
 
+def bytes_that_a_path_keeps_are_lost_with_their_request():
+    """A path hangs with a request in it, and goes on when nobody waits for it.
+
+    Guards against a connection that is left open, or closed in order, although
+    its request was given up.
+    """
+    with CuttableFleet(["router-0"], path=KeepingPath, routers=1, engines=0,
+                       desks=1) as fleet:
+        path = fleet.paths["router-0"]["desk-0"]
+        assert fleet.call("router-0", "/lookup/x", "before").status == 200
+        for kind in ("lookup", "sale"):
+            path.hang()
+            given_up = fleet.call("router-0", f"/{kind}/x", f"{kind}-kept",
+                                  Deadline_Ms=str(int(GIVEN_UP_S * 1000)))
+            assert given_up.status == 504, given_up.status
+            time.sleep(SILENCE_S)
+            path.go_on()
+            time.sleep(GIVEN_UP_S)
+        executions = fleet.executions_by_request()
+        print(f"executed: {sorted(executions)}", flush=True)
+        assert set(executions) == {"before"}, executions
+
+
 SCENARIOS = [
+    bytes_that_a_path_keeps_are_lost_with_their_request,
     a_request_that_was_given_up_is_not_delivered_later,
     a_daemon_delivers_no_request_that_it_gave_up,
 ]
--- a/tests/process/path_proxy.py
+++ b/tests/process/path_proxy.py
@@ -124,6 +124,29 @@
         self.start_accepting()
 
 
+class KeepingPath(PathProxy):
+    """A path that keeps bytes while it hangs, and passes them on later.
+
+    As in a network, bytes are lost whose sender has reset the connection.
+    """
+
+    def hang(self):
+        self.is_silent = True
+
+    def go_on(self):
+        self.is_silent = False
+
+    def pump(self, source, target):
+        with contextlib.suppress(OSError):
+            while data := source.recv(READ_BYTES):
+                while self.is_silent:
+                    time.sleep(POLL_S)
+                if source.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR):
+                    raise ConnectionResetError
+                target.sendall(data)
+            target.shutdown(socket.SHUT_WR)
+
+
 class StoreProxy:
     """The store as one router sees it: with other ports of the runners."""
 
@@ -201,12 +224,12 @@
 class CuttableFleet(PlatformFleet):
     """A fleet of which some routers can be cut off from all runners.
 
-    cuttable: their names.
+    cuttable: their names. path: class of the paths to the runners.
     """
 
-    def __init__(self, cuttable, **options):
+    def __init__(self, cuttable, path=PathProxy, **options):
         super().__init__(**options)
-        self.paths = {router: {name: PathProxy(port) for name, (_, port)
+        self.paths = {router: {name: path(port) for name, (_, port)
                                in self.runners.items()}
                       for router in cuttable}
         self.store_proxies = {
